--- /dev/null
+++ b/cli/apply.go
@@ -0,0 +1,149 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/gooseberryshed/gooseberryshed/config"
+	"github.com/gooseberryshed/gooseberryshed/configstore"
+)
+
+// changeFlags are the flags of commands that change the document.
+type changeFlags struct {
+	author   string
+	message  string
+	changeID string
+	wait     waitFlags
+}
+
+func (f *changeFlags) add(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.author, "author", defaultAuthor(), "who makes the change, for the log")
+	cmd.Flags().StringVarP(&f.message, "message", "m", "", "why, for the log")
+	cmd.Flags().StringVar(&f.changeID, "change-id", "", "repeat the change with this id, which is never applied twice")
+	f.wait.add(cmd)
+}
+
+func defaultAuthor() string {
+	for _, name := range []string{"USER", "LOGNAME"} {
+		if v := os.Getenv(name); v != "" {
+			return v
+		}
+	}
+	return "unknown"
+}
+
+// change returns a change without edits.
+func (f *changeFlags) change() configstore.Change {
+	id := f.changeID
+	if id == "" {
+		id = configstore.NewChangeID()
+	}
+	return configstore.Change{ID: id, Author: f.author, Message: f.message}
+}
+
+// finish reports an accepted change and waits for it when asked to.
+func (f *changeFlags) finish(cmd *cobra.Command, res configstore.Result) error {
+	state := "accepted"
+	switch {
+	case res.Repeated:
+		state = "accepted earlier"
+	case res.Unchanged:
+		state = "nothing to change"
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "%s, revision %d\n", state, res.Revision)
+	return f.wait.run(cmd, res.Revision)
+}
+
+func applyCommand(g *globals) *cobra.Command {
+	var flags changeFlags
+	var base uint64
+	var overwrite bool
+	cmd := &cobra.Command{
+		Use:   "apply FILE...",
+		Short: "Apply the sections of files as one change",
+		Long: "Apply the sections of files as one change; all of it is accepted or none.\n" +
+			"Sections that the files do not name stay as they are.\n\n" +
+			"A file names in its field base the revision that it was edited from, as config show prints it.\n" +
+			"A section that has changed since is a conflict (exit code 3), because applying the file\n" +
+			"would undo that change, such as the withdrawal of a key.",
+		Example: "  gooseberryshed config apply orders.yaml\n" +
+			"  gooseberryshed config apply orders.yaml --message 'more for parish-12' --wait --admin 10.0.0.1:7004",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			doc, err := readFiles(args, cmd.InOrStdin())
+			if err != nil {
+				return err
+			}
+			if cmd.Flags().Changed("base") {
+				doc.Base = base
+			}
+			res, err := g.apply(cmd, doc, overwrite, flags.change())
+			if err != nil {
+				return err
+			}
+			return flags.finish(cmd, res)
+		},
+	}
+	flags.add(cmd)
+	cmd.Flags().Uint64Var(&base, "base", 0, "revision that the files were edited from; default: their field base")
+	cmd.Flags().BoolVar(&overwrite, "overwrite", false, "undo what others changed in these sections since the base")
+	return cmd
+}
+
+func (g *globals) apply(cmd *cobra.Command, doc config.Document, overwrite bool, c configstore.Change) (configstore.Result, error) {
+	store, err := g.store()
+	if err != nil {
+		return configstore.Result{}, err
+	}
+	ctx, cancel := g.context(cmd)
+	defer cancel()
+	st, err := store.Load(ctx)
+	if err != nil {
+		return configstore.Result{}, err
+	}
+	if overwrite {
+		doc.Base = st.Revision
+	}
+	fmt.Fprint(cmd.ErrOrStderr(), config.Diff(st.Document(), merged(st, doc.Sections)))
+	for i := range doc.Sections {
+		s := &doc.Sections[i]
+		c.Edits = append(c.Edits, configstore.Edit{Name: s.Name, Base: doc.Base, Section: s})
+	}
+	res, err := store.Apply(ctx, c)
+	return res, err
+}
+
+func removeCommand(g *globals) *cobra.Command {
+	var flags changeFlags
+	var base uint64
+	cmd := &cobra.Command{
+		Use:     "remove SECTION",
+		Short:   "Remove a section",
+		Example: "  gooseberryshed config remove swatches --base 42",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			store, err := g.store()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := g.context(cmd)
+			defer cancel()
+			c := flags.change()
+			c.Edits = []configstore.Edit{{Name: args[0], Base: base}}
+			res, err := store.Apply(ctx, c)
+			if err != nil {
+				return err
+			}
+			return flags.finish(cmd, res)
+		},
+	}
+	flags.add(cmd)
+	cmd.Flags().Uint64Var(&base, "base", 0, "revision at which you saw the section")
+	if err := cmd.MarkFlagRequired("base"); err != nil {
+		panic(errors.Wrap(err, "flag base"))
+	}
+	return cmd
+}
--- a/config/document.go
+++ b/config/document.go
@@ -4,25 +4,34 @@
 // Each section belongs to one team and is versioned on its own. A snapshot is
 // always built from all sections at one revision, validated as a whole and
 // swapped whole.
+//
+// The text form is YAML, read by Parse into nodes that keep their positions, so
+// that every problem is reported with file, line and column. Anchors, aliases,
+// tags and unknown fields are refused. Between daemons and in the table
+// sections travel as JSON, which decodes several times faster. Fields that the
+// document omits stay zero in a Section; Build fills in the defaults.
 package config
 
-import "time"
-
 // Document is the whole configuration: the sections of all teams.
 type Document struct {
-	Sections []Section `yaml:"sections"`
+	// Base is the revision that the file was edited from. Sections that have
+	// changed since are not overwritten.
+	Base     uint64    `yaml:"base,omitempty" json:"base,omitempty"`
+	Sections []Section `yaml:"sections" json:"sections"`
 }
 
 // Section is the part of the document that one team owns.
 type Section struct {
 	// Name is unique in the document: lower-case letters, digits and dashes.
-	Name string `yaml:"name"`
+	Name string `yaml:"name" json:"name"`
 	// Team names the owner. It is shown in diffs, logs and errors.
-	Team        string       `yaml:"team"`
-	DataCentres []DataCentre `yaml:"datacentres,omitempty"`
-	Workspaces  []Workspace  `yaml:"workspaces,omitempty"`
-	Services    []Service    `yaml:"services,omitempty"`
-	Routes      []Route      `yaml:"routes,omitempty"`
+	Team        string       `yaml:"team" json:"team"`
+	DataCentres []DataCentre `yaml:"datacentres,omitempty" json:"datacentres,omitempty"`
+	Workspaces  []Workspace  `yaml:"workspaces,omitempty" json:"workspaces,omitempty"`
+	Services    []Service    `yaml:"services,omitempty" json:"services,omitempty"`
+	Routes      []Route      `yaml:"routes,omitempty" json:"routes,omitempty"`
+
+	at source
 }
 
 // DataCentreState says whether a data centre takes new work.
@@ -37,55 +46,63 @@
 
 // DataCentre is a place with its own hosts.
 type DataCentre struct {
-	Name   string `yaml:"name"`
-	Region string `yaml:"region"`
+	Name   string `yaml:"name" json:"name"`
+	Region string `yaml:"region" json:"region"`
 	// State defaults to "in".
-	State DataCentreState `yaml:"state,omitempty"`
+	State DataCentreState `yaml:"state,omitempty" json:"state,omitempty"`
+
+	pos position
 }
 
 // Workspace is one customer of the firm, with its rate and keys.
 type Workspace struct {
-	Name string `yaml:"name"`
+	Name string `yaml:"name" json:"name"`
 	// Rate is the sustained rate over the whole fleet, requests per second.
 	// It is written with its unit: "50/s", "30/m".
-	Rate Rate `yaml:"rate"`
+	Rate Rate `yaml:"rate" json:"rate"`
 	// Burst is how many requests may exceed the rate at once.
-	Burst int `yaml:"burst"`
+	Burst int `yaml:"burst" json:"burst"`
 	// Weight is the share in the queues of targets. It defaults to 1.
-	Weight int   `yaml:"weight,omitempty"`
-	Keys   []Key `yaml:"keys,omitempty"`
+	Weight int   `yaml:"weight,omitempty" json:"weight,omitempty"`
+	Keys   []Key `yaml:"keys,omitempty" json:"keys,omitempty"`
+
+	pos position
 }
 
 // Key is a credential of a workspace. The document holds only its digest.
 type Key struct {
 	// ID names the key in logs and commands; it is not secret.
-	ID string `yaml:"id"`
+	ID string `yaml:"id" json:"id"`
 	// SHA256 is the hexadecimal SHA-256 digest of the secret.
-	SHA256 string `yaml:"sha256"`
+	SHA256 string `yaml:"sha256" json:"sha256"`
+
+	pos position
 }
 
 // Service is a set of interchangeable targets.
 type Service struct {
-	Name string `yaml:"name"`
+	Name string `yaml:"name" json:"name"`
 	// Floor is the fraction of announced capacity, in (0, 1], that ejection
 	// must leave in use. It defaults to 0.5.
-	Floor float64 `yaml:"floor,omitempty"`
+	Floor float64 `yaml:"floor,omitempty" json:"floor,omitempty"`
 	// Timeout bounds a whole request, retries included. It defaults to 10s.
-	Timeout Duration `yaml:"timeout,omitempty"`
+	Timeout Duration `yaml:"timeout,omitempty" json:"timeout,omitempty"`
 	// IdleTimeout bounds the silence between two parts of a streamed answer.
 	// It defaults to 5s.
-	IdleTimeout Duration `yaml:"idle_timeout,omitempty"`
+	IdleTimeout Duration `yaml:"idle_timeout,omitempty" json:"idle_timeout,omitempty"`
 	// MaxBody bounds a request body in bytes. It defaults to 1 MiB.
-	MaxBody int `yaml:"max_body,omitempty"`
+	MaxBody int `yaml:"max_body,omitempty" json:"max_body,omitempty"`
 	// Queue bounds the requests waiting at one target. It defaults to 32.
-	Queue int `yaml:"queue,omitempty"`
+	Queue int `yaml:"queue,omitempty" json:"queue,omitempty"`
 	// Attempts bounds the tries for one request. It defaults to 3.
-	Attempts int `yaml:"attempts,omitempty"`
+	Attempts int `yaml:"attempts,omitempty" json:"attempts,omitempty"`
 	// ShedNotRun declares that a target's own 503 means "not run".
-	ShedNotRun bool `yaml:"shed_not_run,omitempty"`
+	ShedNotRun bool `yaml:"shed_not_run,omitempty" json:"shed_not_run,omitempty"`
 	// ColdLimit is how many requests a cold target bears at once. It
 	// defaults to 1.
-	ColdLimit int `yaml:"cold_limit,omitempty"`
+	ColdLimit int `yaml:"cold_limit,omitempty" json:"cold_limit,omitempty"`
+
+	pos position
 }
 
 // Access says who may use a route.
@@ -102,20 +119,18 @@
 type Route struct {
 	// Path is a prefix that starts with "/"; it matches whole path segments.
 	// The longest prefix wins.
-	Path string `yaml:"path"`
+	Path string `yaml:"path" json:"path"`
 	// Service names the service.
-	Service string `yaml:"service"`
+	Service string `yaml:"service" json:"service"`
 	// Access defaults to "keyed".
-	Access Access `yaml:"access,omitempty"`
+	Access Access `yaml:"access,omitempty" json:"access,omitempty"`
 	// Workspaces limits a keyed route to some workspaces; empty admits all.
-	Workspaces []string `yaml:"workspaces,omitempty"`
+	Workspaces []string `yaml:"workspaces,omitempty" json:"workspaces,omitempty"`
 	// Idempotent lists methods that may be repeated on this route. It
-	// defaults to GET, HEAD, OPTIONS.
-	Idempotent []string `yaml:"idempotent,omitempty"`
-}
+	// defaults to GET, HEAD, OPTIONS. The list [none] allows no method.
+	Idempotent []string `yaml:"idempotent,omitempty" json:"idempotent,omitempty"`
 
-// Duration is a time span written with its unit, for example "5s".
-type Duration time.Duration
-
-// Rate is a number of requests per second.
-type Rate float64
+	pos position
+	// admitted indexes Workspaces in routes of a snapshot.
+	admitted map[string]struct{}
+}
--- /dev/null
+++ b/config/references.go
@@ -0,0 +1,109 @@
+package config
+
+import (
+	"slices"
+	"strings"
+)
+
+func (c *checker) checkRoute(r *Route) {
+	if remedy := pathRemedy(r.Path); remedy != "" {
+		c.report(r.pos, remedy, "path %q is not valid", shorten(r.Path))
+	} else {
+		c.checkUnique(c.routes, r.pos, "route", r.Path)
+	}
+	switch r.Access {
+	case "", AccessKeyed:
+	case AccessOpen:
+		if len(r.Workspaces) > 0 {
+			c.report(r.pos, "make it keyed or remove workspaces", "route %s is open and lists workspaces", r.Path)
+		}
+	default:
+		c.report(r.pos, "write keyed or open", "access of route %s cannot be %q", r.Path, shorten(string(r.Access)))
+	}
+	c.checkMethods(r)
+	c.checkRepeats(r, "workspaces", r.Workspaces)
+	c.checkRepeats(r, "idempotent", r.Idempotent)
+}
+
+// pathRemedy returns what to do about a bad path, or "" for a good one. Only one
+// spelling of each path is allowed, so that routes cannot overlap unseen.
+func pathRemedy(path string) string {
+	switch {
+	case !strings.HasPrefix(path, "/"):
+		return "start it with /"
+	case len(path) > MaxPathLen:
+		return "shorten it"
+	case path == "/":
+		return ""
+	case strings.HasSuffix(path, "/"):
+		return "remove the / at its end; a prefix matches all below it"
+	}
+	for segment := range strings.SplitSeq(path[1:], "/") {
+		if segment == "" || segment == "." || segment == ".." {
+			return "remove empty, . and .. segments"
+		}
+		if strings.ContainsFunc(segment, isNotPathRune) {
+			return "use letters, digits and -._~!$&'()+,;=:@ only"
+		}
+	}
+	return ""
+}
+
+func isNotPathRune(r rune) bool {
+	if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' {
+		return false
+	}
+	return !strings.ContainsRune("-._~!$&'()+,;=:@", r)
+}
+
+func (c *checker) checkMethods(r *Route) {
+	for _, m := range r.Idempotent {
+		if m == NoMethod && len(r.Idempotent) == 1 {
+			return
+		}
+		if m == "" || strings.Trim(m, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") != "" {
+			c.report(r.pos, "write methods in capitals, like GET, or the list [none]", "method %q of route %s is not valid", shorten(m), r.Path)
+		}
+	}
+}
+
+func (c *checker) checkRepeats(r *Route, what string, names []string) {
+	sorted := slices.Sorted(slices.Values(names))
+	for i := 1; i < len(sorted); i++ {
+		if sorted[i] == sorted[i-1] {
+			c.report(r.pos, "keep one of them", "%s of route %s has %q twice", what, r.Path, shorten(sorted[i]))
+		}
+	}
+}
+
+// checkReferences checks that routes name existing services and workspaces.
+func checkReferences(sections []Section, problems *Problems) {
+	services := map[string]bool{}
+	workspaces := map[string]bool{}
+	for i := range sections {
+		for j := range sections[i].Services {
+			services[sections[i].Services[j].Name] = true
+		}
+		for j := range sections[i].Workspaces {
+			workspaces[sections[i].Workspaces[j].Name] = true
+		}
+	}
+	for i := range sections {
+		s := &sections[i]
+		rep := reporter{file: s.at.file, section: s.Name, problems: problems}
+		for j := range s.Routes {
+			rep.checkTargets(&s.Routes[j], services, workspaces)
+		}
+	}
+}
+
+func (r reporter) checkTargets(route *Route, services, workspaces map[string]bool) {
+	if !services[route.Service] {
+		r.report(route.pos, "add the service to a section or correct the name", "route %s names the unknown service %q", route.Path, shorten(route.Service))
+	}
+	for _, w := range route.Workspaces {
+		if !workspaces[w] {
+			r.report(route.pos, "add the workspace to a section or correct the name", "route %s names the unknown workspace %q", route.Path, shorten(w))
+		}
+	}
+}
--- /dev/null
+++ b/configstore/change.go
@@ -0,0 +1,205 @@
+package configstore
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberryshed/gooseberryshed/config"
+	"github.com/gooseberryshed/gooseberryshed/platform"
+)
+
+// Edit changes one section.
+type Edit struct {
+	// Name names the section.
+	Name string
+	// Base is the document's revision that the editor saw. The edit conflicts
+	// when the section has changed since. 0 means that the section was absent.
+	Base uint64
+	// Section is the new content; nil removes the section.
+	Section *config.Section
+}
+
+// Change is a set of edits that is accepted or rejected as one.
+type Change struct {
+	// ID identifies the change over all repetitions; see NewChangeID.
+	ID      string
+	Author  string
+	Message string
+	Edits   []Edit
+}
+
+// Result tells what became of a change.
+type Result struct {
+	// Revision is the document's revision that contains the change.
+	Revision uint64
+	// Repeated is set when an earlier call had already applied the change.
+	Repeated bool
+	// Unchanged is set when the document already was as the change wants it.
+	Unchanged bool
+}
+
+const changeIDBytes = 12
+
+// NewChangeID returns a random change id.
+func NewChangeID() string {
+	var b [changeIDBytes]byte
+	rand.Read(b[:]) //nolint:errcheck // crypto/rand.Read never fails
+	return hex.EncodeToString(b[:])
+}
+
+// digest identifies the content of the change, whatever revision it is based on.
+func (c Change) digest() string {
+	edits := slices.Clone(c.Edits)
+	for i := range edits {
+		edits[i].Base = 0
+	}
+	data, err := json.Marshal(edits)
+	if err != nil {
+		panic(errors.Wrap(err, "a change has no JSON form"))
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// normalize checks the form of the change and brings its sections to normal form.
+func (c Change) normalize() (Change, error) {
+	if c.ID == "" || len(c.ID) > config.MaxNameLen || c.Author == "" || len(c.Edits) == 0 {
+		return c, errors.Errorf("a change needs an id of at most %d bytes, an author and an edit", config.MaxNameLen)
+	}
+	c.Edits = slices.Clone(c.Edits)
+	seen := map[string]bool{}
+	for i := range c.Edits {
+		e := &c.Edits[i]
+		if seen[e.Name] {
+			return c, errors.Errorf("section %s is edited twice in one change; combine the edits", e.Name)
+		}
+		seen[e.Name] = true
+		if e.Section == nil {
+			continue
+		}
+		if e.Section.Name != e.Name {
+			return c, errors.Errorf("edit of section %s holds section %s; give both one name", e.Name, e.Section.Name)
+		}
+		n := e.Section.Normalize()
+		e.Section = &n
+	}
+	return c, nil
+}
+
+// plan is a change against one state.
+type plan struct {
+	patches []config.Patch
+	// touched are the indexes of the edits that change something.
+	touched []int
+	// sections is the document after the change.
+	sections []config.Section
+}
+
+// decide works out a change against a state. It fails with a ConflictError or
+// config.Problems.
+func decide(st State, c Change) (plan, error) {
+	var p plan
+	after := make(map[string]*config.Section, len(c.Edits))
+	for i := range c.Edits {
+		e := &c.Edits[i]
+		old, exists := st.Section(e.Name)
+		exists = exists && !old.Removed
+		if isSame(old, exists, e.Section) {
+			continue
+		}
+		if old.Revision > e.Base {
+			return plan{}, conflict(e, old, exists)
+		}
+		var before *config.Section
+		if exists {
+			before = &old.Section
+		}
+		p.patches = append(p.patches, config.MakePatch(before, e.Section))
+		p.touched = append(p.touched, i)
+		after[e.Name] = e.Section
+	}
+	p.sections = replaceSections(st, after)
+	return p, config.Validate(p.sections)
+}
+
+func isSame(old Stored, exists bool, want *config.Section) bool {
+	if want == nil || !exists {
+		return want == nil && !exists
+	}
+	return old.Section.Sum() == want.Sum()
+}
+
+func conflict(e *Edit, old Stored, exists bool) error {
+	var before, after []config.Section
+	if exists {
+		before = []config.Section{old.Section}
+	}
+	if e.Section != nil {
+		after = []config.Section{*e.Section}
+	}
+	return &ConflictError{
+		Section: e.Name,
+		Base:    e.Base,
+		Current: old.Revision,
+		Removed: old.Removed,
+		Author:  old.Author,
+		Diff:    config.Diff(before, after),
+	}
+}
+
+// replaceSections returns the document of st with some sections replaced, added
+// or, where nil, removed.
+func replaceSections(st State, after map[string]*config.Section) []config.Section {
+	var out []config.Section
+	added := make(map[string]*config.Section, len(after))
+	for name, sec := range after {
+		added[name] = sec
+	}
+	for _, old := range st.Sections {
+		sec, ok := after[old.Section.Name]
+		delete(added, old.Section.Name)
+		switch {
+		case !ok:
+			if !old.Removed {
+				out = append(out, old.Section)
+			}
+		case sec != nil:
+			out = append(out, *sec)
+		}
+	}
+	for _, sec := range added {
+		if sec != nil {
+			out = append(out, *sec)
+		}
+	}
+	return out
+}
+
+// rows are the writes and preconditions that accept a plan.
+func (s *Store) rows(c Change, p plan, rev, headVersion uint64, versions []uint64) platform.Txn {
+	txn := platform.Txn{Require: []platform.Precondition{
+		{Key: keyHead, Version: headVersion},
+		{Key: changeKey(c.ID), Version: 0},
+	}}
+	d := Delta{Revision: rev, ChangeID: c.ID, Author: c.Author, Message: c.Message, Time: s.now().UTC(), Patches: p.patches}
+	txn.Writes = []platform.Write{
+		encodeRow(keyHead, headRow{Format: rowFormat, Revision: rev}),
+		encodeRow(logKey(rev), logRow{Format: rowFormat, Delta: d}),
+		encodeRow(changeKey(c.ID), changeRow{Format: rowFormat, Revision: rev, Digest: c.digest()}),
+	}
+	for i, t := range p.touched {
+		e := &c.Edits[t]
+		txn.Require = append(txn.Require, platform.Precondition{Key: sectionKey(e.Name), Version: versions[i]})
+		stored := removed(e.Name, c.Author, rev)
+		if e.Section != nil {
+			stored = Stored{Revision: rev, Author: c.Author, Section: *e.Section}
+		}
+		txn.Writes = append(txn.Writes, encodeRow(sectionKey(e.Name), sectionRow{Format: rowFormat, Stored: stored}))
+	}
+	return txn
+}
--- /dev/null
+++ b/configstore/state.go
@@ -0,0 +1,107 @@
+package configstore
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberryshed/gooseberryshed/config"
+)
+
+// State is the whole document at one revision. It is a value: methods return new
+// states and never change the receiver. Its JSON form passes between daemons.
+type State struct {
+	Revision uint64 `json:"revision"`
+	// Sections are in order of name, removed ones included.
+	Sections []Stored `json:"sections"`
+}
+
+// find returns the index of a section, or where it belongs.
+func (s State) find(name string) (int, bool) {
+	return slices.BinarySearchFunc(s.Sections, name, func(st Stored, n string) int {
+		return strings.Compare(st.Section.Name, n)
+	})
+}
+
+// put sets a section. The receiver must own its slice.
+func (s *State) put(stored Stored) {
+	i, exists := s.find(stored.Section.Name)
+	if exists {
+		s.Sections[i] = stored
+		return
+	}
+	s.Sections = slices.Insert(s.Sections, i, stored)
+}
+
+// Section returns a section by name, also a removed one.
+func (s State) Section(name string) (Stored, bool) {
+	i, ok := s.find(name)
+	if !ok {
+		return Stored{}, false
+	}
+	return s.Sections[i], true
+}
+
+// Document returns the sections in order of name.
+func (s State) Document() []config.Section {
+	out := make([]config.Section, 0, len(s.Sections))
+	for i := range s.Sections {
+		if !s.Sections[i].Removed {
+			out = append(out, s.Sections[i].Section)
+		}
+	}
+	return out
+}
+
+// Snapshot builds the snapshot of the state.
+func (s State) Snapshot() (*config.Snapshot, error) {
+	return config.Build(s.Revision, s.Document())
+}
+
+// Advance applies deltas in order. It skips those that the state already has and
+// fails with a GapError when one is missing, leaving the caller with s.
+func (s State) Advance(deltas []Delta) (State, error) {
+	next := State{Revision: s.Revision, Sections: slices.Clone(s.Sections)}
+	for i := range deltas {
+		d := &deltas[i]
+		if d.Revision <= next.Revision {
+			continue
+		}
+		if d.Revision != next.Revision+1 {
+			return s, &GapError{Have: next.Revision, Next: d.Revision}
+		}
+		if err := next.apply(d); err != nil {
+			return s, err
+		}
+	}
+	return next, nil
+}
+
+func (s *State) apply(d *Delta) error {
+	for i := range d.Patches {
+		if err := s.patch(d, &d.Patches[i]); err != nil {
+			return errors.Wrapf(err, "revision %d", d.Revision)
+		}
+	}
+	s.Revision = d.Revision
+	return nil
+}
+
+func (s *State) patch(d *Delta, p *config.Patch) error {
+	i, exists := s.find(p.Section)
+	var old *config.Section
+	if exists && !s.Sections[i].Removed {
+		old = &s.Sections[i].Section
+	}
+	changed, err := p.Apply(old)
+	if err != nil {
+		return err
+	}
+	stored := removed(p.Section, d.Author, d.Revision)
+	if changed != nil {
+		stored = Stored{Revision: d.Revision, Author: d.Author, Section: *changed}
+	}
+	s.put(stored)
+	return nil
+}
