--- /dev/null
+++ b/configstore/store_test.go
@@ -0,0 +1,437 @@
+package configstore
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"github.com/gooseberryshed/gooseberryshed/config"
+	"github.com/gooseberryshed/gooseberryshed/platform"
+	"github.com/gooseberryshed/gooseberryshed/platform/standin"
+)
+
+func testContext(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// team returns a section with n workspaces.
+func team(name string, n int) *config.Section {
+	s := &config.Section{Name: name, Team: name}
+	for i := range n {
+		s.Workspaces = append(s.Workspaces, config.Workspace{Name: fmt.Sprintf("%s-%d", name, i), Rate: 10, Burst: 5})
+	}
+	return s
+}
+
+func change(id string, base uint64, s *config.Section) Change {
+	return Change{ID: id, Author: "op-" + id, Edits: []Edit{{Name: s.Name, Base: base, Section: s}}}
+}
+
+func mustApply(t testing.TB, s *Store, c Change) Result {
+	t.Helper()
+	res, err := s.Apply(testContext(t), c)
+	assert.NilError(t, err)
+	return res
+}
+
+func mustLoad(t testing.TB, s *Store) State {
+	t.Helper()
+	st, err := s.Load(testContext(t))
+	assert.NilError(t, err)
+	return st
+}
+
+func TestApplyLoadSince(t *testing.T) {
+	p := standin.New()
+	s := New(p, p.Objects())
+	head, err := s.Head(testContext(t))
+	assert.NilError(t, err)
+	assert.Equal(t, head, uint64(0))
+	assert.Equal(t, mustApply(t, s, change("c1", 0, team("a", 2))).Revision, uint64(1))
+	early := mustLoad(t, s)
+	assert.Equal(t, mustApply(t, s, change("c2", 1, team("a", 3))).Revision, uint64(2))
+	assert.Equal(t, mustApply(t, s, change("c3", 0, team("b", 1))).Revision, uint64(3))
+
+	deltas, err := s.Since(testContext(t), 1, 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(deltas), 2)
+	late, err := early.Advance(deltas)
+	assert.NilError(t, err)
+	assertSame(t, late, mustLoad(t, s))
+	assert.Equal(t, early.Revision, uint64(1))
+	assert.Equal(t, len(early.Document()[0].Workspaces), 2)
+	snap, err := late.Snapshot()
+	assert.NilError(t, err)
+	assert.Equal(t, snap.Revision(), uint64(3))
+	_, ok := snap.Workspace("a-2")
+	assert.Assert(t, ok)
+}
+
+func assertSame(t testing.TB, a, b State) {
+	t.Helper()
+	x, err := json.Marshal(a)
+	assert.NilError(t, err)
+	y, err := json.Marshal(b)
+	assert.NilError(t, err)
+	assert.Equal(t, string(x), string(y))
+}
+
+func TestAdvanceOnlyRises(t *testing.T) {
+	p := standin.New()
+	s := New(p, nil)
+	for i := range 4 {
+		mustApply(t, s, change(fmt.Sprint("c", i), uint64(i), team("a", i+1)))
+	}
+	deltas, err := s.Since(testContext(t), 0, 10)
+	assert.NilError(t, err)
+	st, err := State{}.Advance(deltas)
+	assert.NilError(t, err)
+	again, err := st.Advance(deltas[:2])
+	assert.NilError(t, err)
+	assertSame(t, again, st)
+	var gap *GapError
+	_, err = State{}.Advance(deltas[1:])
+	assert.Assert(t, errors.As(err, &gap))
+	assert.Equal(t, *gap, GapError{Have: 0, Next: 2})
+	deltas[1].Patches[0].Sum++
+	got, err := State{}.Advance(deltas)
+	assert.ErrorContains(t, err, "load the whole document")
+	assert.Equal(t, got.Revision, uint64(0))
+}
+
+func TestInvalidDocumentIsNotApplied(t *testing.T) {
+	p := standin.New()
+	s := New(p, nil)
+	sec := team("a", 1)
+	sec.Routes = []config.Route{{Path: "/", Service: "absent"}}
+	_, err := s.Apply(testContext(t), change("c1", 0, sec))
+	var problems config.Problems
+	assert.Assert(t, errors.As(err, &problems), "%v", err)
+	assert.Equal(t, p.Stats().Writes, int64(0))
+}
+
+func TestStaleBaseConflicts(t *testing.T) {
+	p := standin.New()
+	s := New(p, nil)
+	mustApply(t, s, change("c1", 0, team("a", 1)))
+	mustApply(t, s, change("c2", 1, team("a", 2)))
+	_, err := s.Apply(testContext(t), change("c3", 1, team("a", 3)))
+	var conflict *ConflictError
+	assert.Assert(t, errors.As(err, &conflict), "%v", err)
+	assert.Equal(t, conflict.Current, uint64(2))
+	assert.ErrorContains(t, err, "by op-c2")
+	assert.ErrorContains(t, err, "+ section a: workspace a-2")
+	res := mustApply(t, s, change("c4", 1, team("a", 2)))
+	assert.Equal(t, res, Result{Revision: 2, Unchanged: true})
+}
+
+// TestRemovedSectionStaysRemoved checks that an editor of an older revision does
+// not bring a section back.
+func TestRemovedSectionStaysRemoved(t *testing.T) {
+	p := standin.New()
+	s := New(p, nil)
+	mustApply(t, s, change("c1", 0, team("a", 1)))
+	before := mustLoad(t, s)
+	mustApply(t, s, Change{ID: "c2", Author: "x", Edits: []Edit{{Name: "a", Base: 1}}})
+	_, err := s.Apply(testContext(t), change("c3", 1, team("a", 2)))
+	assert.ErrorContains(t, err, "was removed at revision 2")
+	assert.Equal(t, len(mustLoad(t, s).Document()), 0)
+	deltas, err := s.Since(testContext(t), 1, 10)
+	assert.NilError(t, err)
+	after, err := before.Advance(deltas)
+	assert.NilError(t, err)
+	assertSame(t, after, mustLoad(t, s))
+	mustApply(t, s, change("c4", 2, team("a", 2)))
+	assert.Equal(t, len(mustLoad(t, s).Document()), 1)
+}
+
+// TestRaceOnDifferentSections lets operators race; all must be accepted.
+func TestRaceOnDifferentSections(t *testing.T) {
+	const operators, changes = 8, 5
+	p := standin.New()
+	var g errgroup.Group
+	for op := range operators {
+		g.Go(func() error {
+			s := New(p, nil)
+			base := uint64(0)
+			for i := range changes {
+				name := fmt.Sprintf("team-%d", op)
+				res, err := s.Apply(testContext(t), change(fmt.Sprintf("c-%d-%d", op, i), base, team(name, i+1)))
+				if err != nil {
+					return err
+				}
+				base = res.Revision
+			}
+			return nil
+		})
+	}
+	assert.NilError(t, g.Wait())
+	assertHistory(t, New(p, nil), operators*changes)
+}
+
+// assertHistory checks that the log leads to the loaded document.
+func assertHistory(t *testing.T, s *Store, revisions int) {
+	t.Helper()
+	deltas, err := s.Since(testContext(t), 0, 1000)
+	assert.NilError(t, err)
+	assert.Equal(t, len(deltas), revisions)
+	st, err := State{}.Advance(deltas)
+	assert.NilError(t, err)
+	assertSame(t, st, mustLoad(t, s))
+}
+
+// TestRaceOnOneSection lets operators race for one base; one must win.
+func TestRaceOnOneSection(t *testing.T) {
+	const operators = 8
+	p := standin.New()
+	mustApply(t, New(p, nil), change("c0", 0, team("a", 1)))
+	results := make([]error, operators)
+	var g errgroup.Group
+	for op := range operators {
+		g.Go(func() error {
+			_, results[op] = New(p, nil).Apply(testContext(t), change(fmt.Sprint("c-", op), 1, team("a", op+2)))
+			return nil
+		})
+	}
+	assert.NilError(t, g.Wait())
+	won := 0
+	for _, err := range results {
+		var conflict *ConflictError
+		if err == nil {
+			won++
+		} else {
+			assert.Assert(t, errors.As(err, &conflict), "%v", err)
+		}
+	}
+	assert.Equal(t, won, 1)
+	assertHistory(t, New(p, nil), 2)
+}
+
+// flaky loses commits or their replies as told by a script.
+type flaky struct {
+	platform.Table
+	// script has an entry for each commit: 'a' lost after the effect, 'b' lost
+	// before it, 'd' delayed until the next commit begins, '.' no fault.
+	script  string
+	delayed func()
+}
+
+func (f *flaky) Commit(ctx context.Context, txn platform.Txn) error {
+	step := byte('.')
+	if f.script != "" {
+		step, f.script = f.script[0], f.script[1:]
+	}
+	if f.delayed != nil {
+		f.delayed()
+		f.delayed = nil
+	}
+	lost := &platform.Error{Kind: platform.KindUncertain, Op: "commit"}
+	switch step {
+	case 'a':
+		_ = f.Table.Commit(ctx, txn)
+		return lost
+	case 'b':
+		return lost
+	case 'd':
+		f.delayed = func() { _ = f.Table.Commit(ctx, txn) }
+		return lost
+	}
+	return f.Table.Commit(ctx, txn)
+}
+
+// TestLostReplies demands exactly one effect whatever becomes of the commits.
+func TestLostReplies(t *testing.T) {
+	for _, script := range []string{"a", "b", "d", "ba", "bb", "bd", "db", "da", "dd", "bbd"} {
+		t.Run(script, func(t *testing.T) {
+			p := standin.New()
+			s := New(&flaky{Table: p, script: script}, nil)
+			res := mustApply(t, s, change("c1", 0, team("a", 1)))
+			assert.Equal(t, res.Revision, uint64(1))
+			assertHistory(t, New(p, nil), 1)
+		})
+	}
+}
+
+// TestLostReplyThenRival lets a rival change the section after a commit whose
+// reply was lost; the caller must still learn that its change was accepted.
+func TestLostReplyThenRival(t *testing.T) {
+	p := standin.New()
+	rival := New(p, nil)
+	table := &flaky{Table: p, script: "d"}
+	s := New(table, nil)
+	done := make(chan error, 1)
+	go func() {
+		_, err := s.Apply(testContext(t), change("c1", 0, team("a", 1)))
+		done <- err
+	}()
+	assert.NilError(t, <-done)
+	mustApply(t, rival, change("c2", 1, team("a", 2)))
+	res := mustApply(t, s, change("c1", 0, team("a", 1)))
+	assert.Equal(t, res, Result{Revision: 1, Repeated: true})
+	assertHistory(t, rival, 2)
+}
+
+func TestReusedChangeID(t *testing.T) {
+	p := standin.New()
+	s := New(p, nil)
+	mustApply(t, s, change("c1", 0, team("a", 1)))
+	_, err := s.Apply(testContext(t), change("c1", 1, team("a", 2)))
+	var reused *ReusedIDError
+	assert.Assert(t, errors.As(err, &reused), "%v", err)
+}
+
+func TestOutage(t *testing.T) {
+	p := standin.New()
+	s := New(p, nil)
+	p.SetFault(standin.Fault{Mode: standin.ModeDown})
+	_, err := s.Apply(testContext(t), change("c1", 0, team("a", 1)))
+	assert.Assert(t, platform.IsKind(err, platform.KindUnavailable), "%v", err)
+	_, err = s.Load(testContext(t))
+	assert.Assert(t, platform.IsKind(err, platform.KindUnavailable), "%v", err)
+	p.SetFault(standin.Fault{Mode: standin.ModeOK})
+	mustApply(t, s, change("c1", 0, team("a", 1)))
+}
+
+// downAfter takes the platform down once a commit has been sent.
+type downAfter struct{ *standin.Platform }
+
+func (d downAfter) Commit(ctx context.Context, txn platform.Txn) error {
+	d.SetFault(standin.Fault{Mode: standin.ModeLoseReplies})
+	err := d.Platform.Commit(ctx, txn)
+	d.SetFault(standin.Fault{Mode: standin.ModeDown})
+	return err
+}
+
+// TestOutageAfterCommit demands that an unknown outcome is not called a failure,
+// and that a repetition with the same id finds the accepted change.
+func TestOutageAfterCommit(t *testing.T) {
+	p := standin.New()
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	_, err := New(downAfter{p}, nil).Apply(ctx, change("c1", 0, team("a", 1)))
+	var uncertain *UncertainError
+	assert.Assert(t, errors.As(err, &uncertain), "%v", err)
+	assert.Equal(t, uncertain.ChangeID, "c1")
+	p.SetFault(standin.Fault{Mode: standin.ModeOK})
+	res := mustApply(t, New(p, nil), change("c1", 0, team("a", 1)))
+	assert.Equal(t, res, Result{Revision: 1, Repeated: true})
+}
+
+// TestLoadDuringChanges loads while sections change; each load must be the
+// document at its revision, which the log reproduces.
+func TestLoadDuringChanges(t *testing.T) {
+	const changes = 60
+	p := standin.New()
+	writer := New(p, nil)
+	for i := range 4 {
+		mustApply(t, writer, change(fmt.Sprint("s", i), 0, team(fmt.Sprint("t", i), 1)))
+	}
+	var g errgroup.Group
+	g.Go(func() error {
+		for i := range changes {
+			st, err := writer.Load(testContext(t))
+			if err != nil {
+				return err
+			}
+			c := change(fmt.Sprint("c", i), st.Revision, team(fmt.Sprint("t", i%4), i%7))
+			if _, err := writer.Apply(testContext(t), c); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	var loads []State
+	for range 100 {
+		st, err := New(p, nil).Load(testContext(t))
+		var busy *BusyError
+		if errors.As(err, &busy) {
+			continue
+		}
+		assert.NilError(t, err)
+		loads = append(loads, st)
+	}
+	assert.NilError(t, g.Wait())
+	deltas, err := writer.Since(testContext(t), 0, 1000)
+	assert.NilError(t, err)
+	for _, st := range loads {
+		want, err := State{}.Advance(deltas[:st.Revision])
+		assert.NilError(t, err)
+		assertSame(t, st, want)
+	}
+}
+
+func TestLogIsTrimmed(t *testing.T) {
+	p := standin.New()
+	s := New(p, nil)
+	s.keepLog = 5
+	for i := range 12 {
+		mustApply(t, s, change(fmt.Sprint("c", i), uint64(i), team("a", i+1)))
+	}
+	rows, err := p.Scan(testContext(t), "config/", "", 100)
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 1+1+5+5)
+	_, err = s.Since(testContext(t), 3, 10)
+	var gap *GapError
+	assert.Assert(t, errors.As(err, &gap), "%v", err)
+	deltas, err := s.Since(testContext(t), 7, 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(deltas), 5)
+}
+
+func TestUpdateDecidesAnew(t *testing.T) {
+	p := standin.New()
+	s := New(p, nil)
+	mustApply(t, s, change("c0", 0, team("a", 1)))
+	rivals := 2
+	res, err := s.Update(testContext(t), Change{ID: "u", Author: "x"}, func(st State) ([]Edit, error) {
+		sec := *team("a", len(st.Sections[0].Section.Workspaces)+1)
+		if rivals > 0 {
+			rivals--
+			mustApply(t, s, change(fmt.Sprint("r", rivals), st.Revision, &sec))
+		}
+		sec.Team = "updated"
+		return []Edit{{Name: "a", Base: st.Revision, Section: &sec}}, nil
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, res.Revision, uint64(4))
+	assert.Equal(t, len(mustLoad(t, s).Sections[0].Section.Workspaces), 4)
+}
+
+func TestSnapshotObject(t *testing.T) {
+	p := standin.New()
+	s := New(p, p.Objects())
+	ctx := testContext(t)
+	mustApply(t, s, change("c1", 0, team("a", 50)))
+	st := mustLoad(t, s)
+	assert.NilError(t, s.SaveSnapshot(ctx, st))
+	got, err := s.LoadSnapshot(ctx, 1)
+	assert.NilError(t, err)
+	assertSame(t, got, st)
+	var old *OldSnapshotError
+	_, err = s.LoadSnapshot(ctx, 2)
+	assert.Assert(t, errors.As(err, &old), "%v", err)
+	whole, err := p.Objects().Get(ctx, objectSnapshot)
+	assert.NilError(t, err)
+	for cut := range len(whole) {
+		assert.NilError(t, p.Objects().Put(ctx, objectSnapshot, whole[:cut]))
+		var corrupt *CorruptError
+		_, err = s.LoadSnapshot(ctx, 0)
+		assert.Assert(t, errors.As(err, &corrupt), "cut at %d: %v", cut, err)
+	}
+}
+
+func TestNewerFormatIsRefused(t *testing.T) {
+	p := standin.New()
+	row := platform.Write{Key: keyHead, Value: []byte(`{"format":2,"revision":9}`)}
+	assert.NilError(t, p.Commit(testContext(t), platform.Txn{Writes: []platform.Write{row}}))
+	_, err := New(p, nil).Head(testContext(t))
+	assert.ErrorContains(t, err, "upgrade this program")
+}
