--- /dev/null
+++ b/rpc/client.go
@@ -0,0 +1,200 @@
+package rpc
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Times of a client.
+const (
+	handshakeTimeout = 2 * time.Second
+	// defaultCallTimeout applies to calls whose context has no deadline.
+	defaultCallTimeout = 2 * time.Second
+	// idleTimeout closes connections that carry no calls.
+	idleTimeout = 60 * time.Second
+)
+
+// Client keeps one connection per address.
+type Client struct {
+	tls    *tls.Config
+	dialer net.Dialer
+
+	mu    sync.Mutex
+	peers map[string]*peer
+
+	calls  atomic.Int64
+	failed atomic.Int64
+}
+
+// peer is the connection to one address.
+type peer struct {
+	mu        sync.Mutex
+	conn      *jsonrpc2.Conn
+	lastUsed  time.Time
+	lastReply time.Time
+}
+
+// NewClient returns a client. source is the local IP of its connections; nil
+// leaves the choice to the system.
+func NewClient(cfg *tls.Config, source net.IP) *Client {
+	c := &Client{tls: cfg, peers: make(map[string]*peer)}
+	if source != nil {
+		c.dialer.LocalAddr = &net.TCPAddr{IP: source}
+	}
+	return c
+}
+
+// Calls is the number of calls made.
+func (c *Client) Calls() int64 { return c.calls.Load() }
+
+// Failed is the number of calls that failed.
+func (c *Client) Failed() int64 { return c.failed.Load() }
+
+// Call implements Caller. A call that times out on a connection that has been
+// silent since closes it, so that the next call dials afresh.
+func (c *Client) Call(ctx context.Context, addr, method string, params, result any) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, defaultCallTimeout)
+		defer cancel()
+	}
+	c.calls.Add(1)
+	err := c.call(ctx, addr, method, params, result)
+	if err != nil {
+		c.failed.Add(1)
+		return errors.Wrapf(err, "rpc %s to %s", method, addr)
+	}
+	return nil
+}
+
+func (c *Client) call(ctx context.Context, addr, method string, params, result any) error {
+	p := c.peer(addr)
+	conn, err := p.connect(ctx, c, addr)
+	if err != nil {
+		return err
+	}
+	started := time.Now()
+	err = conn.Call(ctx, method, params, result)
+	p.finish(conn, started, err)
+	return err
+}
+
+func (c *Client) peer(addr string) *peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.peers[addr]
+	if !ok {
+		p = &peer{}
+		c.peers[addr] = p
+	}
+	return p
+}
+
+func (p *peer) connect(ctx context.Context, c *Client, addr string) (*jsonrpc2.Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastUsed = time.Now()
+	if p.conn != nil {
+		select {
+		case <-p.conn.DisconnectNotify():
+			p.conn = nil
+		default:
+			return p.conn, nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	raw, err := c.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	secure := tls.Client(raw, c.tls)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		raw.Close()
+		return nil, err
+	}
+	p.conn = jsonrpc2.NewConn(context.Background(), newStream(secure), noCalls{}, quiet())
+	p.lastReply = time.Now()
+	return p.conn, nil
+}
+
+// finish notes a reply, or drops a connection that gave none.
+func (p *peer) finish(conn *jsonrpc2.Conn, started time.Time, err error) {
+	var replied *jsonrpc2.Error
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil || errors.As(err, &replied) {
+		p.lastReply = time.Now()
+		return
+	}
+	if p.conn == conn && p.lastReply.Before(started) {
+		conn.Close()
+		p.conn = nil
+	}
+}
+
+// Sweep closes idle connections. It is called now and then.
+func (c *Client) Sweep(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, p := range c.peers {
+		if p.closeIdle(now) {
+			delete(c.peers, addr)
+		}
+	}
+}
+
+func (p *peer) closeIdle(now time.Time) bool {
+	if !p.mu.TryLock() {
+		return false
+	}
+	defer p.mu.Unlock()
+	if now.Sub(p.lastUsed) < idleTimeout {
+		return false
+	}
+	if p.conn != nil {
+		p.conn.Close()
+	}
+	return true
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, p := range c.peers {
+		p.mu.Lock()
+		if p.conn != nil {
+			p.conn.Close()
+		}
+		p.mu.Unlock()
+		delete(c.peers, addr)
+	}
+}
+
+// noCalls refuses calls in the reverse direction.
+type noCalls struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (noCalls) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	if r.Notif {
+		return
+	}
+	reply := &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "calls go from client to server only"}
+	conn.ReplyWithError(ctx, r.ID, reply) //nolint:errcheck // the connection reports its own failure
+}
+
+// quiet drops the library's own log lines; failures are counted instead.
+func quiet() jsonrpc2.ConnOpt { return jsonrpc2.SetLogger(discard{}) }
+
+type discard struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (discard) Printf(string, ...any) {}
--- /dev/null
+++ b/supervise/supervise.go
@@ -0,0 +1,179 @@
+package supervise
+
+import (
+	"context"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// Default bounds of restarts.
+const (
+	defaultMinPause    = 100 * time.Millisecond
+	defaultMaxPause    = 5 * time.Second
+	defaultMaxRestarts = 10
+	defaultWindow      = time.Minute
+)
+
+// Child is one part of the tree.
+type Child struct {
+	// Name is shown in logs.
+	Name string
+	// Run works until ctx ends and then returns nil. Returning earlier,
+	// whether with an error or without, is a failure.
+	Run func(ctx context.Context) error
+	// Once marks a child that may end without error; it is not restarted.
+	Once bool
+}
+
+// Options bounds the restarts of a child.
+type Options struct {
+	// MinPause and MaxPause bound the pause before a restart; it doubles
+	// with each failure in the window. They default to 100 ms and 5 s.
+	MinPause, MaxPause time.Duration
+	// MaxRestarts within Window end the tree. They default to 10 and 1 min.
+	MaxRestarts int
+	Window      time.Duration
+	// Logger takes a line for each restart; nil is silent.
+	Logger *log.Logger
+}
+
+func (o Options) withDefaults() Options {
+	if o.MinPause == 0 {
+		o.MinPause = defaultMinPause
+	}
+	if o.MaxPause == 0 {
+		o.MaxPause = defaultMaxPause
+	}
+	if o.MaxRestarts == 0 {
+		o.MaxRestarts = defaultMaxRestarts
+	}
+	if o.Window == 0 {
+		o.Window = defaultWindow
+	}
+	return o
+}
+
+// Error is the failure of a child that failed too often.
+type Error struct {
+	Child    string
+	Restarts int
+	Err      error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return errors.Wrapf(e.Err, "child %q failed %d times; the process ends so that it can be replaced", e.Child, e.Restarts).Error()
+}
+
+// Unwrap returns the last failure of the child.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Tree supervises children.
+type Tree struct {
+	opts     Options
+	children []Child
+	restarts atomic.Int64
+}
+
+// New returns a tree of children.
+func New(opts Options, children ...Child) *Tree {
+	return &Tree{opts: opts.withDefaults(), children: children}
+}
+
+// Restarts counts the restarts of all children.
+func (t *Tree) Restarts() int64 { return t.restarts.Load() }
+
+// Run runs the tree until ctx ends or a child fails too often. It returns after
+// all children have returned.
+func (t *Tree) Run(ctx context.Context) error {
+	group, failed := errgroup.WithContext(context.WithoutCancel(ctx))
+	stops := make([]func(), 0, len(t.children))
+	for _, c := range t.children {
+		childCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+		done := make(chan struct{})
+		group.Go(func() error {
+			defer close(done)
+			return t.keep(childCtx, c)
+		})
+		stops = append(stops, func() {
+			cancel()
+			<-done
+		})
+	}
+	select {
+	case <-ctx.Done():
+	case <-failed.Done():
+	}
+	for i := len(stops) - 1; i >= 0; i-- {
+		stops[i]()
+	}
+	return group.Wait()
+}
+
+// keep runs one child, restarting it as the options allow.
+func (t *Tree) keep(ctx context.Context, c Child) error {
+	var failures []time.Time
+	for {
+		err := runGuarded(ctx, c)
+		if ctx.Err() != nil || (c.Once && err == nil) {
+			return nil
+		}
+		failures = recent(append(failures, time.Now()), t.opts.Window)
+		if len(failures) > t.opts.MaxRestarts {
+			return &Error{Child: c.Name, Restarts: len(failures), Err: err}
+		}
+		t.restarts.Add(1)
+		pause := t.pause(len(failures))
+		if t.opts.Logger != nil {
+			t.opts.Logger.Warn("child restarts", "child", c.Name, "pause", pause, "err", err)
+		}
+		if !sleep(ctx, pause) {
+			return nil
+		}
+	}
+}
+
+func (t *Tree) pause(failures int) time.Duration {
+	p := t.opts.MinPause
+	for i := 1; i < failures && p < t.opts.MaxPause; i++ {
+		p *= 2
+	}
+	return min(p, t.opts.MaxPause)
+}
+
+func runGuarded(ctx context.Context, c Child) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = errors.Errorf("panic: %v\n%s", r, debug.Stack())
+		}
+	}()
+	err = c.Run(ctx)
+	if err == nil && ctx.Err() == nil && !c.Once {
+		err = errors.New("returned before it was stopped")
+	}
+	return err
+}
+
+func recent(times []time.Time, window time.Duration) []time.Time {
+	cut := time.Now().Add(-window)
+	for len(times) > 0 && times[0].Before(cut) {
+		times = times[1:]
+	}
+	return times
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
