Serve attempts end to end: link, forward, ledger, fair queue, gate, announce

The fleet needs one door per host that knows exactly what ran. fasthttp.Client was ruled out for the connections: TestLibraryClientRepeats shows that, with its defaults, it sends a GET or PUT again by itself when the connection closes after the request arrived, so "not run" and "once" could not be told. Package link therefore manages connections itself, with fasthttp's codecs, and reports how far an exchange went.

The ledger enters an attempt as dispatched when a connection is at hand and before its first byte, and writes a tombstone when an unseen attempt is settled.

Between daemons an answer repeats the attempt's id, refusals travel typed, and interim answers (102) tell a slow target from a silent path. Bodies cut short at the gate are cut short at the client: small ones become a refusal with unknown outcome, streamed ones end without their last chunk.

wire.Refusal gains a Load field, because the design wants the gate's load on refusals as well.

--- /dev/null
+++ b/announce/announce.go
@@ -0,0 +1,213 @@
+// Package announce takes the announcements of targets to the daemon of their
+// host: POST /v1/targets with one JSON object, about once a second.
+//
+// Bodies are bounded and parsed strictly: an unknown field is refused, so that
+// a misspelt one is not silently ignored. Refusals are RFC 9457 problem
+// documents that name the remedy.
+package announce
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"regexp"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Path is where targets announce themselves.
+const Path = "/v1/targets"
+
+const (
+	// MaxBody bounds an announcement in bytes.
+	MaxBody = 4 << 10
+	// MaxSlots bounds the slots of a target.
+	MaxSlots = 10000
+
+	problemType = "application/problem+json"
+)
+
+// State is what a target says of itself.
+type State string
+
+const (
+	// StateReady takes requests.
+	StateReady State = "ready"
+	// StateLeaving finishes what it has.
+	StateLeaving State = "leaving"
+)
+
+// Announcement is the message of one target.
+type Announcement struct {
+	// Name is unique on the host.
+	Name string `json:"name"`
+	// Service is the service that the target belongs to.
+	Service string `json:"service"`
+	// Address is the IP and port that requests go to.
+	Address string `json:"address"`
+	// Incarnation rises with each start of the target.
+	Incarnation uint64 `json:"incarnation"`
+	// Slots is how many requests the target serves at once.
+	Slots int   `json:"slots"`
+	State State `json:"state"`
+}
+
+// Problem is a refused announcement.
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+	Remedy string `json:"remedy"`
+}
+
+// Error implements error.
+func (p *Problem) Error() string { return p.Title + ": " + p.Detail + "; " + p.Remedy }
+
+// NewProblem returns a problem with the given remedy and detail.
+func NewProblem(status int, remedy, format string, args ...any) *Problem {
+	return &Problem{
+		Type:   "about:blank",
+		Title:  fasthttp.StatusMessage(status),
+		Status: status,
+		Detail: fmt.Sprintf(format, args...),
+		Remedy: remedy,
+	}
+}
+
+// Accepted is the answer to an accepted announcement.
+type Accepted struct {
+	Accepted bool `json:"accepted"`
+}
+
+// Receiver takes valid announcements. Its error is a *Problem or is reported
+// as an internal one.
+type Receiver interface {
+	Announce(a Announcement) error
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+const (
+	remedyFields = "correct the field and announce again"
+	readTimeout  = 5 * time.Second
+	idleTimeout  = 30 * time.Second
+)
+
+// Validate checks the fields. The error is a *Problem.
+func (a Announcement) Validate() error {
+	if !namePattern.MatchString(a.Name) {
+		return invalid("name %q: want 1 to 63 lower-case letters, digits and inner dashes", a.Name)
+	}
+	if !namePattern.MatchString(a.Service) {
+		return invalid("service %q: want 1 to 63 lower-case letters, digits and inner dashes", a.Service)
+	}
+	if err := validateAddress(a.Address); err != nil {
+		return invalid("address %q: %s", a.Address, err)
+	}
+	if a.Incarnation == 0 {
+		return invalid("incarnation 0: want a number that rises with each start")
+	}
+	if a.Slots < 1 || a.Slots > MaxSlots {
+		return invalid("slots %d: want 1 to %d", a.Slots, MaxSlots)
+	}
+	if a.State != StateReady && a.State != StateLeaving {
+		return invalid("state %q: want %q or %q", a.State, StateReady, StateLeaving)
+	}
+	return nil
+}
+
+func invalid(format string, args ...any) *Problem {
+	return NewProblem(fasthttp.StatusUnprocessableEntity, remedyFields, format, args...)
+}
+
+func validateAddress(addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return errors.New("want IP:port")
+	}
+	if net.ParseIP(host) == nil {
+		return errors.New("want an IP number, not a name")
+	}
+	if port == "" || port == "0" {
+		return errors.New("want a port")
+	}
+	return nil
+}
+
+// Parse reads one announcement strictly. The error is a *Problem.
+func Parse(data []byte) (Announcement, error) {
+	var a Announcement
+	if len(data) > MaxBody {
+		return a, NewProblem(fasthttp.StatusRequestEntityTooLarge, "send a smaller body", "%d bytes, at most %d", len(data), MaxBody)
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&a); err != nil {
+		return a, NewProblem(fasthttp.StatusBadRequest, "send one JSON object with the documented fields", "%s", err)
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return a, NewProblem(fasthttp.StatusBadRequest, "send one JSON object only", "bytes after the object")
+	}
+	return a, a.Validate()
+}
+
+// Handler returns the HTTP handler that passes announcements to r.
+func Handler(r Receiver) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if err := serve(ctx, r); err != nil {
+			writeProblem(ctx, err)
+			return
+		}
+		writeJSON(ctx, fasthttp.StatusOK, "application/json", Accepted{Accepted: true})
+	}
+}
+
+// NewServer returns a server with bounds that suit announcements.
+func NewServer(r Receiver) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:            Handler(r),
+		MaxRequestBodySize: MaxBody,
+		ReadTimeout:        readTimeout,
+		WriteTimeout:       readTimeout,
+		IdleTimeout:        idleTimeout,
+		CloseOnShutdown:    true,
+		NoDefaultDate:      true,
+	}
+}
+
+func serve(ctx *fasthttp.RequestCtx, r Receiver) error {
+	if string(ctx.Path()) != Path {
+		return NewProblem(fasthttp.StatusNotFound, "announce to "+Path, "no such path %q", ctx.Path())
+	}
+	if !ctx.IsPost() {
+		return NewProblem(fasthttp.StatusMethodNotAllowed, "use POST", "method %s", ctx.Method())
+	}
+	a, err := Parse(ctx.PostBody())
+	if err != nil {
+		return err
+	}
+	return r.Announce(a)
+}
+
+func writeProblem(ctx *fasthttp.RequestCtx, err error) {
+	var p *Problem
+	if !errors.As(err, &p) {
+		p = NewProblem(fasthttp.StatusInternalServerError, "report this to the operators", "%s", err)
+	}
+	writeJSON(ctx, p.Status, problemType, p)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, contentType string, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		status = fasthttp.StatusInternalServerError
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType(contentType)
+	ctx.SetBody(data)
+}
--- /dev/null
+++ b/fairqueue/fairqueue.go
@@ -0,0 +1,190 @@
+package fairqueue
+
+import (
+	"container/list"
+	"time"
+)
+
+// Item is one waiting request.
+type Item[T any] struct {
+	Workspace string
+	// Weight is the workspace's share; less than 1 counts as 1.
+	Weight   int
+	Deadline time.Time
+	Value    T
+
+	elem *list.Element // in its lane; nil when not waiting
+	lane *lane[T]
+}
+
+// Load describes how fast the queue is emptied, for estimating waits.
+type Load struct {
+	// Servers is how many requests the target serves at once.
+	Servers int
+	// Service is the mean time of serving one; 0 is not known.
+	Service time.Duration
+}
+
+// Result says what became of a pushed item.
+type Result int
+
+const (
+	// Queued means that the item waits.
+	Queued Result = iota + 1
+	// Full means that there is no place for the workspace's item.
+	Full
+	// TooLate means that the expected wait passes the item's deadline.
+	TooLate
+)
+
+// lane holds one workspace's items.
+type lane[T any] struct {
+	workspace string
+	weight    int
+	deficit   int
+	items     list.List // of *Item[T], oldest first
+	turn      *list.Element
+}
+
+// excess is how far the lane is above a share proportional to its weight.
+func (l *lane[T]) excess() float64 { return float64(l.items.Len()) / float64(l.weight) }
+
+// Queue is the queue of one target. It is not safe for concurrent use.
+type Queue[T any] struct {
+	capacity int
+	size     int
+	lanes    map[string]*lane[T]
+	turns    list.List // of *lane[T], next first
+}
+
+// New returns an empty queue of the given capacity, at least 1.
+func New[T any](capacity int) *Queue[T] {
+	return &Queue[T]{capacity: max(capacity, 1), lanes: map[string]*lane[T]{}}
+}
+
+// Len returns the number of waiting items.
+func (q *Queue[T]) Len() int { return q.size }
+
+// Push adds an item. When the item takes the place of another, that one is
+// returned as evicted.
+func (q *Queue[T]) Push(it *Item[T], now time.Time, load Load) (res Result, evicted *Item[T]) {
+	it.Weight = max(it.Weight, 1)
+	if q.expectedWait(it, load) > it.Deadline.Sub(now) {
+		return TooLate, nil
+	}
+	if q.size >= q.capacity {
+		evicted = q.victim(it)
+		if evicted == nil {
+			return Full, nil
+		}
+		q.Remove(evicted)
+	}
+	l := q.laneOf(it)
+	it.lane = l
+	it.elem = l.items.PushBack(it)
+	q.size++
+	return Queued, evicted
+}
+
+// Pop returns the next item whose deadline has not passed, or nil. Items past
+// their deadline are dropped and reported to expired.
+func (q *Queue[T]) Pop(now time.Time, expired func(*Item[T])) *Item[T] {
+	for q.size > 0 {
+		it := q.next()
+		if now.Before(it.Deadline) {
+			return it
+		}
+		expired(it)
+	}
+	return nil
+}
+
+// Remove takes an item out and reports whether it was waiting.
+func (q *Queue[T]) Remove(it *Item[T]) bool {
+	if it.elem == nil {
+		return false
+	}
+	l := it.lane
+	l.items.Remove(it.elem)
+	it.elem, it.lane = nil, nil
+	q.size--
+	if l.items.Len() == 0 {
+		q.turns.Remove(l.turn)
+		delete(q.lanes, l.workspace)
+	}
+	return true
+}
+
+// Flush takes out all items, oldest first within a workspace.
+func (q *Queue[T]) Flush() []*Item[T] {
+	items := make([]*Item[T], 0, q.size)
+	for q.size > 0 {
+		items = append(items, q.next())
+	}
+	return items
+}
+
+// next takes the item whose turn it is. The queue is not empty.
+func (q *Queue[T]) next() *Item[T] {
+	l := q.turns.Front().Value.(*lane[T])
+	if l.deficit < 1 {
+		l.deficit += l.weight
+	}
+	it := l.items.Front().Value.(*Item[T])
+	l.deficit--
+	q.Remove(it)
+	if l.items.Len() > 0 && l.deficit < 1 {
+		q.turns.MoveToBack(l.turn)
+	}
+	return it
+}
+
+func (q *Queue[T]) laneOf(it *Item[T]) *lane[T] {
+	l := q.lanes[it.Workspace]
+	if l == nil {
+		l = &lane[T]{workspace: it.Workspace}
+		l.turn = q.turns.PushBack(l)
+		q.lanes[it.Workspace] = l
+	}
+	l.weight = it.Weight
+	return l
+}
+
+// victim returns the newest item of the lane furthest above its share, or nil
+// when the new item's own lane would be as far above.
+func (q *Queue[T]) victim(it *Item[T]) *Item[T] {
+	own := 1 / float64(it.Weight)
+	if l := q.lanes[it.Workspace]; l != nil {
+		own = float64(l.items.Len()+1) / float64(it.Weight)
+	}
+	var worst *lane[T]
+	for e := q.turns.Front(); e != nil; e = e.Next() {
+		l := e.Value.(*lane[T])
+		if worst == nil || l.excess() > worst.excess() {
+			worst = l
+		}
+	}
+	if worst == nil || worst.excess() <= own {
+		return nil
+	}
+	return worst.items.Back().Value.(*Item[T])
+}
+
+// expectedWait estimates how long a new item would wait for its turn.
+func (q *Queue[T]) expectedWait(it *Item[T], load Load) time.Duration {
+	if load.Service <= 0 || q.size == 0 {
+		return 0
+	}
+	own := 0
+	if l := q.lanes[it.Workspace]; l != nil {
+		own = l.items.Len()
+	}
+	ahead := own
+	rounds := own/it.Weight + 1
+	for name, l := range q.lanes {
+		if name != it.Workspace {
+			ahead += min(l.items.Len(), rounds*l.weight)
+		}
+	}
+	return time.Duration(ahead) * load.Service / time.Duration(max(load.Servers, 1))
+}
--- /dev/null
+++ b/gate/admit.go
@@ -0,0 +1,209 @@
+package gate
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/fairqueue"
+	"github.com/gooseberryshed/gooseberryshed/ledger"
+	"github.com/gooseberryshed/gooseberryshed/wire"
+)
+
+const retryBusyAfter = 100 * time.Millisecond
+
+// ticket is an attempt that holds a slot of its target.
+type ticket struct {
+	att        wire.Attempt
+	t          *target
+	deadline   time.Time
+	dispatched bool
+	waited     bool
+}
+
+// admit takes an attempt through the checks and the queue to a slot.
+func (g *Gate) admit(ctx context.Context, att wire.Attempt) (*ticket, *wire.Refusal) {
+	if ref := g.check(att); ref != nil {
+		return nil, ref
+	}
+	now := g.opts.Clock()
+	tk := &ticket{att: att, deadline: now.Add(att.Remaining)}
+	g.mu.Lock()
+	it, ref := g.takeSlotOrQueue(tk, now)
+	g.mu.Unlock()
+	if ref != nil {
+		return nil, ref
+	}
+	if it == nil {
+		return tk, nil
+	}
+	tk.waited = true
+	return g.wait(ctx, tk, it)
+}
+
+// check runs the checks that need no lock.
+func (g *Gate) check(att wire.Attempt) *wire.Refusal {
+	if g.opts.Policy != nil {
+		if ref := g.opts.Policy.Check(att); ref != nil {
+			return ref
+		}
+	}
+	if g.opts.Quarantine != nil && g.opts.Quarantine.Check(att.Fingerprint) {
+		return wire.Refuse(wire.ReasonQuarantined, "requests like this one crashed targets")
+	}
+	return nil
+}
+
+// takeSlotOrQueue gives the ticket a slot or returns its item in the queue;
+// the lock is held.
+func (g *Gate) takeSlotOrQueue(tk *ticket, now time.Time) (*fairqueue.Item[*waiter], *wire.Refusal) {
+	g.stats.Attempts++
+	if ref := g.verdict(g.ledger.Check(tk.att.ID, tk.att.Epoch)); ref != nil {
+		return nil, ref
+	}
+	if g.draining {
+		return nil, wire.Refuse(wire.ReasonLeaving, "host %s is stopping", g.opts.Host)
+	}
+	t, ref := g.find(tk.att, now)
+	if ref != nil {
+		return nil, ref
+	}
+	tk.t = t
+	if t.queue.Len() == 0 && t.inFlight < t.limiter.Limit() {
+		t.inFlight++
+		g.active++
+		return nil, nil
+	}
+	it, ref := g.enqueue(tk, now)
+	if ref == nil {
+		g.active++
+		g.stats.Queued++
+	}
+	return it, ref
+}
+
+// verdict turns the ledger's verdict into a refusal, or nil.
+func (g *Gate) verdict(v ledger.Verdict) *wire.Refusal {
+	switch v {
+	case ledger.Stale:
+		g.stats.Stale++
+		ref := wire.Refuse(wire.ReasonStaleEpoch, "the attempt's epoch is not covered")
+		ref.Epoch = g.ledger.Epoch()
+		return ref
+	case ledger.Duplicate:
+		g.stats.Duplicates++
+		return wire.RefuseUnknown(wire.ReasonDuplicateOrder, "the attempt was dispatched before")
+	case ledger.Settled:
+		return wire.Refuse(wire.ReasonSettled, "the attempt was settled as not run")
+	case ledger.Full:
+		g.stats.Busy++
+		return wire.Refuse(wire.ReasonBusy, "too many attempts to keep track of")
+	}
+	return nil
+}
+
+func (g *Gate) find(att wire.Attempt, now time.Time) (*target, *wire.Refusal) {
+	host, name, ok := strings.Cut(att.Target, "/")
+	if !ok || host != g.opts.Host {
+		return nil, wire.Refuse(wire.ReasonNoTarget, "target %q is not on host %s", att.Target, g.opts.Host)
+	}
+	t := g.targets[name]
+	if t == nil || t.said.Service != att.Service {
+		return nil, wire.Refuse(wire.ReasonNoTarget, "no target %q of service %q", att.Target, att.Service)
+	}
+	return t, t.refusal(g.opts, now)
+}
+
+func (g *Gate) enqueue(tk *ticket, now time.Time) (*fairqueue.Item[*waiter], *wire.Refusal) {
+	it := &fairqueue.Item[*waiter]{
+		Workspace: tk.att.Workspace,
+		Weight:    g.opts.Weight(tk.att.Workspace),
+		Deadline:  tk.deadline,
+		Value:     &waiter{granted: make(chan *wire.Refusal, 1)},
+	}
+	load := fairqueue.Load{Servers: tk.t.limiter.Limit(), Service: tk.t.meanLatency}
+	result, evicted := tk.t.queue.Push(it, now, load)
+	if evicted != nil {
+		g.stats.Evicted++
+		evicted.Value.granted <- g.busy(tk.t, "the workspace's share of the queue is full")
+	}
+	switch result {
+	case fairqueue.Full:
+		return nil, g.busy(tk.t, "the queue is full")
+	case fairqueue.TooLate:
+		return nil, g.busy(tk.t, "the wait would pass the deadline")
+	}
+	return it, nil
+}
+
+func (g *Gate) busy(t *target, why string) *wire.Refusal {
+	g.stats.Busy++
+	ref := wire.Refuse(wire.ReasonBusy, "target %s: %s", t.id, why)
+	ref.RetryAfter = retryBusyAfter
+	return ref
+}
+
+// wait waits for a slot; the attempt has been counted as active.
+func (g *Gate) wait(ctx context.Context, tk *ticket, it *fairqueue.Item[*waiter]) (*ticket, *wire.Refusal) {
+	timer := time.NewTimer(tk.deadline.Sub(g.opts.Clock()))
+	defer timer.Stop()
+	var ref *wire.Refusal
+	select {
+	case ref = <-it.Value.granted:
+	case <-ctx.Done():
+		ref = g.giveUp(tk, it, "the caller gave up while waiting")
+	case <-timer.C:
+		ref = g.giveUp(tk, it, "the deadline passed while waiting")
+	}
+	if ref != nil {
+		g.mu.Lock()
+		g.leave()
+		g.mu.Unlock()
+		return nil, ref
+	}
+	return tk, nil
+}
+
+// giveUp leaves the queue, or hands back a slot that was granted meanwhile.
+func (g *Gate) giveUp(tk *ticket, it *fairqueue.Item[*waiter], why string) *wire.Refusal {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !tk.t.queue.Remove(it) {
+		if ref := <-it.Value.granted; ref != nil {
+			return ref
+		}
+		g.freeSlot(tk.t, g.opts.Clock())
+	}
+	return wire.Refuse(wire.ReasonTimeout, "%s", why)
+}
+
+// freeSlot returns a slot and passes it on; the lock is held.
+func (g *Gate) freeSlot(t *target, now time.Time) {
+	t.inFlight--
+	g.pump(t, now)
+}
+
+// pump gives free slots to those who wait; the lock is held.
+func (g *Gate) pump(t *target, now time.Time) {
+	if t.refusal(g.opts, now) != nil {
+		return
+	}
+	for t.inFlight < t.limiter.Limit() {
+		it := t.queue.Pop(now, expire)
+		if it == nil {
+			return
+		}
+		t.inFlight++
+		it.Value.granted <- nil
+	}
+}
+
+func expire(it *fairqueue.Item[*waiter]) {
+	it.Value.granted <- wire.Refuse(wire.ReasonTimeout, "the deadline passed while waiting")
+}
+
+// leave ends an active attempt; the lock is held.
+func (g *Gate) leave() {
+	g.active--
+	g.wakeDrain()
+}
--- /dev/null
+++ b/gate/target.go
@@ -0,0 +1,172 @@
+package gate
+
+import (
+	"sort"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/announce"
+	"github.com/gooseberryshed/gooseberryshed/config"
+	"github.com/gooseberryshed/gooseberryshed/fairqueue"
+	"github.com/gooseberryshed/gooseberryshed/member"
+	"github.com/gooseberryshed/gooseberryshed/wire"
+)
+
+const (
+	// abortMemory is how long a broken exchange counts as in flight at the
+	// death of its target.
+	abortMemory = 10 * time.Second
+	maxAborts   = 256
+	// latencyWeight is the weight of a new sample in the mean latency.
+	latencyWeight = 0.1
+)
+
+// target is one instance (name and incarnation) of a target.
+type target struct {
+	id       string
+	svc      config.Service
+	said     announce.Announcement
+	limiter  Limiter
+	queue    *fairqueue.Queue[*waiter]
+	inFlight int
+
+	lastHeard  time.Time
+	servesFrom time.Time
+	// replaced is set when a newer incarnation has taken the place.
+	replaced bool
+
+	aborts      []abort
+	meanLatency time.Duration
+	meanErrors  float64
+}
+
+// abort is an exchange whose connection broke before the answer.
+type abort struct {
+	fingerprint uint64
+	at          time.Time
+}
+
+// waiter is an attempt in the queue. It receives nil with a slot, or why not.
+type waiter struct {
+	granted chan *wire.Refusal
+}
+
+func (g *Gate) newTarget(a announce.Announcement, svc config.Service, now time.Time) *target {
+	return &target{
+		id:        g.opts.Host + "/" + a.Name,
+		svc:       svc,
+		said:      a,
+		limiter:   g.opts.NewLimiter(svc, a.Slots, now),
+		queue:     fairqueue.New[*waiter](svc.Queue),
+		lastHeard: now,
+	}
+}
+
+// refusal says why the target gets no new work now, or is nil.
+func (t *target) refusal(opts Options, now time.Time) *wire.Refusal {
+	switch {
+	case t.replaced:
+		return wire.Refuse(wire.ReasonNoTarget, "target %s has restarted", t.id)
+	case t.said.State == announce.StateLeaving:
+		return wire.Refuse(wire.ReasonLeaving, "target %s is leaving", t.id)
+	case now.Sub(t.lastHeard) > opts.Permission:
+		return wire.Refuse(wire.ReasonNoTarget, "target %s has not announced itself for %s", t.id, opts.Permission)
+	case now.Before(t.servesFrom):
+		return wire.Refuse(wire.ReasonNoTarget, "target %s is new at this daemon; an earlier one may still feed it", t.id)
+	}
+	return nil
+}
+
+func (t *target) state(opts Options, now time.Time) member.TargetState {
+	switch {
+	case t.said.State == announce.StateLeaving:
+		return member.TargetLeaving
+	case t.refusal(opts, now) != nil:
+		return member.TargetGone
+	}
+	return member.TargetReady
+}
+
+func (t *target) record(opts Options, now time.Time) member.Target {
+	return member.Target{
+		ID:            t.id,
+		Service:       t.said.Service,
+		Incarnation:   t.said.Incarnation,
+		State:         t.state(opts, now),
+		Slots:         t.said.Slots,
+		Limit:         t.limiter.Limit(),
+		ErrorPermille: coarsePermille(t.meanErrors),
+		LatencyMicros: coarseMicros(t.meanLatency),
+	}
+}
+
+func (t *target) load(revision uint64) wire.Load {
+	return wire.Load{
+		InFlight: t.inFlight + t.queue.Len(),
+		Limit:    t.limiter.Limit(),
+		Revision: revision,
+	}
+}
+
+// observe updates limiter and means with an ended exchange.
+func (t *target) observe(kind Kind, now time.Time, latency time.Duration) {
+	failed := 1.0
+	switch kind {
+	case KindOK:
+		failed = 0
+		t.limiter.OnSuccess(now, latency)
+	case KindShed:
+		t.limiter.OnShed(now, latency)
+	default:
+		t.limiter.OnFailure(now, latency)
+	}
+	t.meanErrors += latencyWeight * (failed - t.meanErrors)
+	if t.meanLatency == 0 {
+		t.meanLatency = latency
+	}
+	t.meanLatency += time.Duration(latencyWeight * float64(latency-t.meanLatency))
+}
+
+func (t *target) remember(fingerprint uint64, now time.Time) {
+	if len(t.aborts) < maxAborts {
+		t.aborts = append(t.aborts, abort{fingerprint: fingerprint, at: now})
+	}
+}
+
+// takeAborts returns the fingerprints in flight at a death and forgets them.
+func (t *target) takeAborts(now time.Time) []uint64 {
+	var fingerprints []uint64
+	for _, a := range t.aborts {
+		if now.Sub(a.at) <= abortMemory {
+			fingerprints = append(fingerprints, a.fingerprint)
+		}
+	}
+	t.aborts = nil
+	return fingerprints
+}
+
+const (
+	permilleStep = 10
+	permilleAll  = 1000
+)
+
+func coarsePermille(ratio float64) int {
+	return int(ratio*permilleAll) / permilleStep * permilleStep
+}
+
+// coarseMicros rounds down to a power of two, so that small changes are not
+// spread.
+func coarseMicros(d time.Duration) int {
+	micros := int(d / time.Microsecond)
+	step := 1
+	for step*2 <= micros {
+		step *= 2
+	}
+	if micros == 0 {
+		return 0
+	}
+	return step
+}
+
+func sortByID(records []member.Target) {
+	sort.Slice(records, func(i, j int) bool { return records[i].ID < records[j].ID })
+}
--- /dev/null
+++ b/link/body.go
@@ -0,0 +1,172 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http/httputil"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	lengthChunked  = -1
+	lengthIdentity = -2
+	// maxTrailerBytes bounds the trailer section of a chunked body.
+	maxTrailerBytes = 4 << 10
+)
+
+var errTrailerTooLarge = errors.New("trailer section too large")
+
+// body reads an answer's body and gives the connection back at its end.
+type body struct {
+	ctx    context.Context
+	pool   *Pool
+	c      *conn
+	stop   func() bool
+	src    io.Reader
+	left   int64 // bytes to come; unused for chunks
+	chunks bool
+	keep   bool
+	done   bool
+	err    error
+}
+
+func (p *Pool) newBody(ctx context.Context, c *conn, req *fasthttp.Request, resp *Response, x Exchange, stop func() bool) io.ReadCloser {
+	c.silence = x.IdleTimeout
+	c.deadline = time.Time{}
+	b := &body{ctx: ctx, pool: p, c: c, stop: stop, src: c.br}
+	b.keep = !resp.Header.ConnectionClose() && resp.Header.IsHTTP11()
+	resp.Length = resp.Header.ContentLength()
+	switch {
+	case req.Header.IsHead():
+		b.finish()
+	case hasNoBody(resp.Header.StatusCode()):
+		resp.Length = 0
+		b.finish()
+	case resp.Length == lengthChunked:
+		b.chunks = true
+		b.src = httputil.NewChunkedReader(c.br)
+	default:
+		b.left = int64(resp.Length)
+		if b.left == 0 {
+			b.finish()
+		}
+	}
+	return b
+}
+
+// isVerifiable reports whether the end of the answer's body can be told from
+// a connection cut short.
+func isVerifiable(req *fasthttp.Request, resp *Response) bool {
+	return req.Header.IsHead() ||
+		hasNoBody(resp.Header.StatusCode()) ||
+		resp.Header.ContentLength() != lengthIdentity
+}
+
+func hasNoBody(status int) bool {
+	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	if !b.chunks && int64(len(p)) > b.left {
+		p = p[:b.left]
+	}
+	n, err := b.src.Read(p)
+	if b.chunks {
+		return n, b.afterChunkRead(err)
+	}
+	return n, b.afterFixedRead(n, err)
+}
+
+func (b *body) afterFixedRead(n int, err error) error {
+	b.left -= int64(n)
+	if b.left == 0 {
+		b.finish()
+		return nil // io.EOF comes with the next read
+	}
+	if err != nil {
+		b.failRead(err)
+		return b.err
+	}
+	return nil
+}
+
+func (b *body) afterChunkRead(err error) error {
+	if err == nil {
+		return nil
+	}
+	if err != io.EOF {
+		b.failRead(err)
+		return b.err
+	}
+	if err := skipTrailer(b.c.br); err != nil {
+		b.failRead(err)
+		return b.err
+	}
+	b.finish()
+	return b.err
+}
+
+// skipTrailer reads up to the empty line that ends a chunked body.
+func skipTrailer(br *bufio.Reader) error {
+	total := 0
+	for {
+		line, err := br.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if len(line) <= len("\r\n") {
+			return nil
+		}
+		total += len(line)
+		if total > maxTrailerBytes {
+			return errTrailerTooLarge
+		}
+	}
+}
+
+// finish ends a body that was read whole.
+func (b *body) finish() {
+	b.err = io.EOF
+	b.done = true
+	canceled := !b.stop()
+	if b.keep && !canceled && b.c.br.Buffered() == 0 {
+		b.pool.release(b.c)
+		return
+	}
+	b.pool.discard(b.c)
+}
+
+func (b *body) failRead(err error) {
+	cause := CauseProtocol
+	if b.c.readErr != nil {
+		cause = causeOf(b.ctx, b.c.readErr)
+	}
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	b.fail(cause, err)
+}
+
+func (b *body) fail(cause Cause, err error) {
+	b.err = &Error{Stage: StageAnswer, Cause: cause, Reused: b.c.reused, Addr: b.c.addr, Err: err}
+	b.done = true
+	b.stop()
+	b.pool.discard(b.c)
+}
+
+// Close implements io.Closer. Closing an unread body closes the connection.
+func (b *body) Close() error {
+	if b.done {
+		return nil
+	}
+	b.fail(CauseCanceled, errors.New("body closed before its end"))
+	return nil
+}
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,288 @@
+package link_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/link"
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+)
+
+// peer accepts connections and serves each with a script.
+type peer struct {
+	ln       net.Listener
+	conns    atomic.Int64
+	requests atomic.Int64
+}
+
+// listen serves the n-th connection (from 1) with serve.
+func listen(t testing.TB, serve func(n int64, c net.Conn, br *bufio.Reader, p *peer)) *peer {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	p := &peer{ln: ln}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			n := p.conns.Add(1)
+			go serve(n, c, bufio.NewReader(c), p)
+		}
+	}()
+	return p
+}
+
+func (p *peer) addr() string { return p.ln.Addr().String() }
+
+// readRequest reads one request and counts it.
+func (p *peer) readRequest(br *bufio.Reader) bool {
+	var req fasthttp.Request
+	if err := req.Read(br); err != nil {
+		return false
+	}
+	p.requests.Add(1)
+	return true
+}
+
+func answering(answers ...string) func(int64, net.Conn, *bufio.Reader, *peer) {
+	return func(_ int64, c net.Conn, br *bufio.Reader, p *peer) {
+		defer c.Close()
+		for _, a := range answers {
+			if !p.readRequest(br) {
+				return
+			}
+			io.WriteString(c, a) //nolint:errcheck
+		}
+	}
+}
+
+func request(method string) *fasthttp.Request {
+	req := &fasthttp.Request{}
+	req.Header.SetMethod(method)
+	req.SetRequestURI("/x?y=1")
+	req.Header.SetHost("h")
+	if method == "POST" || method == "PUT" {
+		req.SetBodyString("payload")
+	}
+	return req
+}
+
+func do(t testing.TB, p *link.Pool, addr, method string, x link.Exchange) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	resp, err := p.Do(ctx, addr, request(method), x)
+	if err != nil {
+		return "", err
+	}
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err
+}
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func TestAnswersEndVerified(t *testing.T) {
+	tests := []struct {
+		name, answer, body string
+		stage              link.Stage
+	}{
+		{"length", whole, "ok", 0},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "ok", 0},
+		{"interim", "HTTP/1.1 102 Processing\r\n\r\n" + whole, "ok", 0},
+		{"no content", "HTTP/1.1 204 No Content\r\n\r\n", "", 0},
+		{"short length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", "ok", link.StageAnswer},
+		{"no last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", "ok", link.StageAnswer},
+		{"cut in trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "ok", link.StageAnswer},
+		{"cut chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok", "ok", link.StageAnswer},
+		{"neither", "HTTP/1.1 200 OK\r\n\r\nok", "", link.StageAnswer},
+		{"half a header", "HTTP/1.1 200 OK\r\nContent-Le", "", link.StageAnswer},
+		{"interim only", "HTTP/1.1 102 Processing\r\n\r\n", "", link.StageSent},
+		{"garbage", "SSH-2.0-x\r\n\r\n", "", link.StageAnswer},
+		{"nothing", "", "", link.StageSent},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			srv := listen(t, answering(tc.answer))
+			pool := link.New(link.Options{})
+			defer pool.Close()
+			got, err := do(t, pool, srv.addr(), "GET", link.Exchange{})
+			if tc.stage == 0 {
+				assert.NilError(t, err)
+			} else {
+				assert.Equal(t, link.AsError(err).Stage, tc.stage)
+			}
+			assert.Equal(t, got, tc.body)
+		})
+	}
+}
+
+func TestHeaderIsBounded(t *testing.T) {
+	srv := listen(t, answering("HTTP/1.1 200 OK\r\nX: "+strings.Repeat("x", 5000)+"\r\nContent-Length: 0\r\n\r\n"))
+	pool := link.New(link.Options{MaxHeader: 4096})
+	_, err := do(t, pool, srv.addr(), "GET", link.Exchange{})
+	assert.Equal(t, link.AsError(err).Cause, link.CauseProtocol)
+}
+
+func TestDialFailureSendsNothing(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ln.Close()
+	_, err = do(t, link.New(link.Options{}), ln.Addr().String(), "POST", link.Exchange{})
+	assert.Equal(t, link.AsError(err).Stage, link.StageDial)
+}
+
+// TestRequestGoesToOneConnection closes every connection after the request
+// arrived: the pool must report it and must not send the request again.
+func TestRequestGoesToOneConnection(t *testing.T) {
+	for _, method := range []string{"GET", "PUT", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			srv := listen(t, func(_ int64, c net.Conn, br *bufio.Reader, p *peer) {
+				p.readRequest(br)
+				c.Close()
+			})
+			_, err := do(t, link.New(link.Options{}), srv.addr(), method, link.Exchange{})
+			assert.Equal(t, link.AsError(err).Stage, link.StageSent)
+			assert.Equal(t, srv.requests.Load(), int64(1))
+			assert.Equal(t, srv.conns.Load(), int64(1))
+		})
+	}
+}
+
+// TestReusedConnectionIsNotRetried answers the first request of each
+// connection and closes after the second arrived, as a peer that restarts.
+func TestReusedConnectionIsNotRetried(t *testing.T) {
+	srv := listen(t, func(_ int64, c net.Conn, br *bufio.Reader, p *peer) {
+		defer c.Close()
+		if p.readRequest(br) {
+			io.WriteString(c, whole) //nolint:errcheck
+		}
+		p.readRequest(br)
+	})
+	pool := link.New(link.Options{})
+	_, err := do(t, pool, srv.addr(), "PUT", link.Exchange{})
+	assert.NilError(t, err)
+	_, err = do(t, pool, srv.addr(), "PUT", link.Exchange{})
+	le := link.AsError(err)
+	assert.Equal(t, le.Stage, link.StageSent)
+	assert.Assert(t, le.Reused)
+	assert.Equal(t, srv.requests.Load(), int64(2))
+}
+
+// TestLibraryClientRepeats documents why fasthttp.Client is not used: with its
+// defaults it sends a GET or PUT again when the connection closes.
+func TestLibraryClientRepeats(t *testing.T) {
+	for _, method := range []string{"GET", "PUT"} {
+		t.Run(method, func(t *testing.T) {
+			srv := listen(t, func(_ int64, c net.Conn, br *bufio.Reader, p *peer) {
+				p.readRequest(br)
+				c.Close()
+			})
+			client := &fasthttp.Client{}
+			req, resp := request(method), &fasthttp.Response{}
+			req.SetRequestURI("http://" + srv.addr() + "/x")
+			req.Header.SetHost("")
+			assert.Assert(t, client.Do(req, resp) != nil)
+			assert.Assert(t, srv.requests.Load() > 1, "sent %d times", srv.requests.Load())
+		})
+	}
+}
+
+func TestReuseAndFresh(t *testing.T) {
+	srv := listen(t, answering(whole, whole, whole, whole))
+	pool := link.New(link.Options{})
+	for _, x := range []link.Exchange{{}, {}, {Fresh: true}} {
+		_, err := do(t, pool, srv.addr(), "GET", x)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, srv.conns.Load(), int64(2))
+	assert.Equal(t, pool.Stats().Reuses, int64(1))
+}
+
+func TestSurplusBytesCloseConnection(t *testing.T) {
+	srv := listen(t, answering(whole+"HTTP/1.1 200 OK\r\n", whole))
+	pool := link.New(link.Options{})
+	for range 2 {
+		got, err := do(t, pool, srv.addr(), "GET", link.Exchange{})
+		assert.NilError(t, err)
+		assert.Equal(t, got, "ok")
+	}
+	assert.Equal(t, srv.conns.Load(), int64(2))
+}
+
+func TestUnreadBodyClosesConnection(t *testing.T) {
+	srv := listen(t, answering(whole, whole))
+	pool := link.New(link.Options{})
+	resp, err := pool.Do(context.Background(), srv.addr(), request("GET"), link.Exchange{})
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	_, err = do(t, pool, srv.addr(), "GET", link.Exchange{})
+	assert.NilError(t, err)
+	assert.Equal(t, srv.conns.Load(), int64(2))
+}
+
+// TestSilentReusedConnection lets a connection go silent after its first
+// answer: the failure is found by the first-byte bound and reported as one of
+// a reused connection, and the next exchange is on a new one.
+func TestSilentReusedConnection(t *testing.T) {
+	silent := make(chan struct{})
+	t.Cleanup(func() { close(silent) })
+	srv := listen(t, func(n int64, c net.Conn, br *bufio.Reader, p *peer) {
+		defer c.Close()
+		p.readRequest(br)
+		io.WriteString(c, whole) //nolint:errcheck
+		p.readRequest(br)
+		<-silent
+	})
+	pool := link.New(link.Options{FirstByte: 50 * time.Millisecond})
+	_, err := do(t, pool, srv.addr(), "GET", link.Exchange{})
+	assert.NilError(t, err)
+	_, err = do(t, pool, srv.addr(), "GET", link.Exchange{})
+	le := link.AsError(err)
+	assert.Equal(t, le.Cause, link.CauseTimeout)
+	assert.Assert(t, le.Reused)
+	_, err = do(t, pool, srv.addr(), "GET", link.Exchange{})
+	assert.NilError(t, err)
+	assert.Equal(t, srv.conns.Load(), int64(2))
+}
+
+func TestCancelClosesConnection(t *testing.T) {
+	closed := make(chan error, 1)
+	arrived := make(chan struct{})
+	srv := listen(t, func(_ int64, c net.Conn, br *bufio.Reader, p *peer) {
+		p.readRequest(br)
+		close(arrived)
+		_, err := br.ReadByte()
+		closed <- err
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := link.New(link.Options{}).Do(ctx, srv.addr(), request("POST"), link.Exchange{})
+	assert.Equal(t, link.AsError(err).Cause, link.CauseCanceled)
+	assert.Equal(t, link.AsError(err).Stage, link.StageSent)
+	assert.Assert(t, <-closed != nil)
+}
+
+func TestRejectedBeforeSend(t *testing.T) {
+	srv := listen(t, answering(whole))
+	pool := link.New(link.Options{})
+	_, err := do(t, pool, srv.addr(), "POST", link.Exchange{BeforeSend: func() error { return io.ErrNoProgress }})
+	assert.Equal(t, link.AsError(err).Cause, link.CauseRejected)
+	got, err := do(t, pool, srv.addr(), "POST", link.Exchange{})
+	assert.NilError(t, err)
+	assert.Equal(t, got, "ok")
+	assert.Equal(t, srv.requests.Load(), int64(1))
+	assert.Equal(t, srv.conns.Load(), int64(1))
+}
--- /dev/null
+++ b/link/pool.go
@@ -0,0 +1,266 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Defaults of Options.
+const (
+	DefaultDialTimeout   = 1 * time.Second
+	DefaultMaxAge        = 60 * time.Second
+	DefaultMaxIdle       = 15 * time.Second
+	DefaultFirstByte     = 2 * time.Second
+	DefaultUserTimeout   = 2 * time.Second
+	DefaultMaxHeader     = 16 << 10 // bytes
+	DefaultIdlePerAddr   = 32       // connections
+	keepAliveIdle        = 5 * time.Second
+	keepAliveInterval    = 2 * time.Second
+	keepAliveProbes      = 2
+	tcpUserTimeoutOption = 18 // TCP_USER_TIMEOUT of Linux, in milliseconds
+)
+
+// Options configures a Pool. Zero fields take the documented defaults.
+type Options struct {
+	// LocalAddr is the source IP of outgoing connections; empty lets the
+	// system choose.
+	LocalAddr string
+	// DialTimeout bounds connecting. Default 1 s.
+	DialTimeout time.Duration
+	// MaxAge is the age at which a connection is no longer reused. Default 60 s.
+	MaxAge time.Duration
+	// MaxIdle is how long a connection may wait for reuse. Default 15 s.
+	MaxIdle time.Duration
+	// FirstByte bounds the wait for the first byte of an answer on a reused
+	// connection. Default 2 s.
+	FirstByte time.Duration
+	// UserTimeout closes connections whose sent bytes stay unacknowledged.
+	// Default 2 s.
+	UserTimeout time.Duration
+	// MaxHeader bounds an answer's header in bytes. Default 16 KiB.
+	MaxHeader int
+	// IdlePerAddr bounds the idle connections to one address. Default 32.
+	IdlePerAddr int
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.MaxAge, DefaultMaxAge)
+	setDefault(&o.MaxIdle, DefaultMaxIdle)
+	setDefault(&o.FirstByte, DefaultFirstByte)
+	setDefault(&o.UserTimeout, DefaultUserTimeout)
+	setDefault(&o.MaxHeader, DefaultMaxHeader)
+	setDefault(&o.IdlePerAddr, DefaultIdlePerAddr)
+	return o
+}
+
+func setDefault[T int | time.Duration](v *T, value T) {
+	if *v <= 0 {
+		*v = value
+	}
+}
+
+// Stats counts the events of a pool.
+type Stats struct {
+	Dials       int64
+	DialErrors  int64
+	Reuses      int64
+	StaleClosed int64 // closed by the peer or written to while idle
+	Expired     int64 // too old or too long idle
+	Abandoned   int64 // closed in mid-exchange
+}
+
+type counters struct {
+	dials, dialErrors, reuses, stale, expired, abandoned atomic.Int64
+}
+
+// Pool keeps connections by address. It is safe for concurrent use.
+type Pool struct {
+	opts    Options
+	dialer  net.Dialer
+	buffers bufferPool
+	count   counters
+
+	mu     sync.Mutex
+	idle   map[string][]*conn // oldest first
+	closed bool
+}
+
+// New returns an empty pool.
+func New(opts Options) *Pool {
+	opts = opts.withDefaults()
+	p := &Pool{
+		opts: opts,
+		idle: map[string][]*conn{},
+	}
+	p.buffers.size = opts.MaxHeader
+	p.dialer = net.Dialer{
+		Timeout: opts.DialTimeout,
+		Control: p.setSocketOptions,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveProbes,
+		},
+	}
+	if ip := net.ParseIP(opts.LocalAddr); ip != nil {
+		p.dialer.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return p
+}
+
+func (p *Pool) setSocketOptions(_, _ string, raw syscall.RawConn) error {
+	ms := int(p.opts.UserTimeout / time.Millisecond)
+	return raw.Control(func(fd uintptr) {
+		// Where the option is not supported, the first-byte bound remains.
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, ms)
+	})
+}
+
+// Stats returns the counts so far.
+func (p *Pool) Stats() Stats {
+	return Stats{
+		Dials:       p.count.dials.Load(),
+		DialErrors:  p.count.dialErrors.Load(),
+		Reuses:      p.count.reuses.Load(),
+		StaleClosed: p.count.stale.Load(),
+		Expired:     p.count.expired.Load(),
+		Abandoned:   p.count.abandoned.Load(),
+	}
+}
+
+// Close closes the idle connections; exchanges under way finish and their
+// connections are closed after them.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = map[string][]*conn{}
+	p.closed = true
+	p.mu.Unlock()
+	for _, conns := range idle {
+		closeAll(conns)
+	}
+}
+
+// Drop closes the idle connections to addr.
+func (p *Pool) Drop(addr string) {
+	p.mu.Lock()
+	conns := p.idle[addr]
+	delete(p.idle, addr)
+	p.mu.Unlock()
+	closeAll(conns)
+}
+
+// Sweep closes idle connections that are past their bounds.
+func (p *Pool) Sweep(now time.Time) {
+	var expired []*conn
+	p.mu.Lock()
+	for addr, conns := range p.idle {
+		kept := conns[:0]
+		for _, c := range conns {
+			if p.isExpired(c, now) {
+				expired = append(expired, c)
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		if len(kept) == 0 {
+			delete(p.idle, addr)
+		} else {
+			p.idle[addr] = kept
+		}
+	}
+	p.mu.Unlock()
+	p.count.expired.Add(int64(len(expired)))
+	closeAll(expired)
+}
+
+func (p *Pool) isExpired(c *conn, now time.Time) bool {
+	return now.Sub(c.born) > p.opts.MaxAge || now.Sub(c.idleSince) > p.opts.MaxIdle
+}
+
+func closeAll(conns []*conn) {
+	for _, c := range conns {
+		c.Conn.Close()
+	}
+}
+
+// acquire returns a usable idle connection or dials.
+func (p *Pool) acquire(ctx context.Context, addr string, fresh bool) (*conn, error) {
+	for !fresh {
+		c := p.popIdle(addr)
+		if c == nil {
+			break
+		}
+		if p.isExpired(c, time.Now()) {
+			p.count.expired.Add(1)
+			c.Conn.Close()
+			continue
+		}
+		if Peek(c.Conn) != PeerQuiet {
+			p.count.stale.Add(1)
+			c.Conn.Close()
+			continue
+		}
+		p.count.reuses.Add(1)
+		c.reused = true
+		return c, nil
+	}
+	return p.dial(ctx, addr)
+}
+
+func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
+	p.count.dials.Add(1)
+	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		p.count.dialErrors.Add(1)
+		return nil, &Error{Stage: StageDial, Cause: causeOf(ctx, err), Addr: addr, Err: err}
+	}
+	return &conn{Conn: nc, addr: addr, born: time.Now()}, nil
+}
+
+func (p *Pool) popIdle(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[addr]
+	if len(conns) == 0 {
+		return nil
+	}
+	c := conns[len(conns)-1]
+	conns[len(conns)-1] = nil
+	p.idle[addr] = conns[:len(conns)-1]
+	return c
+}
+
+// release keeps a connection whose exchange ended cleanly.
+func (p *Pool) release(c *conn) {
+	p.buffers.detach(c)
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle[c.addr]) >= p.opts.IdlePerAddr {
+		c.Conn.Close()
+		return
+	}
+	p.idle[c.addr] = append(p.idle[c.addr], c)
+}
+
+// discard closes a connection whose exchange did not end cleanly.
+func (p *Pool) discard(c *conn) {
+	p.count.abandoned.Add(1)
+	c.Conn.Close()
+}
+
+// Probe finds out whether addr accepts connections.
+func (p *Pool) Probe(ctx context.Context, addr string) error {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return err
+	}
+	return c.Conn.Close()
+}
--- a/wire/refusal.go
+++ b/wire/refusal.go
@@ -69,6 +69,8 @@
 	// Revision is the refusing side's configuration when Reason is
 	// ReasonStaleConfig.
 	Revision uint64
+	// Load is the gate's report on the target, when it got as far as that.
+	Load Load
 }
 
 // Refuse returns a refusal of a request that did not run.
