--- a/fairqueue/fairqueue.go
+++ b/fairqueue/fairqueue.go
@@ -65,6 +65,9 @@
 // Len returns the number of waiting items.
 func (q *Queue[T]) Len() int { return q.size }
 
+// SetCapacity changes the capacity; items above a smaller one stay.
+func (q *Queue[T]) SetCapacity(capacity int) { q.capacity = max(capacity, 1) }
+
 // Push adds an item. When the item takes the place of another, that one is
 // returned as evicted.
 func (q *Queue[T]) Push(it *Item[T], now time.Time, load Load) (res Result, evicted *Item[T]) {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -175,6 +175,7 @@
 func TestSlowAttemptIsNotSilence(t *testing.T) {
 	addr, s := serve(t, forward.ServerOptions{
 		Interim: 10 * time.Millisecond,
+		Watch:   10 * time.Millisecond,
 		Next: forwarderFunc(func(context.Context, wire.Attempt, *fasthttp.Request) (*wire.Answer, error) {
 			time.Sleep(1200 * time.Millisecond)
 			return answerWith(bytes.NewReader([]byte("ok")), 2), nil
--- a/forward/server.go
+++ b/forward/server.go
@@ -36,7 +36,8 @@
 	Secrets []string
 	// Next runs the attempts. It must be set.
 	Next wire.Forwarder
-	// Interim is the interval of interim answers. Default 400 ms.
+	// Interim is the interval of interim answers, rounded up to a multiple of
+	// Watch. Default 400 ms.
 	Interim time.Duration
 	// Watch is how often the client's end of the connection is looked at.
 	// Default 100 ms.
@@ -247,22 +248,23 @@
 }
 
 func (w *watch) loop() {
-	look := time.NewTicker(w.s.opts.Watch)
-	defer look.Stop()
-	interim := time.NewTicker(w.s.opts.Interim)
-	defer interim.Stop()
+	ticker := time.NewTicker(w.s.opts.Watch)
+	defer ticker.Stop()
+	nextInterim := time.Now().Add(w.s.opts.Interim)
 	for {
 		select {
 		case <-w.done:
 			return
-		case <-look.C:
+		case now := <-ticker.C:
 			if link.Peek(w.conn) != link.PeerQuiet {
 				w.s.count.abandoned.Add(1)
 				w.cancel()
 				return
 			}
-		case <-interim.C:
-			w.sendInterim()
+			if !now.Before(nextInterim) {
+				w.sendInterim()
+				nextInterim = now.Add(w.s.opts.Interim)
+			}
 		}
 	}
 }
--- a/gate/admit.go
+++ b/gate/admit.go
@@ -12,22 +12,16 @@
 
 const retryBusyAfter = 100 * time.Millisecond
 
-// ticket is an attempt that holds a slot of its target.
-type ticket struct {
-	att        wire.Attempt
-	t          *target
-	deadline   time.Time
-	dispatched bool
-	waited     bool
-}
-
 // admit takes an attempt through the checks and the queue to a slot.
 func (g *Gate) admit(ctx context.Context, att wire.Attempt) (*ticket, *wire.Refusal) {
 	if ref := g.check(att); ref != nil {
 		return nil, ref
 	}
+	if att.Remaining <= 0 {
+		return nil, wire.Refuse(wire.ReasonTimeout, "no time is left")
+	}
 	now := g.opts.Clock()
-	tk := &ticket{att: att, deadline: now.Add(att.Remaining)}
+	tk := &ticket{g: g, att: att, deadline: now.Add(att.Remaining)}
 	g.mu.Lock()
 	it, ref := g.takeSlotOrQueue(tk, now)
 	g.mu.Unlock()
@@ -69,8 +63,8 @@
 		return nil, ref
 	}
 	tk.t = t
-	if t.queue.Len() == 0 && t.inFlight < t.limiter.Limit() {
-		t.inFlight++
+	tk.svc = t.svc
+	if g.takeSlot(tk) {
 		g.active++
 		return nil, nil
 	}
@@ -108,7 +102,7 @@
 		return nil, wire.Refuse(wire.ReasonNoTarget, "target %q is not on host %s", att.Target, g.opts.Host)
 	}
 	t := g.targets[name]
-	if t == nil || t.said.Service != att.Service {
+	if t == nil || t.service != att.Service {
 		return nil, wire.Refuse(wire.ReasonNoTarget, "no target %q of service %q", att.Target, att.Service)
 	}
 	return t, t.refusal(g.opts, now)
@@ -121,7 +115,7 @@
 		Deadline:  tk.deadline,
 		Value:     &waiter{granted: make(chan *wire.Refusal, 1)},
 	}
-	load := fairqueue.Load{Servers: tk.t.limiter.Limit(), Service: tk.t.meanLatency}
+	load := fairqueue.Load{Servers: tk.t.limiter.Limit(), Service: tk.t.meanHold}
 	result, evicted := tk.t.queue.Push(it, now, load)
 	if evicted != nil {
 		g.stats.Evicted++
@@ -161,6 +155,7 @@
 		g.mu.Unlock()
 		return nil, ref
 	}
+	tk.held = true
 	return tk, nil
 }
 
@@ -177,6 +172,16 @@
 	return wire.Refuse(wire.ReasonTimeout, "%s", why)
 }
 
+// takeSlot takes a free slot that nobody waits for; the lock is held.
+func (g *Gate) takeSlot(tk *ticket) bool {
+	if tk.t.queue.Len() > 0 || tk.t.inFlight >= tk.t.limiter.Limit() {
+		return false
+	}
+	tk.t.inFlight++
+	tk.held = true
+	return true
+}
+
 // freeSlot returns a slot and passes it on; the lock is held.
 func (g *Gate) freeSlot(t *target, now time.Time) {
 	t.inFlight--
--- a/gate/announced.go
+++ b/gate/announced.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gooseberryshed/gooseberryshed/announce"
+	"github.com/gooseberryshed/gooseberryshed/config"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 	"github.com/valyala/fasthttp"
 )
@@ -18,55 +19,58 @@
 	}
 	now := g.opts.Clock()
 	g.mu.Lock()
-	deaths, err := g.hear(a, now, func() *target { return g.newTarget(a, svc, now) })
+	deaths, err := g.hear(a, svc, now)
 	g.mu.Unlock()
 	g.report(deaths)
 	return err
 }
 
 // hear updates the target's state; the lock is held.
-func (g *Gate) hear(a announce.Announcement, now time.Time, fresh func() *target) ([]Outcome, error) {
+func (g *Gate) hear(a announce.Announcement, svc config.Service, now time.Time) ([]Outcome, error) {
 	if g.draining {
 		return nil, announce.NewProblem(fasthttp.StatusServiceUnavailable,
 			"announce to the host's next daemon", "the daemon is stopping")
 	}
 	t := g.targets[a.Name]
 	if t == nil {
-		t = fresh()
+		t = g.newTarget(a, svc, now)
 		t.servesFrom = g.beginAt(now)
 		g.targets[a.Name] = t
 		return nil, nil
 	}
-	if a.Incarnation < t.said.Incarnation {
-		return nil, announce.NewProblem(fasthttp.StatusConflict,
-			"announce with the incarnation of the running process",
-			"incarnation %d is older than %d", a.Incarnation, t.said.Incarnation)
+	if err := contradiction(t, a); err != nil {
+		return nil, err
 	}
-	servesFrom := t.servesFrom
 	if now.Sub(t.lastHeard) > g.opts.Wait {
-		servesFrom = g.beginAt(now)
+		t.servesFrom = g.beginAt(now)
 	}
-	if !sameInstance(a, t.said) {
-		deaths := g.replace(t, now)
-		t = fresh()
-		t.servesFrom = servesFrom
-		g.targets[a.Name] = t
-		return deaths, nil
+	if a.Incarnation > t.incarnation {
+		next := g.newTarget(a, svc, now)
+		next.servesFrom = t.servesFrom
+		g.targets[a.Name] = next
+		return g.replace(t, now), nil
 	}
-	t.said = a
-	t.lastHeard = now
-	t.servesFrom = servesFrom
-	if a.State == announce.StateLeaving {
+	t.hear(a, svc, now)
+	if t.leaving {
 		g.flush(t, wire.ReasonLeaving, "target "+t.id+" is leaving")
 	}
 	return nil, nil
 }
 
-func sameInstance(a, b announce.Announcement) bool {
-	return a.Incarnation == b.Incarnation &&
-		a.Address == b.Address &&
-		a.Service == b.Service &&
-		a.Slots == b.Slots
+// contradiction returns a problem when an announcement does not fit what the
+// target said before.
+func contradiction(t *target, a announce.Announcement) error {
+	if a.Incarnation < t.incarnation {
+		return announce.NewProblem(fasthttp.StatusConflict,
+			"announce with the incarnation of the running process",
+			"incarnation %d is older than %d", a.Incarnation, t.incarnation)
+	}
+	if a.Incarnation == t.incarnation && !t.describes(a) {
+		return announce.NewProblem(fasthttp.StatusConflict,
+			"raise the incarnation with each start, and change address, service and slots only then; give each target of a host its own name",
+			"address, service or slots differ from what incarnation %d announced", a.Incarnation)
+	}
+	return nil
 }
 
 // beginAt is when a target heard of for the first time may be fed.
@@ -81,7 +85,7 @@
 func (g *Gate) replace(t *target, now time.Time) []Outcome {
 	t.replaced = true
 	g.flush(t, wire.ReasonNoTarget, "target "+t.id+" has restarted")
-	g.links.Drop(t.said.Address)
+	g.links.Drop(t.addr)
 	if d, died := g.death(t, now); died {
 		return []Outcome{d}
 	}
@@ -97,8 +101,8 @@
 	g.stats.Deaths++
 	return Outcome{
 		Target:      t.id,
-		Incarnation: t.said.Incarnation,
-		Service:     t.said.Service,
+		Incarnation: t.incarnation,
+		Service:     t.service,
 		Kind:        KindDied,
 		InFlight:    fingerprints,
 		At:          now,
--- a/gate/answer.go
+++ b/gate/answer.go
@@ -112,15 +112,16 @@
 func (g *Gate) conclude(tk *ticket, kind Kind, latency time.Duration) {
 	now := g.opts.Clock()
 	g.mu.Lock()
-	tk.t.observe(kind, now, latency)
+	tk.t.observe(kind, now, latency, tk.hold(now))
 	g.end(tk, now)
 	g.mu.Unlock()
 	g.opts.Observer.OnOutcome(Outcome{
 		Target:      tk.t.id,
-		Incarnation: tk.t.said.Incarnation,
+		Incarnation: tk.t.incarnation,
 		Service:     tk.att.Service,
 		Kind:        kind,
 		Latency:     latency,
+		Allowed:     tk.att.Remaining,
 		Workspace:   tk.att.Workspace,
 		Fingerprint: tk.att.Fingerprint,
 		At:          now,
@@ -208,7 +209,7 @@
 	g.mu.Unlock()
 	pctx, cancel := context.WithTimeout(ctx, deathProbe)
 	defer cancel()
-	if g.links.Probe(pctx, tk.t.said.Address) == nil {
+	if g.links.Probe(pctx, tk.t.addr) == nil {
 		return false
 	}
 	g.mu.Lock()
--- a/gate/forward.go
+++ b/gate/forward.go
@@ -5,14 +5,22 @@
 	"strconv"
 	"time"
 
+	"github.com/gooseberryshed/gooseberryshed/config"
 	"github.com/gooseberryshed/gooseberryshed/headers"
 	"github.com/gooseberryshed/gooseberryshed/link"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 	"github.com/valyala/fasthttp"
 )
 
-// defaultIdleTimeout bounds the silence in a body where the service sets none.
-const defaultIdleTimeout = 5 * time.Second
+const (
+	// defaultIdleTimeout bounds the silence in a body where the service sets
+	// none.
+	defaultIdleTimeout = 5 * time.Second
+	// firstByteMeans and minFirstByte give the bound on the first byte on a
+	// reused connection: so many mean latencies, but not less than the latter.
+	firstByteMeans = 8
+	minFirstByte   = 500 * time.Millisecond
+)
 
 // Forward implements wire.Forwarder for the targets of the gate's host.
 // att.Remaining bounds the time to the answer's header; ctx governs the whole
@@ -51,7 +59,7 @@
 	if err != nil {
 		return nil, g.fail(ctx, tk, err, latency)
 	}
-	if resp.Header.StatusCode() == fasthttp.StatusServiceUnavailable && tk.t.svc.ShedNotRun {
+	if resp.Header.StatusCode() == fasthttp.StatusServiceUnavailable && tk.svc.ShedNotRun {
 		return nil, g.shed(tk, resp, latency)
 	}
 	return g.answer(tk, resp, latency), nil
@@ -73,25 +81,52 @@
 }
 
 // exchange sends the request. An idempotent one may go out on a reused
-// connection, and once more on a new one when that proves broken.
+// connection, and once more on a new one when the reused one proves broken.
+// Others always get a new connection, because silence on a reused one would
+// leave their outcome unknown.
 func (g *Gate) exchange(ctx context.Context, tk *ticket, out *fasthttp.Request) (*link.Response, error) {
-	x := link.Exchange{
-		Fresh:       !tk.att.Idempotent,
-		Deadline:    tk.deadline,
-		IdleTimeout: idleTimeout(tk),
-		BeforeSend:  func() error { return g.dispatch(tk) },
-	}
-	resp, err := g.links.Do(ctx, tk.t.said.Address, out, x)
+	resp, err := g.try(ctx, tk, out, !tk.att.Idempotent)
 	le := link.AsError(err)
-	if le == nil || !le.Reused || !tk.att.Idempotent || ctx.Err() != nil {
+	if le == nil || !le.Reused || le.Stage != link.StageSent || !tk.att.Idempotent || ctx.Err() != nil {
 		return resp, err
 	}
-	x.Fresh = true
-	return g.links.Do(ctx, tk.t.said.Address, out, x)
+	g.mu.Lock()
+	g.stats.ReuseFailed++
+	again := tk.held || g.takeSlot(tk)
+	g.mu.Unlock()
+	if !again {
+		return nil, err
+	}
+	return g.try(ctx, tk, out, true)
+}
+
+func (g *Gate) try(ctx context.Context, tk *ticket, out *fasthttp.Request, fresh bool) (*link.Response, error) {
+	y := &try{tk: tk}
+	defer y.returns()
+	return g.links.Do(ctx, tk.t.addr, out, link.Exchange{
+		Fresh:       fresh,
+		Deadline:    tk.deadline,
+		IdleTimeout: idleTimeout(tk.svc),
+		FirstByte:   g.firstByte(tk.t),
+		Linger:      g.opts.Linger,
+		Ended:       y.ended,
+		BeforeSend:  y.beforeSend,
+	})
+}
+
+// firstByte bounds the wait on a reused connection by what the target usually
+// takes, so that a slow target is not taken for a silent connection.
+func (g *Gate) firstByte(t *target) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.meanLatency == 0 {
+		return 0
+	}
+	return max(firstByteMeans*t.meanLatency, minFirstByte)
 }
 
-func idleTimeout(tk *ticket) time.Duration {
-	if d := time.Duration(tk.t.svc.IdleTimeout); d > 0 {
+func idleTimeout(svc config.Service) time.Duration {
+	if d := time.Duration(svc.IdleTimeout); d > 0 {
 		return d
 	}
 	return defaultIdleTimeout
@@ -99,7 +134,7 @@
 
 // dispatch enters the attempt in the ledger, as the last step before its first
 // byte goes out. What may have changed since admission is checked again.
-func (g *Gate) dispatch(tk *ticket) error {
+func (g *Gate) dispatch(tk *ticket) *wire.Refusal {
 	if tk.waited {
 		if ref := g.check(tk.att); ref != nil {
 			return ref
@@ -111,14 +146,15 @@
 	if ref := tk.t.refusal(g.opts, now); ref != nil {
 		return ref
 	}
-	if tk.dispatched {
-		return nil
-	}
-	if ref := g.verdict(g.ledger.Dispatch(tk.att.ID, tk.att.Epoch, now)); ref != nil {
-		return ref
+	if !tk.dispatched {
+		if ref := g.verdict(g.ledger.Dispatch(tk.att.ID, tk.att.Epoch, now)); ref != nil {
+			return ref
+		}
+		tk.dispatched = true
+		tk.sentAt = now
+		g.stats.Dispatched++
 	}
-	tk.dispatched = true
-	g.stats.Dispatched++
+	tk.held = false
 	return nil
 }
 
@@ -133,12 +169,3 @@
 	}
 	return state, nil
 }
-
-// end gives back the slot of a ticket; the lock is held.
-func (g *Gate) end(tk *ticket, now time.Time) {
-	if tk.dispatched {
-		g.ledger.Done(tk.att.ID, tk.att.Epoch)
-	}
-	g.freeSlot(tk.t, now)
-	g.leave()
-}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -15,6 +15,7 @@
 const (
 	DefaultPermission = 2 * time.Second
 	DefaultWait       = 2500 * time.Millisecond
+	DefaultLinger     = 2 * time.Second
 	DefaultGone       = 5 * time.Second
 	DefaultForget     = 60 * time.Second
 )
@@ -67,6 +68,9 @@
 	// Alone reports that no other daemon feeds targets of this host, so that
 	// new targets are fed at once. Nil waits always.
 	Alone func() bool
+	// Linger is how long an exchange that was given up keeps its slot unless
+	// the target closes its end before. Default 2 s.
+	Linger time.Duration
 	// Gone is the silence after which a target counts as gone. Default 5 s.
 	Gone time.Duration
 }
@@ -96,6 +100,9 @@
 	if o.Wait <= o.Permission {
 		o.Wait = o.Permission + DefaultWait - DefaultPermission
 	}
+	if o.Linger <= 0 {
+		o.Linger = DefaultLinger
+	}
 	if o.Gone <= 0 {
 		o.Gone = DefaultGone
 	}
@@ -117,6 +124,7 @@
 	Tombstones  int64 // settled as not run
 	Busy        int64 // refused for lack of room or time
 	Evicted     int64 // lost their place in the queue
+	ReuseFailed int64 // reused connections that proved broken
 	Truncated   int64 // answers cut short by the target
 	Canceled    int64 // given up by the caller
 	Deaths      int64 // deaths of targets
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -13,6 +13,7 @@
 	"github.com/gooseberryshed/gooseberryshed/config"
 	"github.com/gooseberryshed/gooseberryshed/gate"
 	"github.com/gooseberryshed/gooseberryshed/wire"
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 )
@@ -334,3 +335,9 @@
 	assert.NilError(t, f.Drain(context.Background()))
 	assert.Equal(t, <-got, "hello")
 }
+
+func fixedLimit(n int) func(config.Service, int, time.Time) gate.Limiter {
+	return func(config.Service, int, time.Time) gate.Limiter { return fixed(n) }
+}
+
+func asProblem(err error, p **announce.Problem) bool { return errors.As(err, p) }
--- a/gate/outcome.go
+++ b/gate/outcome.go
@@ -34,7 +34,9 @@
 	Service     string
 	Kind        Kind
 	// Latency is the time to the answer's header.
-	Latency   time.Duration
+	Latency time.Duration
+	// Allowed is the time that the attempt had when it came to the gate.
+	Allowed   time.Duration
 	Workspace string
 	// Fingerprint identifies the request; 0 for deaths.
 	Fingerprint uint64
--- a/gate/target.go
+++ b/gate/target.go
@@ -16,15 +16,21 @@
 	// death of its target.
 	abortMemory = 10 * time.Second
 	maxAborts   = 256
-	// latencyWeight is the weight of a new sample in the mean latency.
-	latencyWeight = 0.1
+	// meanWeight is the weight of a new sample in a mean.
+	meanWeight = 0.1
 )
 
 // target is one instance (name and incarnation) of a target.
 type target struct {
-	id       string
+	id          string
+	addr        string
+	service     string
+	incarnation uint64
+	slots       int
+
+	// The fields below are guarded by the gate's lock.
 	svc      config.Service
-	said     announce.Announcement
+	leaving  bool
 	limiter  Limiter
 	queue    *fairqueue.Queue[*waiter]
 	inFlight int
@@ -34,8 +40,11 @@
 	// replaced is set when a newer incarnation has taken the place.
 	replaced bool
 
-	aborts      []abort
+	aborts []abort
+	// meanLatency is the time to a good answer's header, meanHold the time that
+	// a request holds its slot, meanErrors the share of failures.
 	meanLatency time.Duration
+	meanHold    time.Duration
 	meanErrors  float64
 }
 
@@ -51,14 +60,30 @@
 }
 
 func (g *Gate) newTarget(a announce.Announcement, svc config.Service, now time.Time) *target {
-	return &target{
-		id:        g.opts.Host + "/" + a.Name,
-		svc:       svc,
-		said:      a,
-		limiter:   g.opts.NewLimiter(svc, a.Slots, now),
-		queue:     fairqueue.New[*waiter](svc.Queue),
-		lastHeard: now,
+	t := &target{
+		id:          g.opts.Host + "/" + a.Name,
+		addr:        a.Address,
+		service:     a.Service,
+		incarnation: a.Incarnation,
+		slots:       a.Slots,
+		limiter:     g.opts.NewLimiter(svc, a.Slots, now),
+		queue:       fairqueue.New[*waiter](svc.Queue),
 	}
+	t.hear(a, svc, now)
+	return t
+}
+
+// hear takes what may change within an incarnation.
+func (t *target) hear(a announce.Announcement, svc config.Service, now time.Time) {
+	t.svc = svc
+	t.queue.SetCapacity(svc.Queue)
+	t.leaving = a.State == announce.StateLeaving
+	t.lastHeard = now
+}
+
+// describes reports whether a repeats what cannot change within an incarnation.
+func (t *target) describes(a announce.Announcement) bool {
+	return a.Address == t.addr && a.Service == t.service && a.Slots == t.slots
 }
 
 // refusal says why the target gets no new work now, or is nil.
@@ -66,7 +91,7 @@
 	switch {
 	case t.replaced:
 		return wire.Refuse(wire.ReasonNoTarget, "target %s has restarted", t.id)
-	case t.said.State == announce.StateLeaving:
+	case t.leaving:
 		return wire.Refuse(wire.ReasonLeaving, "target %s is leaving", t.id)
 	case now.Sub(t.lastHeard) > opts.Permission:
 		return wire.Refuse(wire.ReasonNoTarget, "target %s has not announced itself for %s", t.id, opts.Permission)
@@ -78,7 +103,7 @@
 
 func (t *target) state(opts Options, now time.Time) member.TargetState {
 	switch {
-	case t.said.State == announce.StateLeaving:
+	case t.leaving:
 		return member.TargetLeaving
 	case t.refusal(opts, now) != nil:
 		return member.TargetGone
@@ -89,10 +114,10 @@
 func (t *target) record(opts Options, now time.Time) member.Target {
 	return member.Target{
 		ID:            t.id,
-		Service:       t.said.Service,
-		Incarnation:   t.said.Incarnation,
+		Service:       t.service,
+		Incarnation:   t.incarnation,
 		State:         t.state(opts, now),
-		Slots:         t.said.Slots,
+		Slots:         t.slots,
 		Limit:         t.limiter.Limit(),
 		ErrorPermille: coarsePermille(t.meanErrors),
 		LatencyMicros: coarseMicros(t.meanLatency),
@@ -107,23 +132,32 @@
 	}
 }
 
-// observe updates limiter and means with an ended exchange.
-func (t *target) observe(kind Kind, now time.Time, latency time.Duration) {
+// observe updates limiter and means with an ended exchange that took latency
+// to its header and held its slot for hold; 0 when nothing was sent.
+func (t *target) observe(kind Kind, now time.Time, latency, hold time.Duration) {
 	failed := 1.0
 	switch kind {
 	case KindOK:
 		failed = 0
+		t.meanLatency = mean(t.meanLatency, latency)
 		t.limiter.OnSuccess(now, latency)
 	case KindShed:
 		t.limiter.OnShed(now, latency)
 	default:
 		t.limiter.OnFailure(now, latency)
 	}
-	t.meanErrors += latencyWeight * (failed - t.meanErrors)
-	if t.meanLatency == 0 {
-		t.meanLatency = latency
+	t.meanErrors += meanWeight * (failed - t.meanErrors)
+	if hold > 0 {
+		t.meanHold = mean(t.meanHold, hold)
+	}
+}
+
+// mean moves an exponential mean towards a sample.
+func mean(m, sample time.Duration) time.Duration {
+	if m == 0 {
+		return sample
 	}
-	t.meanLatency += time.Duration(latencyWeight * float64(latency-t.meanLatency))
+	return m + time.Duration(meanWeight*float64(sample-m))
 }
 
 func (t *target) remember(fingerprint uint64, now time.Time) {
--- a/link/body.go
+++ b/link/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net/http/httputil"
 	"time"
@@ -18,26 +17,25 @@
 	maxTrailerBytes = 4 << 10
 )
 
-var errTrailerTooLarge = errors.New("trailer section too large")
+var (
+	errTrailerTooLarge = errors.New("trailer section too large")
+	errClosedEarly     = errors.New("body closed before its end")
+)
 
-// body reads an answer's body and gives the connection back at its end.
+// body reads an answer's body and ends the exchange.
 type body struct {
-	ctx    context.Context
-	pool   *Pool
-	c      *conn
-	stop   func() bool
+	*exchange
 	src    io.Reader
 	left   int64 // bytes to come; unused for chunks
 	chunks bool
 	keep   bool
-	done   bool
-	err    error
+	err    error // set once the exchange has ended
 }
 
-func (p *Pool) newBody(ctx context.Context, c *conn, req *fasthttp.Request, resp *Response, x Exchange, stop func() bool) io.ReadCloser {
-	c.silence = x.IdleTimeout
-	c.deadline = time.Time{}
-	b := &body{ctx: ctx, pool: p, c: c, stop: stop, src: c.br}
+func newBody(e *exchange, req *fasthttp.Request, resp *Response) io.ReadCloser {
+	e.c.silence = e.IdleTimeout
+	e.c.deadline = time.Time{}
+	b := &body{exchange: e, src: e.c.br}
 	b.keep = !resp.Header.ConnectionClose() && resp.Header.IsHTTP11()
 	resp.Length = resp.Header.ContentLength()
 	switch {
@@ -48,12 +46,11 @@
 		b.finish()
 	case resp.Length == lengthChunked:
 		b.chunks = true
-		b.src = httputil.NewChunkedReader(c.br)
+		b.src = httputil.NewChunkedReader(e.c.br)
+	case resp.Length == 0:
+		b.finish()
 	default:
 		b.left = int64(resp.Length)
-		if b.left == 0 {
-			b.finish()
-		}
 	}
 	return b
 }
@@ -135,13 +132,7 @@
 // finish ends a body that was read whole.
 func (b *body) finish() {
 	b.err = io.EOF
-	b.done = true
-	canceled := !b.stop()
-	if b.keep && !canceled && b.c.br.Buffered() == 0 {
-		b.pool.release(b.c)
-		return
-	}
-	b.pool.discard(b.c)
+	b.complete(b.keep)
 }
 
 func (b *body) failRead(err error) {
@@ -157,16 +148,13 @@
 
 func (b *body) fail(cause Cause, err error) {
 	b.err = &Error{Stage: StageAnswer, Cause: cause, Reused: b.c.reused, Addr: b.c.addr, Err: err}
-	b.done = true
-	b.stop()
-	b.pool.discard(b.c)
+	b.giveUp(cause == CauseClosed)
 }
 
 // Close implements io.Closer. Closing an unread body closes the connection.
 func (b *body) Close() error {
-	if b.done {
-		return nil
+	if b.err == nil {
+		b.fail(CauseCanceled, errClosedEarly)
 	}
-	b.fail(CauseCanceled, errors.New("body closed before its end"))
 	return nil
 }
--- a/link/conn.go
+++ b/link/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // conn is one connection and the state of its current exchange.
@@ -18,6 +20,10 @@
 	br *bufio.Reader
 	bw *bufio.Writer
 
+	// mu guards interrupted against the deadlines that reads set.
+	mu          sync.Mutex
+	interrupted bool
+
 	// received counts the bytes of the current exchange's answer.
 	received int64
 	// deadline bounds reading until the header is complete; zero is none.
@@ -29,9 +35,12 @@
 	writeErr error
 }
 
+// errInterrupted ends reads and writes after interrupt.
+var errInterrupted = errors.New("interrupted")
+
 // Read reads from the socket under the bounds of the exchange.
 func (c *conn) Read(p []byte) (int, error) {
-	if err := c.Conn.SetReadDeadline(c.readDeadline()); err != nil {
+	if err := c.arm(c.Conn.SetReadDeadline); err != nil {
 		return 0, c.failRead(err)
 	}
 	n, err := c.Conn.Read(p)
@@ -42,6 +51,24 @@
 	return n, nil
 }
 
+// arm sets the deadline of the next operation, unless it was interrupted.
+func (c *conn) arm(set func(time.Time) error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.interrupted {
+		return errInterrupted
+	}
+	return set(c.readDeadline())
+}
+
+// interrupt ends the operation under way and all later ones.
+func (c *conn) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interrupted = true
+	c.Conn.SetDeadline(time.Unix(1, 0)) //nolint:errcheck // only a closed connection fails
+}
+
 // Write writes to the socket and remembers a failure.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -21,6 +21,15 @@
 	// Silence bounds the silence while waiting for the answer on any
 	// connection; 0 is none. It suits peers that send interim answers.
 	Silence time.Duration
+	// FirstByte replaces Options.FirstByte when it is set.
+	FirstByte time.Duration
+	// Linger is how long to wait, after an exchange was given up, for the peer
+	// to close its end; 0 closes at once.
+	Linger time.Duration
+	// Ended is called once when the peer has ended the exchange: its answer
+	// was received whole, it closed its end, or Linger has passed. It is not
+	// called when nothing was sent.
+	Ended func()
 	// BeforeSend is called when a connection is at hand and before its first
 	// byte; an error ends the exchange with nothing sent.
 	BeforeSend func() error
@@ -66,20 +75,71 @@
 		}
 	}
 	p.buffers.attach(c)
-	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
-	resp, err := p.exchange(ctx, c, req, x)
-	if err != nil {
-		stop()
-		p.discard(c)
-		if c.reused {
-			p.Drop(addr)
+	e := &exchange{Exchange: x, ctx: ctx, pool: p, c: c}
+	e.stop = context.AfterFunc(ctx, c.interrupt)
+	resp, failure := e.run(req)
+	if failure != nil {
+		e.giveUp(failure.Cause == CauseClosed)
+		if c.reused && failure.Cause != CauseCanceled {
+			p.Drop(addr) // its siblings may be as broken
 		}
-		return nil, err
+		return nil, failure
 	}
-	resp.Body = p.newBody(ctx, c, req, resp, x, stop)
+	resp.Body = newBody(e, req, resp)
 	return resp, nil
 }
 
+// exchange is one exchange under way.
+type exchange struct {
+	Exchange
+	ctx  context.Context
+	pool *Pool
+	c    *conn
+	stop func() bool
+}
+
+// complete ends an exchange whose answer was received whole.
+func (e *exchange) complete(keep bool) {
+	canceled := !e.stop()
+	if keep && !canceled && e.c.br.Buffered() == 0 {
+		e.pool.release(e.c)
+	} else {
+		e.c.Conn.Close()
+	}
+	e.ended()
+}
+
+// giveUp ends an exchange whose answer is not whole.
+func (e *exchange) giveUp(peerClosed bool) {
+	e.stop()
+	e.pool.count.abandoned.Add(1)
+	if peerClosed || e.Linger <= 0 || e.Ended == nil {
+		e.c.Conn.Close()
+		e.ended()
+		return
+	}
+	go e.linger()
+}
+
+// linger closes this end and waits for the peer to close its own.
+func (e *exchange) linger() {
+	defer e.ended()
+	defer e.c.Conn.Close()
+	if hc, ok := e.c.Conn.(interface{ CloseWrite() error }); ok {
+		hc.CloseWrite() //nolint:errcheck // the read below finds a broken connection
+	}
+	if err := e.c.Conn.SetReadDeadline(time.Now().Add(e.Linger)); err != nil {
+		return
+	}
+	io.Copy(io.Discard, e.c.Conn) //nolint:errcheck // any end will do
+}
+
+func (e *exchange) ended() {
+	if e.Ended != nil {
+		e.Ended()
+	}
+}
+
 func (p *Pool) connect(ctx context.Context, addr string, x Exchange) (*conn, error) {
 	if x.Deadline.IsZero() {
 		return p.acquire(ctx, addr, x.Fresh)
@@ -95,28 +155,45 @@
 	p.release(c)
 }
 
-func (p *Pool) exchange(ctx context.Context, c *conn, req *fasthttp.Request, x Exchange) (*Response, error) {
+func (e *exchange) run(req *fasthttp.Request) (*Response, *Error) {
+	c := e.c
 	c.received, c.readErr, c.writeErr = 0, nil, nil
-	c.deadline = x.Deadline
-	c.silence = x.Silence
-	if c.reused && (c.silence <= 0 || c.silence > p.opts.FirstByte) {
-		c.silence = p.opts.FirstByte
+	c.deadline = e.Deadline
+	c.silence = e.Silence
+	if c.reused {
+		c.silence = shorter(c.silence, e.firstByte())
 	}
-	if err := p.send(c, req); err != nil {
-		return nil, exchangeError(ctx, c, err)
+	if err := send(c, req); err != nil {
+		return nil, e.failure(err)
 	}
 	resp := &Response{Reused: c.reused}
-	if err := readHeader(c, resp, x); err != nil {
-		return nil, exchangeError(ctx, c, err)
+	if err := readHeader(c, resp, e.Silence); err != nil {
+		return nil, e.failure(err)
 	}
 	if !isVerifiable(req, resp) {
-		return nil, exchangeError(ctx, c, errUnverifiable)
+		return nil, e.failure(errUnverifiable)
 	}
 	return resp, nil
 }
 
-func (p *Pool) send(c *conn, req *fasthttp.Request) error {
-	if err := c.Conn.SetWriteDeadline(c.readDeadline()); err != nil {
+func (e *exchange) firstByte() time.Duration {
+	if e.FirstByte > 0 {
+		return e.FirstByte
+	}
+	return e.pool.opts.FirstByte
+}
+
+// shorter returns the shorter of two bounds, of which 0 is none.
+func shorter(a, b time.Duration) time.Duration {
+	if a <= 0 {
+		return b
+	}
+	return min(a, b)
+}
+
+func send(c *conn, req *fasthttp.Request) error {
+	if err := c.arm(c.Conn.SetWriteDeadline); err != nil {
+		c.writeErr = err
 		return err
 	}
 	if err := req.Write(c.bw); err != nil {
@@ -126,12 +203,12 @@
 }
 
 // readHeader reads the final answer's header and passes over interim ones.
-func readHeader(c *conn, resp *Response, x Exchange) error {
+func readHeader(c *conn, resp *Response, silence time.Duration) error {
 	for range maxInterimAnswers {
 		if _, err := c.br.Peek(1); err != nil {
 			return err
 		}
-		c.silence = x.Silence
+		c.silence = silence
 		if err := resp.Header.Read(c.br); err != nil {
 			return err
 		}
@@ -147,18 +224,17 @@
 	return errInterim
 }
 
-func exchangeError(ctx context.Context, c *conn, err error) *Error {
-	e := &Error{Stage: StageSent, Reused: c.reused, Addr: c.addr, Err: err}
+func (e *exchange) failure(err error) *Error {
+	c := e.c
+	le := &Error{Stage: StageSent, Cause: CauseProtocol, Reused: c.reused, Addr: c.addr, Err: err}
 	if c.received > 0 {
-		e.Stage = StageAnswer
+		le.Stage = StageAnswer
 	}
 	switch {
 	case c.writeErr != nil:
-		e.Cause = causeOf(ctx, c.writeErr)
+		le.Cause = causeOf(e.ctx, c.writeErr)
 	case c.readErr != nil:
-		e.Cause = causeOf(ctx, c.readErr)
-	default:
-		e.Cause = CauseProtocol
+		le.Cause = causeOf(e.ctx, c.readErr)
 	}
-	return e
+	return le
 }
--- a/link/pool.go
+++ b/link/pool.go
@@ -250,12 +250,6 @@
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
-// discard closes a connection whose exchange did not end cleanly.
-func (p *Pool) discard(c *conn) {
-	p.count.abandoned.Add(1)
-	c.Conn.Close()
-}
-
 // Probe finds out whether addr accepts connections.
 func (p *Pool) Probe(ctx context.Context, addr string) error {
 	c, err := p.dial(ctx, addr)
