member: gossip core with neighbours, deltas and refutable suspicions

Daemons need each other's records within the 3 KB/s that a daemon may spend at 1,200.

A digest of the whole table each second (about 19 KB at 1,200) and uniformly random partners with high-water marks were ruled out by arithmetic: a random pair meets every ten minutes and must then list nearly all records. Heartbeats were ruled out as well, because probing with refutable suspicions finds a failure without them. Exchanges now go to a ring successor and three rendezvous neighbours, list only what is new since the last one, and carry only the targets that changed. Revision and TableOK travel in each exchange and do not raise a record's version.

--- /dev/null
+++ b/member/exchange.go
@@ -0,0 +1,205 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Begin opens an exchange with a peer. host is empty when only the peer's
+// address is known. The sender adds its Touch.
+func (g *Gossip) Begin(host string) Begin {
+	g.stats.Exchanges++
+	m := g.markOf(host)
+	news, seq := g.news(host, m.acked, nil)
+	return g.message(host, m, news, seq)
+}
+
+// Answer replies to a Begin.
+func (g *Gossip) Answer(now time.Time, b Begin) Answer {
+	m := g.meet(now, b)
+	g.takeSuspicions(now, b.Suspicions)
+	wants, known := g.lacking(b.News)
+	if len(wants) == 0 {
+		m.seen = max(m.seen, b.Seq)
+	}
+	news, seq := g.news(b.Host, m.acked, known)
+	return Answer{Begin: g.message(b.Host, m, news, seq), Wants: wants}
+}
+
+// Finish replies to an Answer. It reports false when there is nothing to send
+// or to ask for; the exchange is then over.
+func (g *Gossip) Finish(now time.Time, begun Begin, a Answer) (Finish, bool) {
+	m := g.meet(now, a.Begin)
+	g.takeSuspicions(now, a.Suspicions)
+	wants, _ := g.lacking(a.News)
+	if len(wants) == 0 {
+		m.seen = max(m.seen, a.Seq)
+	}
+	if len(a.Wants) == 0 {
+		m.acked = max(m.acked, begun.Seq)
+	}
+	f := Finish{Host: g.self, Incarnation: g.incarnation(), Seq: begun.Seq, Wants: wants}
+	f.Changes, f.Complete = g.changes(a.Wants)
+	return f, len(a.Wants) > 0 || len(wants) > 0
+}
+
+// Final takes the records of a Finish and replies with those it asked for.
+func (g *Gossip) Final(now time.Time, f Finish) Final {
+	m := g.markOf(f.Host)
+	g.takeChanges(now, m, f.Host, f.Incarnation, f.Seq, f.Complete, f.Changes)
+	out := Final{Host: g.self, Incarnation: g.incarnation()}
+	out.Changes, out.Complete = g.changes(f.Wants)
+	return out
+}
+
+// Merge takes the records of a Final; answered is the Answer that it follows.
+// It reports whether the peer has more, so that another exchange at once is
+// worthwhile.
+func (g *Gossip) Merge(now time.Time, answered Answer, f Final) bool {
+	m := g.markOf(f.Host)
+	g.takeChanges(now, m, f.Host, f.Incarnation, answered.Seq, f.Complete, f.Changes)
+	return !f.Complete
+}
+
+func (g *Gossip) incarnation() uint64 { return g.entries[g.self].d.Incarnation }
+
+func (g *Gossip) message(host string, m *mark, news Digest, seq uint64) Begin {
+	return Begin{
+		Host:        g.self,
+		Incarnation: g.incarnation(),
+		Peer:        m.incarnation,
+		Ack:         m.seen,
+		News:        news,
+		Seq:         seq,
+		Suspicions:  g.suspicions(host, m.acked),
+	}
+}
+
+// markOf returns the mark of a peer; that of an unknown one is not kept.
+func (g *Gossip) markOf(host string) *mark {
+	if m, ok := g.marks[host]; ok {
+		return m
+	}
+	m := &mark{}
+	if host != "" {
+		g.marks[host] = m
+	}
+	return m
+}
+
+// meet brings the mark of a peer up to date and takes its message as evidence
+// that it is alive.
+func (g *Gossip) meet(now time.Time, b Begin) *mark {
+	m := g.markOf(b.Host)
+	if m.incarnation != b.Incarnation {
+		*m = mark{incarnation: b.Incarnation}
+		g.disown(b.Host)
+	}
+	if b.Peer == g.incarnation() {
+		m.acked = min(b.Ack, g.seq)
+	} else {
+		m.acked = 0
+	}
+	g.heard(now, b.Host)
+	return m
+}
+
+// disown forgets which copies came from a peer that has started anew and so no
+// longer has them.
+func (g *Gossip) disown(peer string) {
+	for _, e := range g.entries {
+		if e.from == peer {
+			e.from = ""
+		}
+	}
+}
+
+// news lists the changes after number since that did not come from the peer,
+// in order, and the number up to which the list is complete. known holds what
+// the peer has just listed itself.
+func (g *Gossip) news(peer string, since uint64, known map[Key]digestEntry) (Digest, uint64) {
+	var list []*entry
+	for _, e := range g.entries {
+		if e.seq <= since || e.from == peer && peer != "" || e.d.Host == peer {
+			continue
+		}
+		list = append(list, e)
+	}
+	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.seq, b.seq) })
+	seq := g.seq
+	if len(list) > g.opt.MaxNews {
+		list = list[:g.opt.MaxNews]
+		seq = list[len(list)-1].seq
+	}
+	var out Digest
+	for _, e := range list {
+		de := digestEntry{e.key, incTag(e.d.Incarnation), e.d.Version}
+		if known[e.key] != de {
+			out = out.appendEntry(de)
+		}
+	}
+	return out, seq
+}
+
+// lacking compares a peer's list with the own copies.
+func (g *Gossip) lacking(news Digest) ([]Want, map[Key]digestEntry) {
+	entries := news.entries()
+	known := make(map[Key]digestEntry, len(entries))
+	var wants []Want
+	for _, de := range entries {
+		known[de.key] = de
+		e, ok := g.entries[g.byKey[de.key]]
+		if !ok {
+			wants = append(wants, Want{Key: de.key})
+			continue
+		}
+		same := incTag(e.d.Incarnation) == de.tag
+		if e.d.Host == g.self || same && e.d.Version >= de.version {
+			continue
+		}
+		wants = append(wants, Want{Key: de.key, Incarnation: e.d.Incarnation, Version: e.d.Version})
+	}
+	return wants, known
+}
+
+// changes collects the wanted records up to the message bound and reports
+// whether all are there.
+func (g *Gossip) changes(wants []Want) ([]Change, bool) {
+	var out []Change
+	size := 0
+	for _, w := range wants {
+		e, ok := g.entries[g.byKey[w.Key]]
+		if !ok || !Newer(e.d, Daemon{Incarnation: w.Incarnation, Version: w.Version}) {
+			continue
+		}
+		c := changeSince(e.d, w.Incarnation, w.Version)
+		c.Suspect = e.suspectSeq > 0
+		size += approxBytes(c)
+		if size > g.opt.MaxChangeBytes && len(out) > 0 {
+			return out, false
+		}
+		out = append(out, c)
+	}
+	return out, true
+}
+
+const (
+	approxHeadBytes   = 250
+	approxTargetBytes = 200
+)
+
+func approxBytes(c Change) int {
+	return approxHeadBytes + len(c.Targets)*approxTargetBytes
+}
+
+func (g *Gossip) takeChanges(now time.Time, m *mark, from string, inc, seq uint64, complete bool, list []Change) {
+	for _, c := range list {
+		if !g.merge(now, c, from) {
+			complete = false
+		}
+	}
+	if complete && m.incarnation == inc {
+		m.seen = max(m.seen, seq)
+	}
+}
--- /dev/null
+++ b/member/gossip.go
@@ -0,0 +1,287 @@
+package member
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+	"time"
+)
+
+// Options tune a Gossip. Zero fields take the defaults given.
+type Options struct {
+	// Neighbours is how many peers a daemon exchanges with. Default 4.
+	Neighbours int
+	// SuspectFor is how long a suspicion waits for its refutation. Default
+	// 4 s and 1 s more for each doubling of the fleet.
+	SuspectFor time.Duration
+	// KeepLeft is how long the record of a daemon that left is kept, and
+	// KeepUnreachable that of one that no longer answers. Default 2 h each.
+	KeepLeft        time.Duration
+	KeepUnreachable time.Duration
+	// MaxNews bounds the records listed in a message. Default 1,024.
+	MaxNews int
+	// MaxChangeBytes bounds the records carried in a message, approximately.
+	// Default 64 KiB.
+	MaxChangeBytes int
+}
+
+const (
+	defaultNeighbours     = 4
+	defaultKeep           = 2 * time.Hour
+	defaultMaxNews        = 1024
+	defaultMaxChangeBytes = 64 << 10
+
+	suspectBase        = 4 * time.Second
+	suspectPerDoubling = time.Second
+	// muteFor is how long a peer is not tried after its owner has refuted a
+	// suspicion of ours: the link is cut, not the peer.
+	muteFor = time.Minute
+)
+
+// Stats counts what happened.
+type Stats struct {
+	Exchanges   int `json:"exchanges"`
+	Failures    int `json:"failures"`
+	Received    int `json:"records_received"`
+	Redundant   int `json:"records_redundant"`
+	Unfitting   int `json:"records_unfitting"`
+	Suspected   int `json:"suspected"`
+	Refuted     int `json:"refuted"`
+	Unreachable int `json:"became_unreachable"`
+	Forgotten   int `json:"forgotten"`
+}
+
+// entry is the local copy of a record.
+type entry struct {
+	d   Daemon
+	key Key
+	// seq numbers the change by which the copy got its present version.
+	seq uint64
+	// from is the peer that it came from.
+	from string
+	// suspectSeq numbers the suspicion; 0 when there is none. It holds for
+	// the record's version suspected and older ones.
+	suspectSeq   uint64
+	suspected    Suspicion
+	suspectSince time.Time
+	unreachable  bool
+	// changed is when the copy last changed or became unreachable.
+	changed    time.Time
+	mutedUntil time.Time
+	// accused tells that the suspicion is our own.
+	accused bool
+}
+
+// mark is how far the exchange with a peer has come.
+type mark struct {
+	incarnation uint64
+	// seen is the highest of the peer's numbers processed here.
+	seen uint64
+	// acked is the highest of our numbers that the peer has processed.
+	acked uint64
+}
+
+// Gossip is the membership as one daemon knows it. It is not safe for
+// concurrent use.
+type Gossip struct {
+	opt     Options
+	self    string
+	entries map[string]*entry
+	byKey   map[Key]string
+	marks   map[string]*mark
+	seq     uint64
+	stats   Stats
+	rival   uint64
+
+	ring  []string // neighbours; rebuilt when the set of live members changes
+	dirty bool
+}
+
+// New returns the membership of a daemon that knows only itself.
+func New(now time.Time, self Daemon, opt Options) *Gossip {
+	g := &Gossip{
+		opt:     withDefaults(opt),
+		self:    self.Host,
+		entries: map[string]*entry{},
+		byKey:   map[Key]string{},
+		marks:   map[string]*mark{},
+		dirty:   true,
+	}
+	self.Version = max(self.Version, 1)
+	self.HeadVersion = self.Version
+	self.FullVersion = self.Version
+	for i := range self.Targets {
+		self.Targets[i].Version = self.Version
+	}
+	g.put(now, self, self.Host)
+	return g
+}
+
+func withDefaults(opt Options) Options {
+	opt.Neighbours = cmp.Or(opt.Neighbours, defaultNeighbours)
+	opt.KeepLeft = cmp.Or(opt.KeepLeft, defaultKeep)
+	opt.KeepUnreachable = cmp.Or(opt.KeepUnreachable, defaultKeep)
+	opt.MaxNews = cmp.Or(opt.MaxNews, defaultMaxNews)
+	opt.MaxChangeBytes = cmp.Or(opt.MaxChangeBytes, defaultMaxChangeBytes)
+	return opt
+}
+
+// Self returns a copy of the daemon's own record.
+func (g *Gossip) Self() Daemon { return cloneDaemon(g.entries[g.self].d) }
+
+// Update changes the own record by f, which gets a copy. The versions are set
+// here; a change of Revision or TableOK alone is not gossiped.
+func (g *Gossip) Update(now time.Time, f func(*Daemon)) {
+	e := g.entries[g.self]
+	next := cloneDaemon(e.d)
+	f(&next)
+	if !stamp(e.d, &next) {
+		e.d = next
+		return
+	}
+	g.put(now, next, g.self)
+}
+
+// List returns all records, those of unreachable and departed members too, in
+// the order of hosts. The records are shared and must not be changed.
+func (g *Gossip) List() []Daemon {
+	out := make([]Daemon, 0, len(g.entries))
+	for _, e := range g.entries {
+		out = append(out, e.d)
+	}
+	slices.SortFunc(out, func(a, b Daemon) int { return cmp.Compare(a.Host, b.Host) })
+	return out
+}
+
+// Unreachable returns the hosts that did not refute a suspicion, in order.
+func (g *Gossip) Unreachable() []string {
+	var out []string
+	for host, e := range g.entries {
+		if e.unreachable {
+			out = append(out, host)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Find returns the record of a host.
+func (g *Gossip) Find(host string) (Daemon, bool) {
+	e, ok := g.entries[host]
+	if !ok {
+		return Daemon{}, false
+	}
+	return e.d, true
+}
+
+// Stats returns the counters.
+func (g *Gossip) Stats() Stats { return g.stats }
+
+// Rival returns the highest incarnation that another daemon has published for
+// our host, if it supersedes ours: two daemons claim the host, or its clock
+// went back. The older one must stop or start anew above it.
+func (g *Gossip) Rival() (uint64, bool) {
+	return g.rival, g.rival > g.entries[g.self].d.Incarnation
+}
+
+// MergeRecords takes whole records from elsewhere: rows of the table.
+func (g *Gossip) MergeRecords(now time.Time, records []Daemon) {
+	for _, d := range records {
+		g.merge(now, Change{Daemon: d}, "")
+	}
+}
+
+// merge takes a change and reports whether the copy is now at least as new.
+func (g *Gossip) merge(now time.Time, c Change, from string) bool {
+	if c.Host == g.self {
+		g.mergeSelf(c)
+		return true
+	}
+	var old Daemon
+	if e, ok := g.entries[c.Host]; ok {
+		old = e.d
+		if !Newer(c.Daemon, old) {
+			g.stats.Redundant++
+			return true
+		}
+	}
+	next, ok := c.apply(old)
+	if !ok {
+		g.stats.Unfitting++
+		return false
+	}
+	g.stats.Received++
+	g.put(now, next, from)
+	if c.Suspect {
+		g.suspect(now, g.entries[c.Host], suspicionOf(next))
+	}
+	return true
+}
+
+// mergeSelf only notes a rival: nobody else changes the own record.
+func (g *Gossip) mergeSelf(c Change) {
+	g.rival = max(g.rival, c.Incarnation)
+}
+
+// put stores a record as a new change.
+func (g *Gossip) put(now time.Time, d Daemon, from string) {
+	e, ok := g.entries[d.Host]
+	if !ok {
+		e = &entry{key: KeyOf(d.Host)}
+		g.entries[d.Host] = e
+		g.byKey[e.key] = d.Host
+	}
+	if !ok || e.unreachable || e.d.State != d.State {
+		g.dirty = true
+	}
+	g.seq++
+	e.d = d
+	e.seq = g.seq
+	e.from = from
+	e.changed = now
+	if e.suspectSeq > 0 && e.suspected.refutedBy(d) {
+		g.clearSuspicion(now, e)
+	}
+}
+
+// Tick expires suspicions and records.
+func (g *Gossip) Tick(now time.Time) {
+	bound := g.suspectFor()
+	for host, e := range g.entries {
+		if host == g.self {
+			continue
+		}
+		g.expire(now, host, e, bound)
+	}
+}
+
+func (g *Gossip) expire(now time.Time, host string, e *entry, bound time.Duration) {
+	left := e.d.State == StateLeft
+	if e.suspectSeq > 0 && !e.unreachable && !left && now.Sub(e.suspectSince) >= bound {
+		e.unreachable = true
+		e.changed = now
+		g.stats.Unreachable++
+		g.dirty = true
+	}
+	age := now.Sub(e.changed)
+	if left && age >= g.opt.KeepLeft || e.unreachable && age >= g.opt.KeepUnreachable {
+		delete(g.entries, host)
+		delete(g.byKey, e.key)
+		delete(g.marks, host)
+		g.stats.Forgotten++
+		g.dirty = true
+	}
+}
+
+func (g *Gossip) suspectFor() time.Duration {
+	if g.opt.SuspectFor > 0 {
+		return g.opt.SuspectFor
+	}
+	doublings := bits.Len(uint(len(g.entries) - 1))
+	return suspectBase + time.Duration(doublings)*suspectPerDoubling
+}
+
+func cloneDaemon(d Daemon) Daemon {
+	d.Targets = slices.Clone(d.Targets)
+	return d
+}
--- a/member/record.go
+++ b/member/record.go
@@ -1,7 +1,3 @@
-// Package member holds what daemons know of each other: records of daemons
-// and their targets, and the gossip that spreads them.
-//
-// Membership only steers choices. Nothing that must hold rests on it.
 package member
 
 // State is the state of a daemon.
@@ -21,23 +17,29 @@
 type Daemon struct {
 	// Host is the unique name of the host.
 	Host       string `json:"host"`
-	DataCentre string `json:"dc"`
+	DataCentre string `json:"dc,omitempty"`
 	// Incarnation rises with each start of the daemon of this host: the start
 	// time in nanoseconds.
 	Incarnation uint64 `json:"inc"`
 	// Version rises with each change of the record within an incarnation.
 	Version uint64 `json:"ver"`
-	State   State  `json:"state"`
+	State   State  `json:"state,omitempty"`
 	// ForwardAddr takes forwarded requests, RPCAddr takes control messages,
 	// CallerAddr takes callers; each is host:port.
-	ForwardAddr string `json:"fwd"`
-	RPCAddr     string `json:"rpc"`
-	CallerAddr  string `json:"in"`
-	// Revision is the configuration in force at the daemon.
-	Revision uint64 `json:"rev"`
+	ForwardAddr string `json:"fwd,omitempty"`
+	RPCAddr     string `json:"rpc,omitempty"`
+	CallerAddr  string `json:"in,omitempty"`
+	// Revision is the configuration in force at the daemon. A change of it or
+	// of TableOK alone does not raise Version: exchanges carry both.
+	Revision uint64 `json:"rev,omitempty"`
 	// TableOK reports that the daemon has read the table within its bound.
-	TableOK bool     `json:"tok"`
+	TableOK bool     `json:"tok,omitempty"`
 	Targets []Target `json:"tg,omitempty"`
+	// HeadVersion is the version at which a field other than Targets last
+	// changed, and FullVersion that at which a target was last removed. They
+	// and Target.Version are set by Gossip.Update and make deltas possible.
+	HeadVersion uint64 `json:"hv,omitempty"`
+	FullVersion uint64 `json:"fv,omitempty"`
 }
 
 // TargetState is the state of a target.
@@ -72,6 +74,8 @@
 	// coarse steps so that small changes are not gossiped.
 	ErrorPermille int `json:"err,omitempty"`
 	LatencyMicros int `json:"lat,omitempty"`
+	// Version is the daemon's version at which this record last changed.
+	Version uint64 `json:"v,omitempty"`
 }
 
 // Newer reports whether record a supersedes b.
