eject: detector by cumulative sums and ejection set under the floor

Ejection must never push capacity below the floor, also while membership is lost or deciders differ.

The property tests were first run against a naive rule (each suspect goes while at most 1-floor of the reachable targets are gone). TestSetKeepsFloor failed after 14 cases with 'kept 0 of 1 below floor 0.50, ejected [h/01]', TestSetKeepsFloorForEachDecider failed at once, and the table test showed h/0 ejected in place of the worst, h/5. The causes are that the naive rule counts targets instead of capacity and takes the reachable ones as its denominator.

--- /dev/null
+++ b/eject/baseline.go
@@ -0,0 +1,45 @@
+package eject
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/member"
+)
+
+// Baseline is what the service's other targets show.
+type Baseline struct {
+	// ErrorRate is the median share of failed requests.
+	ErrorRate float64
+	// Latency is the median of their p90 latencies; 0 when unknown.
+	Latency time.Duration
+	// Targets is how many targets it rests on.
+	Targets int
+}
+
+const permille = 1000.0
+
+// NewBaseline summarises the records of a service's ready targets but self.
+func NewBaseline(records []member.Target, self string) Baseline {
+	var errs, lats []int
+	for _, t := range records {
+		if t.ID == self || t.State != member.TargetReady || t.LatencyMicros == 0 {
+			continue
+		}
+		errs = append(errs, t.ErrorPermille)
+		lats = append(lats, t.LatencyMicros)
+	}
+	if len(errs) == 0 {
+		return Baseline{}
+	}
+	return Baseline{
+		ErrorRate: float64(lowerMedian(errs)) / permille,
+		Latency:   time.Duration(lowerMedian(lats)) * time.Microsecond,
+		Targets:   len(errs),
+	}
+}
+
+func lowerMedian(v []int) int {
+	slices.Sort(v)
+	return v[(len(v)-1)/2]
+}
--- /dev/null
+++ b/eject/detector.go
@@ -0,0 +1,205 @@
+package eject
+
+import (
+	"cmp"
+	"math"
+	"time"
+)
+
+// Options tune a Detector. Zero fields take the defaults given.
+type Options struct {
+	// Threshold is the log-likelihood ratio that raises suspicion. The mean
+	// number of healthy samples to a false one is at least e^Threshold.
+	// Default 18.
+	Threshold float64
+	// Confirm is how long the evidence must stay above the threshold.
+	// Default 2 s.
+	Confirm time.Duration
+	// Hold is the least time a target stays suspect; it doubles when the
+	// target is suspect again soon. Default 10 s.
+	Hold time.Duration
+	// SlowFactor multiplies the other targets' latency to the bound above
+	// which a request is slow. Default 2.
+	SlowFactor float64
+}
+
+const (
+	defaultThreshold  = 18.0
+	defaultConfirm    = 2 * time.Second
+	defaultHold       = 10 * time.Second
+	defaultSlowFactor = 2.0
+
+	// maxHold bounds the doubling of the hold time.
+	maxHold = 5 * time.Minute
+	// relapseWindow is how soon a new suspicion counts as a relapse.
+	relapseWindow = 10 * time.Minute
+	// returnEvidence is the log-likelihood ratio of good over bad service that
+	// ends suspicion.
+	returnEvidence = 4.6
+	// gainPeriod and gainBound bound how much evidence a short burst can give.
+	gainPeriod = 100 * time.Millisecond
+	gainBound  = 6.0
+)
+
+// Sample is the outcome of one real request at the target.
+type Sample struct {
+	// Failed tells that the target failed it: an error status, a broken or
+	// late answer. A request shed by the target is no failure.
+	Failed bool
+	// Latency is the time to the answer's first byte.
+	Latency time.Duration
+}
+
+// Detector judges one target. It is not safe for concurrent use.
+type Detector struct {
+	opt      Options
+	base     Baseline
+	stats    stats
+	errs     float64 // CUSUM of failures
+	slow     float64 // CUSUM of slow answers
+	good     float64 // evidence for return, while suspect
+	window   time.Time
+	gained   float64
+	above    time.Time
+	suspect  bool
+	since    time.Time
+	hold     time.Duration
+	lastEnd  time.Time
+	verdicts int
+}
+
+// NewDetector returns a detector that suspects nothing.
+func NewDetector(opt Options) *Detector {
+	opt.Threshold = cmp.Or(opt.Threshold, defaultThreshold)
+	opt.Confirm = cmp.Or(opt.Confirm, defaultConfirm)
+	opt.Hold = cmp.Or(opt.Hold, defaultHold)
+	opt.SlowFactor = cmp.Or(opt.SlowFactor, defaultSlowFactor)
+	return &Detector{opt: opt, hold: opt.Hold}
+}
+
+// SetBaseline takes the state of the other targets.
+func (d *Detector) SetBaseline(b Baseline) { d.base = b }
+
+// SlowAfter is the latency above which a request counts as slow; 0 when there
+// is nothing to compare with. A request in flight for longer may be reported
+// by Overdue at once.
+func (d *Detector) SlowAfter() time.Duration {
+	if d.base.Targets == 0 {
+		return 0
+	}
+	return time.Duration(d.opt.SlowFactor * float64(d.base.Latency))
+}
+
+// Observe takes the outcome of a request.
+func (d *Detector) Observe(now time.Time, s Sample) {
+	d.stats.add(now, s)
+	slow := d.SlowAfter() > 0 && s.Latency > d.SlowAfter()
+	d.weigh(now, s.Failed, slow)
+}
+
+// Overdue takes a request that is in flight for longer than SlowAfter. It is
+// called once for each such request; the later outcome is observed as well.
+func (d *Detector) Overdue(now time.Time) {
+	d.weigh(now, false, true)
+}
+
+// Tick moves time on without a sample.
+func (d *Detector) Tick(now time.Time) { d.judge(now) }
+
+// Suspect reports the verdict.
+func (d *Detector) Suspect() bool { return d.suspect }
+
+// Score ranks suspects: the evidence in whole units.
+func (d *Detector) Score() float64 {
+	if !d.suspect {
+		return 0
+	}
+	return math.Round(max(d.errs, d.slow))
+}
+
+// Verdicts counts how often suspicion was raised.
+func (d *Detector) Verdicts() int { return d.verdicts }
+
+// Summary returns the figures for the target's record.
+func (d *Detector) Summary(now time.Time) Summary { return d.stats.summary(now) }
+
+func (d *Detector) weigh(now time.Time, failed, slow bool) {
+	if d.suspect {
+		d.weighReturn(failed, slow)
+	}
+	m := d.model()
+	gain := d.bounded(now, m.failure.ratio(failed))
+	d.errs = clamp(d.errs+gain, 0, 2*d.opt.Threshold)
+	if d.SlowAfter() > 0 {
+		gain = d.bounded(now, m.slowness.ratio(slow))
+		d.slow = clamp(d.slow+gain, 0, 2*d.opt.Threshold)
+	}
+	d.judge(now)
+}
+
+// bounded limits the growth within a short period, so that one hiccup that
+// hits many requests at once counts as one event.
+func (d *Detector) bounded(now time.Time, gain float64) float64 {
+	if gain <= 0 {
+		return gain
+	}
+	if now.Sub(d.window) >= gainPeriod {
+		d.window = now
+		d.gained = 0
+	}
+	gain = min(gain, gainBound-d.gained)
+	d.gained += gain
+	return gain
+}
+
+func (d *Detector) judge(now time.Time) {
+	if d.suspect {
+		d.judgeReturn(now)
+		return
+	}
+	if max(d.errs, d.slow) < d.opt.Threshold {
+		d.above = time.Time{}
+		return
+	}
+	if d.above.IsZero() {
+		d.above = now
+	}
+	if now.Sub(d.above) < d.opt.Confirm {
+		return
+	}
+	d.raise(now)
+}
+
+func (d *Detector) raise(now time.Time) {
+	d.suspect = true
+	d.verdicts++
+	d.since = now
+	d.good = 0
+	relapse := !d.lastEnd.IsZero() && now.Sub(d.lastEnd) < relapseWindow
+	if relapse {
+		d.hold = min(2*d.hold, maxHold)
+		return
+	}
+	d.hold = d.opt.Hold
+}
+
+func (d *Detector) weighReturn(failed, slow bool) {
+	d.good -= returnFailure.ratio(failed)
+	if d.SlowAfter() > 0 {
+		d.good -= returnSlowness.ratio(slow)
+	}
+	d.good = clamp(d.good, 0, returnEvidence)
+}
+
+func (d *Detector) judgeReturn(now time.Time) {
+	if now.Sub(d.since) < d.hold || d.good < returnEvidence {
+		return
+	}
+	d.suspect = false
+	d.errs = 0
+	d.slow = 0
+	d.above = time.Time{}
+	d.lastEnd = now
+}
+
+func clamp(v, lo, hi float64) float64 { return min(max(v, lo), hi) }
--- /dev/null
+++ b/eject/set_test.go
@@ -0,0 +1,148 @@
+package eject
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/gooseberryshed/gooseberryshed/member"
+)
+
+func genTarget(i int) *rapid.Generator[Announced] {
+	return rapid.Custom(func(t *rapid.T) Announced {
+		slots := rapid.IntRange(0, 20).Draw(t, "slots")
+		return Announced{
+			Target: member.Target{
+				ID:      fmt.Sprintf("h/%02d", i),
+				State:   rapid.SampledFrom([]member.TargetState{member.TargetReady, member.TargetReady, member.TargetLeaving, member.TargetGone}).Draw(t, "state"),
+				Slots:   slots,
+				Limit:   rapid.IntRange(0, 25).Draw(t, "limit"),
+				Suspect: rapid.Bool().Draw(t, "suspect"),
+				Score:   float64(rapid.IntRange(0, 4).Draw(t, "score")),
+			},
+			Available: rapid.IntRange(0, 3).Draw(t, "available") > 0,
+		}
+	})
+}
+
+func genService(t *rapid.T) []Announced {
+	n := rapid.IntRange(0, 14).Draw(t, "n")
+	all := make([]Announced, n)
+	for i := range all {
+		all[i] = genTarget(i).Draw(t, "target")
+	}
+	return all
+}
+
+// keptAndAnnounced counts independently of Set.
+func keptAndAnnounced(all []Announced, ejected []string) (kept, announced int) {
+	for _, t := range all {
+		if t.State != member.TargetReady {
+			continue
+		}
+		bears := t.Slots
+		if t.Limit > 0 && t.Limit < t.Slots {
+			bears = t.Limit
+		}
+		announced += bears
+		if t.Available && !slices.Contains(ejected, t.ID) {
+			kept += bears
+		}
+	}
+	return kept, announced
+}
+
+func checkFloor(t *rapid.T, all []Announced, ejected []string, floor float64) {
+	kept, announced := keptAndAnnounced(all, ejected)
+	if len(ejected) > 0 && float64(kept) < floor*float64(announced) {
+		t.Fatalf("kept %d of %d below floor %.2f, ejected %v", kept, announced, floor, ejected)
+	}
+}
+
+func TestSetKeepsFloor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := genService(t)
+		floor := rapid.Float64Range(0.01, 1).Draw(t, "floor")
+		checkFloor(t, all, decide(all, floor), floor)
+	})
+}
+
+// TestSetKeepsFloorForEachDecider gives each decider its own stale or partial
+// view of the same targets. Each must keep the floor of what was announced to
+// it, and lost membership must never make it eject more capacity.
+func TestSetKeepsFloorForEachDecider(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := genService(t)
+		floor := rapid.Float64Range(0.01, 1).Draw(t, "floor")
+		for range 3 {
+			view := slices.Clone(all)
+			for i := range view {
+				if rapid.Bool().Draw(t, "lost") {
+					view[i].Available = false
+				}
+				if rapid.IntRange(0, 3).Draw(t, "stale") == 0 {
+					view[i].Suspect = !view[i].Suspect
+				}
+			}
+			checkFloor(t, view, decide(view, floor), floor)
+		}
+	})
+}
+
+// TestSetIgnoresOrder shows that deciders with the same records agree.
+func TestSetIgnoresOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := genService(t)
+		floor := rapid.Float64Range(0.01, 1).Draw(t, "floor")
+		shuffled := rapid.Permutation(all).Draw(t, "order")
+		assert.DeepEqual(t, Set(all, floor), Set(shuffled, floor))
+	})
+}
+
+func six(suspects ...int) []Announced {
+	all := make([]Announced, 6)
+	for i := range all {
+		all[i] = Announced{Available: true, Target: member.Target{ID: fmt.Sprintf("h/%d", i), State: member.TargetReady, Slots: 7, Limit: 7}}
+	}
+	for rank, i := range suspects {
+		all[i].Suspect = true
+		all[i].Score = float64(100 - rank)
+	}
+	return all
+}
+
+func TestSetTable(t *testing.T) {
+	lost := six(0)
+	lost[1].Available, lost[2].Available, lost[3].Available = false, false, false
+	cold := six(0)
+	for i := 1; i < 6; i++ {
+		cold[i].Limit = 1
+	}
+	departing := six(0, 1)
+	for i := 3; i < 6; i++ {
+		departing[i].State = member.TargetLeaving
+	}
+	for _, tc := range []struct {
+		name  string
+		all   []Announced
+		floor float64
+		want  []string
+	}{
+		{"healthy", six(), 0.5, nil},
+		{"one suspect", six(4), 0.5, []string{"h/4"}},
+		{"worst first up to the floor", six(5, 1, 3, 0), 0.5, []string{"h/5", "h/1", "h/3"}},
+		{"floor 1 ejects nobody", six(4), 1, nil},
+		{"lost members count as announced", lost, 0.5, nil},
+		{"cold ones bear little", cold, 0.5, nil},
+		{"departing ones do not count", departing, 0.6, []string{"h/0"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			assert.DeepEqual(t, decide(tc.all, tc.floor), tc.want)
+		})
+	}
+}
+
+func decide(all []Announced, floor float64) []string { return Set(all, floor).Ejected }
