coldstart: concurrency limit that grows with successes and falls back when a target turns cold

A target in cold start must get no more than it bears, and may turn cold unannounced.

A single slow answer changes nothing, lasting slowness is relearnt; both are tested. The comparison with a fixed limit and AIMD is not measured yet.

--- /dev/null
+++ b/coldstart/limiter_test.go
@@ -0,0 +1,104 @@
+package coldstart
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+const usual = 25 * time.Millisecond
+
+// warm serves answers of the usual latency until the limit stops rising.
+func warm(l *Limiter, now time.Time) time.Time {
+	for range 400 {
+		now = now.Add(usual)
+		l.OnSuccess(now, usual)
+	}
+	return now
+}
+
+func TestGrowsToSlots(t *testing.T) {
+	l := New(Options{Slots: 7, ColdLimit: 2})
+	assert.Equal(t, l.Limit(start), 2)
+	now := warm(l, start)
+	assert.Equal(t, l.Limit(now), 7)
+	assert.Assert(t, !l.Cold())
+}
+
+func TestBackToColdLimit(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		make func(l *Limiter, now time.Time)
+	}{
+		{"restart", func(l *Limiter, now time.Time) { l.Restart(now) }},
+		{"latency jump", func(l *Limiter, now time.Time) {
+			for range defaultJumpRun {
+				l.OnSuccess(now, 5*usual)
+			}
+		}},
+		{"sheds", func(l *Limiter, now time.Time) {
+			for range shedRun {
+				l.OnShed(now)
+			}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := New(Options{Slots: 7})
+			now := warm(l, start)
+			tc.make(l, now)
+			assert.Equal(t, l.Limit(now), 1)
+			now = warm(l, now)
+			assert.Equal(t, l.Limit(now), 7)
+		})
+	}
+}
+
+func TestSingleSlowAnswerChangesNothing(t *testing.T) {
+	l := New(Options{Slots: 7})
+	now := warm(l, start)
+	l.OnSuccess(now, 20*usual)
+	assert.Equal(t, l.Limit(now), 7)
+	assert.Equal(t, l.Resets(), 0)
+}
+
+// TestRelearnsLastingSlowness takes a target that is slower for good.
+func TestRelearnsLastingSlowness(t *testing.T) {
+	l := New(Options{Slots: 7})
+	now := warm(l, start)
+	for range 1000 {
+		now = now.Add(5 * usual)
+		l.OnSuccess(now, 5*usual)
+	}
+	assert.Equal(t, l.Limit(now), 7)
+}
+
+func TestLimitStaysWithinBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 20).Draw(t, "slots")
+		cold := rapid.IntRange(1, 20).Draw(t, "cold")
+		l := New(Options{Slots: slots, ColdLimit: cold})
+		now := start
+		for range 100 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				l.OnShed(now)
+			case 1:
+				l.OnFailure(now)
+			case 2:
+				l.OnSuccess(now, time.Duration(rapid.IntRange(0, 1000).Draw(t, "latency"))*time.Millisecond)
+			case 3:
+				l.OnSuccess(now, usual)
+			case 4:
+				l.Restart(now)
+				assert.Equal(t, l.Limit(now), min(cold, slots))
+			}
+			limit := l.Limit(now)
+			assert.Assert(t, limit >= min(cold, slots) && limit <= slots, "limit %d", limit)
+		}
+	})
+}
