balance: power of two choices with own data centre first, ramp, trial requests and bounded subset

An ingress needs a choice from an immutable view, without a lock shared by all requests, and with a bounded number of gates at 1,200 daemons.

The rank is the same for all services, so that subsets overlap.

The comparison with other ways of choosing is not measured yet.

--- /dev/null
+++ b/balance/loads.go
@@ -0,0 +1,100 @@
+package balance
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/wire"
+)
+
+// reportHalfLife is the age at which a report of other ingresses' requests in
+// flight counts half.
+const reportHalfLife = 500 * time.Millisecond
+
+// Loads tracks the load of targets as seen by one ingress. The zero value is
+// ready. It is safe for concurrent use.
+type Loads struct {
+	byID sync.Map // target ID -> *Load
+}
+
+// Load is the tracked load of one target.
+type Load struct {
+	own         atomic.Int64
+	others      atomic.Int64
+	limit       atomic.Int64
+	reportedAt  atomic.Int64 // Unix nanoseconds, 0 before the first report
+	lastTrickle atomic.Int64 // Unix nanoseconds
+}
+
+// Of returns the load of a target, which is created when needed.
+func (l *Loads) Of(id string) *Load {
+	if v, ok := l.byID.Load(id); ok {
+		return v.(*Load)
+	}
+	v, _ := l.byID.LoadOrStore(id, &Load{})
+	return v.(*Load)
+}
+
+// Begin counts an attempt of this ingress at the target.
+func (l *Loads) Begin(id string) { l.Of(id).own.Add(1) }
+
+// End ends an attempt counted by Begin.
+func (l *Loads) End(id string) { l.Of(id).own.Add(-1) }
+
+// Report takes a gate's report that came with an answer or refusal. It is to
+// be called before End, as the report counts the attempt itself.
+func (l *Loads) Report(now time.Time, id string, rep wire.Load) {
+	ld := l.Of(id)
+	ld.others.Store(max(0, int64(rep.InFlight)-ld.own.Load()))
+	ld.limit.Store(int64(rep.Limit))
+	ld.reportedAt.Store(now.UnixNano())
+}
+
+// Retain drops the loads of targets that are not in the view and have no
+// attempt in flight.
+func (l *Loads) Retain(v *View) {
+	l.byID.Range(func(key, value any) bool {
+		id := key.(string)
+		if !v.Has(id) && value.(*Load).own.Load() == 0 {
+			l.byID.Delete(id)
+		}
+		return true
+	})
+}
+
+// inFlight estimates the requests at the target.
+func (ld *Load) inFlight(now time.Time) float64 {
+	own := float64(ld.own.Load())
+	at := ld.reportedAt.Load()
+	others := float64(ld.others.Load())
+	if at == 0 || others == 0 {
+		return own
+	}
+	age := max(0, float64(now.UnixNano()-at))
+	return own + others*math.Exp2(-age/float64(reportHalfLife))
+}
+
+// limitOr returns the fresher of the reported limit and the gossiped one.
+func (ld *Load) limitOr(now time.Time, gossiped int) int {
+	at := ld.reportedAt.Load()
+	limit := int(ld.limit.Load())
+	if at == 0 || limit <= 0 || now.UnixNano()-at > int64(limitReportAge) {
+		return gossiped
+	}
+	return limit
+}
+
+// limitReportAge is how long a reported limit is preferred to a gossiped one.
+const limitReportAge = 2 * time.Second
+
+// takeTrickle claims the target's next trial request when interval has passed
+// since the last one.
+func (ld *Load) takeTrickle(now time.Time, interval time.Duration) bool {
+	last := ld.lastTrickle.Load()
+	if now.UnixNano()-last < int64(interval) {
+		return false
+	}
+	return ld.lastTrickle.CompareAndSwap(last, now.UnixNano())
+}
--- /dev/null
+++ b/balance/pick_test.go
@@ -0,0 +1,189 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gooseberryshed/gooseberryshed/member"
+	"github.com/gooseberryshed/gooseberryshed/wire"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// today is a service of 6 targets on 6 hosts in 3 data centres.
+func today() Input {
+	in := Input{Host: "h0", DataCentre: "dc0", Loads: &Loads{}}
+	for i := range 6 {
+		dc := fmt.Sprintf("dc%d", i/2)
+		in.Daemons = append(in.Daemons, daemon(i, dc, "orders"))
+	}
+	for i := range 3 {
+		in.DataCentres = append(in.DataCentres, DataCentre{Name: fmt.Sprintf("dc%d", i), Region: "r"})
+	}
+	return in
+}
+
+func daemon(i int, dc, service string) member.Daemon {
+	host := fmt.Sprintf("h%d", i)
+	return member.Daemon{Host: host, DataCentre: dc, State: member.StateServing, Targets: []member.Target{
+		{ID: host + "/w", Service: service, State: member.TargetReady, Slots: 7, Limit: 7},
+	}}
+}
+
+func seeded() *rand.Rand { return rand.New(rand.NewPCG(7, 7)) }
+
+// spread counts choices by host.
+func spread(now time.Time, in Input, avoid *Avoid, req Request) map[string]int {
+	v := NewView(in)
+	rng := seeded()
+	got := map[string]int{}
+	for range 1000 {
+		if c, ok := Pick(now, v, avoid, req, rng); ok {
+			got[c.Host]++
+		}
+	}
+	return got
+}
+
+func TestPrefersOwnDataCentre(t *testing.T) {
+	got := spread(start, today(), nil, Request{Service: "orders"})
+	assert.Equal(t, got["h0"]+got["h1"], 1000)
+	assert.Assert(t, got["h0"] > 300 && got["h1"] > 300, "%v", got)
+}
+
+func TestOverflowsWhenFull(t *testing.T) {
+	in := today()
+	for range 7 {
+		in.Loads.Begin("h0/w")
+		in.Loads.Begin("h1/w")
+	}
+	got := spread(start, in, nil, Request{Service: "orders"})
+	assert.Equal(t, got["h0"]+got["h1"], 0)
+}
+
+func TestNeverChooses(t *testing.T) {
+	req := Request{Service: "orders"}
+	for _, tc := range []struct {
+		name   string
+		change func(in *Input)
+		req    Request
+	}{
+		{"tried", func(*Input) {}, Request{Service: "orders", Tried: []string{"h0/w"}}},
+		{"ejected", func(in *Input) { in.Ejected = []string{"h0/w"} }, req},
+		{"unreachable", func(in *Input) { in.Host = "h1"; in.Unreachable = []string{"h0"} }, req},
+		{"leaving daemon", func(in *Input) { in.Daemons[0].State = member.StateLeaving }, req},
+		{"leaving target", func(in *Input) { in.Daemons[0].Targets[0].State = member.TargetLeaving }, req},
+		{"data centre out", func(in *Input) { in.DataCentres[0].Out = true }, req},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			in := today()
+			tc.change(&in)
+			got := spread(start, in, nil, tc.req)
+			assert.Equal(t, got["h0"], 0)
+			assert.Assert(t, len(got) > 0)
+		})
+	}
+}
+
+func TestAvoidedHostIsTriedNowAndThen(t *testing.T) {
+	var avoid Avoid
+	avoid.Failed(start, "h0")
+	got := spread(start, today(), &avoid, Request{Service: "orders"})
+	assert.Equal(t, got["h0"], 0)
+	got = spread(start.Add(avoidFirst), today(), &avoid, Request{Service: "orders"})
+	assert.Equal(t, got["h0"], 1, "one request tries the path")
+	avoid.Reached("h0")
+	got = spread(start.Add(avoidFirst), today(), &avoid, Request{Service: "orders"})
+	assert.Assert(t, got["h0"] > 300)
+}
+
+func TestReturningDataCentreIsRamped(t *testing.T) {
+	in := today()
+	in.DataCentres[0].Since = start
+	share := func(after time.Duration) int {
+		got := spread(start.Add(after), in, nil, Request{Service: "orders"})
+		return got["h0"] + got["h1"]
+	}
+	assert.Equal(t, share(0), 0)
+	half := share(DefaultRamp / 2)
+	assert.Assert(t, half > 400 && half < 600, "%d", half)
+	assert.Equal(t, share(DefaultRamp), 1000)
+}
+
+func TestEjectedGetsTrickleOfIdempotentOnly(t *testing.T) {
+	in := today()
+	in.Ejected = []string{"h0/w"}
+	v := NewView(in)
+	rng := seeded()
+	trials := 0
+	now := start
+	const seconds = 60
+	for range seconds * 100 {
+		now = now.Add(10 * time.Millisecond)
+		c, ok := Pick(now, v, nil, Request{Service: "orders", Idempotent: true}, rng)
+		assert.Assert(t, ok)
+		if c.Trial {
+			assert.Equal(t, c.Host, "h0")
+			trials++
+		}
+	}
+	assert.Assert(t, trials >= seconds/12 && trials <= seconds/6+1, "%d trials", trials)
+}
+
+func TestStaleReportDecays(t *testing.T) {
+	var l Loads
+	l.Report(start, "t", wire.Load{InFlight: 8, Limit: 7})
+	ld := l.Of("t")
+	assert.Equal(t, ld.inFlight(start), 8.0)
+	assert.Equal(t, ld.inFlight(start.Add(reportHalfLife)), 4.0)
+	assert.Equal(t, ld.limitOr(start, 3), 7)
+	assert.Equal(t, ld.limitOr(start.Add(time.Minute), 3), 3)
+}
+
+// TestSubsetBoundsHosts builds the design size: 1,200 daemons, 200 services.
+func TestSubsetBoundsHosts(t *testing.T) {
+	in := designSize()
+	v := NewView(in)
+	assert.Equal(t, len(v.services), 200)
+	assert.Assert(t, v.Hosts() < 600, "%d hosts", v.Hosts())
+}
+
+func designSize() Input {
+	in := Input{Host: "h0", DataCentre: "dc0", Loads: &Loads{}}
+	for i := range 1200 {
+		d := daemon(i, fmt.Sprintf("dc%d", i%9), "")
+		d.Targets = nil
+		for t := range 8 {
+			d.Targets = append(d.Targets, member.Target{
+				ID: fmt.Sprintf("%s/w%d", d.Host, t), Service: fmt.Sprintf("s%d", (i*8+t)*7919%200),
+				State: member.TargetReady, Slots: 7, Limit: 7,
+			})
+		}
+		in.Daemons = append(in.Daemons, d)
+	}
+	for i := range 9 {
+		in.DataCentres = append(in.DataCentres, DataCentre{Name: fmt.Sprintf("dc%d", i), Region: fmt.Sprintf("r%d", i/3)})
+	}
+	return in
+}
+
+func BenchmarkNewView(b *testing.B) {
+	in := designSize()
+	for b.Loop() {
+		NewView(in)
+	}
+	b.ReportMetric(float64(NewView(in).Hosts()), "hosts")
+}
+
+func BenchmarkPick(b *testing.B) {
+	v := NewView(designSize())
+	rng := seeded()
+	var avoid Avoid
+	for b.Loop() {
+		Pick(start, v, &avoid, Request{Service: "s7"}, rng)
+	}
+}
--- /dev/null
+++ b/balance/view.go
@@ -0,0 +1,286 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gooseberryshed/gooseberryshed/member"
+)
+
+// Defaults of Input.
+const (
+	// DefaultLocalSubset is how many hosts of a service an ingress uses in its
+	// own data centre.
+	DefaultLocalSubset = 12
+	// DefaultRemoteSubset is how many it uses in all other data centres
+	// together; it is divided evenly, with at least one in each.
+	DefaultRemoteSubset = 8
+	// DefaultRamp is how long a returning data centre takes to full weight.
+	DefaultRamp = 30 * time.Second
+)
+
+// DataCentre is the state of a data centre as the configuration gives it.
+type DataCentre struct {
+	Name   string
+	Region string
+	// Out excludes all targets of the data centre.
+	Out bool
+	// Since is when the data centre came back; zero means long ago.
+	Since time.Time
+}
+
+// Input is what a View is built from.
+type Input struct {
+	// Host and DataCentre are those of the ingress.
+	Host       string
+	DataCentre string
+	Daemons    []member.Daemon
+	// Unreachable names hosts that membership holds to be unreachable.
+	Unreachable []string
+	// Ejected lists target IDs, as eject.Set returned them.
+	Ejected     []string
+	DataCentres []DataCentre
+	// LocalSubset and RemoteSubset default to the constants above.
+	LocalSubset  int
+	RemoteSubset int
+	// Ramp defaults to DefaultRamp.
+	Ramp time.Duration
+	// Loads resolves the loads of the targets.
+	Loads *Loads
+}
+
+// View is the immutable basis of choices; one is built for each snapshot.
+type View struct {
+	services map[string]*service
+	ids      map[string]struct{}
+	ramp     time.Duration
+}
+
+// candidate is a target that may be chosen.
+type candidate struct {
+	id    string
+	host  string
+	limit int
+	load  *Load
+}
+
+// zone holds the candidates of one service in one data centre.
+type zone struct {
+	since time.Time
+	cands []candidate
+}
+
+type service struct {
+	local   zone
+	near    []zone // other data centres of the region
+	far     []zone
+	ejected []candidate
+	// sharers is how many ingresses send trial requests to ejected targets.
+	sharers int
+}
+
+// NewView builds a view.
+func NewView(in Input) *View {
+	in = withDefaults(in)
+	b := builder{
+		in:          in,
+		view:        &View{services: map[string]*service{}, ids: map[string]struct{}{}, ramp: in.Ramp},
+		ejected:     toSet(in.Ejected),
+		unreachable: toSet(in.Unreachable),
+		dcs:         map[string]DataCentre{},
+	}
+	for _, dc := range in.DataCentres {
+		b.dcs[dc.Name] = dc
+	}
+	b.build()
+	return b.view
+}
+
+// Has reports whether the view knows the target.
+func (v *View) Has(id string) bool {
+	_, ok := v.ids[id]
+	return ok
+}
+
+// Hosts returns how many distinct hosts the view may forward to.
+func (v *View) Hosts() int {
+	hosts := map[string]struct{}{}
+	for _, s := range v.services {
+		for _, z := range s.zones() {
+			for _, c := range z.cands {
+				hosts[c.host] = struct{}{}
+			}
+		}
+	}
+	return len(hosts)
+}
+
+func (s *service) zones() []zone {
+	all := []zone{s.local}
+	all = append(all, s.near...)
+	return append(all, s.far...)
+}
+
+func withDefaults(in Input) Input {
+	in.LocalSubset = cmp.Or(in.LocalSubset, DefaultLocalSubset)
+	in.RemoteSubset = cmp.Or(in.RemoteSubset, DefaultRemoteSubset)
+	in.Ramp = cmp.Or(in.Ramp, DefaultRamp)
+	if in.Loads == nil {
+		in.Loads = &Loads{}
+	}
+	return in
+}
+
+func toSet(names []string) map[string]struct{} {
+	set := make(map[string]struct{}, len(names))
+	for _, n := range names {
+		set[n] = struct{}{}
+	}
+	return set
+}
+
+type builder struct {
+	in          Input
+	view        *View
+	ejected     map[string]struct{}
+	unreachable map[string]struct{}
+	dcs         map[string]DataCentre
+	serving     int
+	remoteBound int
+}
+
+// ranked is a daemon with its rendezvous rank for this ingress.
+type ranked struct {
+	d    *member.Daemon
+	rank uint64
+}
+
+func (b *builder) build() {
+	byDC := map[string][]ranked{}
+	for i := range b.in.Daemons {
+		d := &b.in.Daemons[i]
+		for _, t := range d.Targets {
+			b.view.ids[t.ID] = struct{}{}
+		}
+		if !b.usable(d) {
+			continue
+		}
+		b.serving++
+		byDC[d.DataCentre] = append(byDC[d.DataCentre], ranked{d, rendezvous(b.in.Host, d.Host)})
+	}
+	b.remoteBound = max(1, b.in.RemoteSubset/max(1, len(byDC)-1))
+	names := make([]string, 0, len(byDC))
+	for name := range byDC {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		b.addDataCentre(name, byDC[name])
+	}
+	for _, s := range b.view.services {
+		s.sharers = b.serving
+	}
+}
+
+func (b *builder) usable(d *member.Daemon) bool {
+	if d.State != member.StateServing {
+		return false
+	}
+	if _, cut := b.unreachable[d.Host]; cut && d.Host != b.in.Host {
+		return false
+	}
+	return !b.dcs[d.DataCentre].Out
+}
+
+func (b *builder) addDataCentre(name string, daemons []ranked) {
+	slices.SortFunc(daemons, func(x, y ranked) int {
+		if c := cmp.Compare(y.rank, x.rank); c != 0 {
+			return c
+		}
+		return cmp.Compare(x.d.Host, y.d.Host)
+	})
+	bound := b.remoteBound
+	if name == b.in.DataCentre {
+		bound = b.in.LocalSubset
+	}
+	found := map[string]*zone{}
+	hosts := map[string]int{}
+	for _, r := range daemons {
+		b.addHost(r.d, found, hosts, bound)
+	}
+	services := make([]string, 0, len(found))
+	for svc := range found {
+		services = append(services, svc)
+	}
+	slices.Sort(services)
+	for _, svc := range services {
+		b.place(svc, name, *found[svc])
+	}
+}
+
+// addHost adds the targets of a host to the zones of services whose subset is
+// not yet full.
+func (b *builder) addHost(d *member.Daemon, found map[string]*zone, hosts map[string]int, bound int) {
+	counted := map[string]bool{}
+	for _, t := range d.Targets {
+		if t.State != member.TargetReady {
+			continue
+		}
+		if hosts[t.Service] >= bound && !counted[t.Service] {
+			continue
+		}
+		c := candidate{id: t.ID, host: d.Host, limit: capacity(t), load: b.in.Loads.Of(t.ID)}
+		if _, out := b.ejected[t.ID]; out {
+			s := b.service(t.Service)
+			s.ejected = append(s.ejected, c)
+			continue
+		}
+		if !counted[t.Service] {
+			counted[t.Service] = true
+			hosts[t.Service]++
+		}
+		z := found[t.Service]
+		if z == nil {
+			z = &zone{since: b.dcs[d.DataCentre].Since}
+			found[t.Service] = z
+		}
+		z.cands = append(z.cands, c)
+	}
+}
+
+func (b *builder) service(name string) *service {
+	s := b.view.services[name]
+	if s == nil {
+		s = &service{}
+		b.view.services[name] = s
+	}
+	return s
+}
+
+func (b *builder) place(svc, dc string, z zone) {
+	s := b.service(svc)
+	switch {
+	case dc == b.in.DataCentre:
+		s.local = z
+	case b.dcs[dc].Region == b.dcs[b.in.DataCentre].Region:
+		s.near = append(s.near, z)
+	default:
+		s.far = append(s.far, z)
+	}
+}
+
+// capacity is how many requests a target bears now.
+func capacity(t member.Target) int {
+	if t.Limit > 0 {
+		return min(t.Limit, max(t.Slots, 1))
+	}
+	return max(t.Slots, 1)
+}
+
+// rendezvous is the weight of the pair (ingress, host).
+func rendezvous(ingress, host string) uint64 {
+	return xxhash.Sum64String(ingress + "\x00" + host)
+}
