limit, limiter: rate and burst of a workspace over owners per data centre

Each workspace has one rate and burst over the whole fleet, while any daemon may admit its requests. A count per daemon would multiply the burst by the number of daemons, and a table write per request exceeds the several hundred writes a second that the platform gives. So a token bucket is split over one owner per data centre and shard, recorded in a table row with an epoch, and an owner that is short pulls tokens from the others. The giver deducts first and the receiver has reserved room, so that the sum never passes the burst.

An owner counts its lease from the start of its last renewal and keeps a standing fraction past it; a taker gets the remainder until the term ends or the former owner answers that it is gone. Focused tests bring about a lost owner, a new incarnation at the same address, a table outage, lost replies of the table, a paused owner and a planned stop.

--- /dev/null
+++ b/limit/bucket_test.go
@@ -0,0 +1,65 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var t0 = time.Unix(1e9, 0)
+
+func TestBucketStartsEmptyAndFillsToTheCap(t *testing.T) {
+	terms := Terms{Rate: 2, Cap: 5}
+	b := NewBucket(t0, terms, 0)
+	assert.Equal(t, b.Take(t0, terms, 1), 0)
+	assert.Equal(t, b.Wait(2), 500*time.Millisecond)
+	assert.Equal(t, b.Take(t0.Add(time.Second), terms, 5), 2)
+	assert.Equal(t, b.Take(t0.Add(time.Minute), terms, 9), 5)
+}
+
+func TestReservedRoomIsNotFilled(t *testing.T) {
+	terms := Terms{Rate: 10, Cap: 5}
+	b := NewBucket(t0, terms, 2)
+	assert.Equal(t, b.Reserve(t0, terms, 9), 3)
+	b.Update(t0.Add(time.Hour), terms)
+	assert.Equal(t, b.Level(), 2.0)
+	b.Deposit(t0.Add(time.Hour), terms, 3, 2)
+	assert.Equal(t, b.Level(), 4.0)
+}
+
+func TestGiveKeepsTheSmallerHalf(t *testing.T) {
+	terms := Terms{Rate: 0, Cap: 5}
+	b := NewBucket(t0, terms, 5)
+	assert.Equal(t, b.Give(t0, terms, 9), 3)
+	assert.Equal(t, b.Give(t0, terms, 9), 1)
+	assert.Equal(t, b.Give(t0, terms, 9), 1)
+	assert.Equal(t, b.Give(t0, terms, 9), 0)
+}
+
+func TestChangeOfTermsMintsNothing(t *testing.T) {
+	slow, fast := Terms{Rate: 1, Cap: 2}, Terms{Rate: 100, Cap: 200}
+	b := NewBucket(t0, slow, 2)
+	b.Update(t0.Add(time.Second), fast)
+	assert.Equal(t, b.Level(), 3.0)
+	b.Update(t0.Add(2*time.Second), slow)
+	assert.Equal(t, b.Level(), 2.0)
+}
+
+func TestTakeOverKeepsTheSumOfFractions(t *testing.T) {
+	p := Policy{Lease: time.Second, Standing: 0.25, Term: time.Hour}
+	a, b := Owner{Host: "a"}, Owner{Host: "b"}
+	rec, ok := Record{}.TakeOver(a, p, EvidenceNone, 1)
+	assert.Assert(t, ok)
+	_, ok = rec.TakeOver(b, p, EvidenceNone, 1)
+	assert.Assert(t, !ok)
+	rec, ok = rec.TakeOver(b, p, EvidenceLapsed, 1)
+	assert.Assert(t, ok)
+	assert.Equal(t, rec.Fraction, 0.75)
+	assert.Equal(t, rec.Standing[0].Fraction, 0.25)
+	rec, _ = rec.TakeOver(a, p, EvidenceGone, 1)
+	assert.Equal(t, rec.Fraction, 0.75)
+	never := func(Reservation) bool { return false }
+	assert.Equal(t, rec.Renew(time.Minute, never, 1).Fraction, 0.75)
+	assert.Equal(t, rec.Renew(2*time.Hour, never, 1).Fraction, 1.0)
+}
--- /dev/null
+++ b/limit/layout.go
@@ -0,0 +1,96 @@
+package limit
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// MinSplitBurst is the least burst per data centre at which a workspace is
+// split. Below it the whole workspace is kept in one data centre, because a
+// bucket that holds less than two tokens refuses at small jitter.
+const MinSplitBurst = 2.0
+
+// Shard returns the shard of a workspace.
+func Shard(workspace string, shards int) int {
+	return int(xxhash.Sum64String(workspace) % uint64(shards))
+}
+
+// Layout says which data centres hold a workspace's tokens. All listed ones
+// hold equal shares.
+type Layout struct {
+	Holders []string
+}
+
+// NewLayout returns the layout of a workspace over the data centres.
+func NewLayout(dataCentres []string, workspace string, burst int) Layout {
+	n := len(dataCentres)
+	if n == 0 {
+		return Layout{}
+	}
+	if float64(burst)/float64(n) >= MinSplitBurst {
+		return Layout{Holders: dataCentres}
+	}
+	home := slices.MaxFunc(dataCentres, func(a, b string) int {
+		return compareRank(a, b, workspace)
+	})
+	return Layout{Holders: []string{home}}
+}
+
+// Share returns the share of a data centre.
+func (l Layout) Share(dataCentre string) float64 {
+	if !slices.Contains(l.Holders, dataCentre) {
+		return 0
+	}
+	return 1 / float64(len(l.Holders))
+}
+
+// Order returns the holders with the given data centre first, if it is one,
+// and the others in an order that differs between workspaces.
+func (l Layout) Order(first, workspace string) []string {
+	order := slices.Clone(l.Holders)
+	slices.SortFunc(order, func(a, b string) int {
+		if (a == first) != (b == first) {
+			if a == first {
+				return -1
+			}
+			return 1
+		}
+		return compareRank(b, a, workspace)
+	})
+	return order
+}
+
+// Candidates orders hosts by rendezvous hashing for the ownership of a row.
+func Candidates(hosts []string, row string) []string {
+	order := slices.Clone(hosts)
+	slices.SortFunc(order, func(a, b string) int {
+		return compareRank(b, a, row)
+	})
+	return order
+}
+
+// compareRank compares the rendezvous ranks of two nodes for a key.
+func compareRank(a, b, key string) int {
+	ra, rb := rank(a, key), rank(b, key)
+	switch {
+	case ra < rb:
+		return -1
+	case ra > rb:
+		return 1
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func rank(node, key string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	d.WriteString(node) //nolint:errcheck // xxhash never fails
+	d.WriteString("\x00")
+	d.WriteString(key)
+	return d.Sum64()
+}
--- /dev/null
+++ b/limiter/fake_test.go
@@ -0,0 +1,225 @@
+package limiter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberryshed/gooseberryshed/member"
+	"github.com/gooseberryshed/gooseberryshed/platform"
+	"github.com/gooseberryshed/gooseberryshed/rpc"
+)
+
+// fakeClock is a clock that tests set.
+type fakeClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func newFakeClock() *fakeClock { return &fakeClock{now: time.Unix(1e9, 0)} }
+
+func (c *fakeClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *fakeClock) Advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+// fakeTable is a table in memory with faults.
+type fakeTable struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	next    uint64
+	writes  int
+	down    bool
+	loseAll bool // commits take effect but their replies are lost
+}
+
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+
+func (t *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return platform.Row{}, &platform.Error{Kind: platform.KindUnavailable, Op: "get " + key}
+	}
+	r, ok := t.rows[key]
+	if !ok {
+		return r, &platform.Error{Kind: platform.KindNotFound, Op: "get " + key}
+	}
+	return r, nil
+}
+
+func (t *fakeTable) Scan(context.Context, string, string, int) ([]platform.Row, error) {
+	return nil, errors.New("not used")
+}
+
+func (t *fakeTable) Commit(_ context.Context, txn platform.Txn) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return &platform.Error{Kind: platform.KindUnavailable, Op: "commit"}
+	}
+	for _, p := range txn.Require {
+		if t.rows[p.Key].Version != p.Version {
+			return &platform.Error{Kind: platform.KindConflict, Op: "commit", Keys: []string{p.Key}}
+		}
+	}
+	for _, w := range txn.Writes {
+		t.next++
+		t.writes++
+		t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: t.next}
+	}
+	if t.loseAll {
+		return &platform.Error{Kind: platform.KindUncertain, Op: "commit"}
+	}
+	return nil
+}
+
+// fakeMesh carries calls between the services of a test.
+type fakeMesh struct {
+	mu       sync.Mutex
+	handlers map[string]map[string]rpc.HandlerFunc
+	cut      map[string]bool // addresses that nobody reaches
+	delay    func(addr, method string)
+	calls    map[string]int
+}
+
+func newFakeMesh() *fakeMesh {
+	return &fakeMesh{
+		handlers: map[string]map[string]rpc.HandlerFunc{},
+		cut:      map[string]bool{},
+		calls:    map[string]int{},
+	}
+}
+
+func (m *fakeMesh) setCut(addr string, cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut[addr] = cut
+}
+
+func (m *fakeMesh) Call(ctx context.Context, addr, method string, params, result any) error {
+	m.mu.Lock()
+	h := m.handlers[addr][method]
+	cut := m.cut[addr]
+	delay := m.delay
+	m.calls[method]++
+	m.mu.Unlock()
+	if cut || h == nil {
+		return errors.Errorf("%s unreachable", addr)
+	}
+	in, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	res, err := h(ctx, in)
+	if err != nil {
+		return err
+	}
+	if delay != nil {
+		delay(addr, method)
+	}
+	out, err := json.Marshal(res)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(out, result)
+}
+
+type meshRegistrar struct {
+	mesh *fakeMesh
+	addr string
+}
+
+func (r meshRegistrar) Handle(method string, h rpc.HandlerFunc) {
+	r.mesh.mu.Lock()
+	defer r.mesh.mu.Unlock()
+	if r.mesh.handlers[r.addr] == nil {
+		r.mesh.handlers[r.addr] = map[string]rpc.HandlerFunc{}
+	}
+	r.mesh.handlers[r.addr][method] = h
+}
+
+// fakeConfig is a configuration in memory.
+type fakeConfig struct {
+	revision    uint64
+	dataCentres []string
+	limits      map[string]Limits
+}
+
+func (c *fakeConfig) Revision() uint64 { return c.revision }
+func (c *fakeConfig) Workspace(name string) (Limits, bool) {
+	l, ok := c.limits[name]
+	return l, ok
+}
+func (c *fakeConfig) DataCentres() []string { return c.dataCentres }
+
+// fleet is a set of services on one fake table, mesh and clock.
+type fleet struct {
+	clock    *fakeClock
+	table    *fakeTable
+	mesh     *fakeMesh
+	config   *fakeConfig
+	peers    []member.Daemon
+	services map[string]*Service
+}
+
+func newFleet(cfg *fakeConfig, hostsPerDC int) *fleet {
+	f := &fleet{
+		clock:    newFakeClock(),
+		table:    newFakeTable(),
+		mesh:     newFakeMesh(),
+		config:   cfg,
+		services: map[string]*Service{},
+	}
+	for _, dc := range cfg.dataCentres {
+		for i := range hostsPerDC {
+			host := fmt.Sprintf("%s-%d", dc, i)
+			f.peers = append(f.peers, member.Daemon{
+				Host: host, DataCentre: dc, Incarnation: 1, State: member.StateServing, RPCAddr: host + ":1",
+			})
+		}
+	}
+	for _, p := range f.peers {
+		f.start(p)
+	}
+	return f
+}
+
+func (f *fleet) start(self member.Daemon) *Service {
+	s := New(Options{
+		Self:   self,
+		Table:  f.table,
+		RPC:    f.mesh,
+		Config: func() Config { return f.config },
+		Peers:  func() []member.Daemon { return f.peers },
+		Clock:  f.clock.Now,
+		Shards: 2,
+	})
+	s.Register(meshRegistrar{mesh: f.mesh, addr: self.RPCAddr})
+	f.services[self.Host] = s
+	return s
+}
+
+// step has each service step once, except those named.
+func (f *fleet) step(except ...string) {
+	for _, p := range f.peers {
+		skip := false
+		for _, e := range except {
+			skip = skip || e == p.Host
+		}
+		if !skip {
+			f.services[p.Host].Step(context.Background())
+		}
+	}
+}
--- /dev/null
+++ b/limiter/handover.go
@@ -0,0 +1,89 @@
+package limiter
+
+import (
+	"context"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/limit"
+)
+
+// Release gives up all rows for a planned stop. The best other candidate of
+// each row gets the levels and takes the row at its next step.
+func (s *Service) Release(ctx context.Context) {
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
+	for _, o := range s.owned() {
+		s.releaseRow(ctx, o)
+	}
+}
+
+func (s *Service) isStopping() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.stopping
+}
+
+func (s *Service) releaseRow(ctx context.Context, o *owner) {
+	rec, version, _ := o.forRenewal(s.opts.Clock())
+	levels := s.surrender(o)
+	s.drop(o)
+	heir := s.handOver(o.row, rec.Epoch, levels)
+	s.writeRow(ctx, o.row, version, rec.Release(heir)) //nolint:errcheck // the successor waits for the lease instead
+}
+
+func (s *Service) surrender(o *owner) []handoverLevel {
+	cfg := s.opts.Config()
+	if cfg == nil {
+		o.end()
+		return nil
+	}
+	return o.surrender(s.opts.Clock(), cfg)
+}
+
+// handOver passes levels to the successor and returns its host. A lost message
+// loses the tokens.
+func (s *Service) handOver(row rowID, epoch uint64, levels []handoverLevel) string {
+	req := handoverRequest{Row: row, Epoch: epoch, Levels: levels}
+	for _, d := range candidates(s.opts, row) {
+		if d.Host == s.opts.Self.Host {
+			continue
+		}
+		var reply handoverReply
+		err := s.callTimely(d.RPCAddr, methodHandover, req, &reply)
+		if err == nil && reply.Kept {
+			s.counters.handedOver.Add(1)
+			return d.Host
+		}
+	}
+	return ""
+}
+
+// handedOver reports whether the owner of the epoch has passed its levels to
+// this daemon, which proves that it has stopped granting.
+func (s *Service) handedOver(row rowID, epoch uint64) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	h, ok := s.handed[row]
+	return ok && h.Epoch == epoch
+}
+
+// fillHanded starts the buckets with the levels passed on from the epoch
+// before. Each is cut to what this daemon may hold.
+func (s *Service) fillHanded(o *owner, epoch uint64, now time.Time) {
+	s.mu.RLock()
+	h, ok := s.handed[o.row]
+	s.mu.RUnlock()
+	cfg := s.opts.Config()
+	if !ok || h.Epoch != epoch || cfg == nil {
+		return
+	}
+	for _, l := range h.Levels {
+		a, _, ok := allotmentOf(cfg, o.row.DataCentre, l.Workspace)
+		if !ok {
+			continue
+		}
+		t := a.total.Scale(a.share * o.session.Record.Fraction)
+		o.buckets[l.Workspace] = &bucket{Bucket: limit.NewBucket(now, t, l.Level)}
+	}
+}
--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,230 @@
+package limiter
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/gooseberryshed/gooseberryshed/limit"
+	"github.com/gooseberryshed/gooseberryshed/platform"
+)
+
+const testStep = 3 * time.Second
+
+func threeCentres() *fakeConfig {
+	return &fakeConfig{
+		revision:    1,
+		dataCentres: []string{"a", "b", "c"},
+		limits: map[string]Limits{
+			"large": {Rate: 30, Burst: 60},
+			"small": {Rate: 1, Burst: 3},
+		},
+	}
+}
+
+// takeAll takes n times at one host and counts grants, refusals and errors.
+func takeAll(t *testing.T, f *fleet, host, workspace string, n int) (allowed, denied, noOwner int) {
+	t.Helper()
+	for range n {
+		d, err := f.services[host].Take(context.Background(), workspace)
+		var e *Error
+		switch {
+		case errors.As(err, &e) && e.Kind == KindNoOwner:
+			noOwner++
+		case err != nil:
+			t.Fatal(err)
+		case d.Allowed:
+			allowed++
+		default:
+			denied++
+		}
+	}
+	return allowed, denied, noOwner
+}
+
+// warm has all rows taken and all buckets full.
+func warm(t *testing.T, f *fleet, workspace string) {
+	t.Helper()
+	f.step()
+	f.step()
+	for host := range f.services {
+		takeAll(t, f, host, workspace, 1)
+	}
+	for range 40 {
+		f.clock.Advance(testStep)
+		f.step()
+	}
+}
+
+// ownerHost returns the host that owns the workspace's row in a data centre.
+func ownerHost(f *fleet, dc, workspace string) string {
+	row := rowID{DataCentre: dc, Shard: limit.Shard(workspace, 2)}
+	for host, s := range f.services {
+		if o := s.ownerOf(row); o != nil && o.fraction(f.clock.Now()) > 0 {
+			return host
+		}
+	}
+	return ""
+}
+
+func TestSkewedDemandReachesTheWholeBurst(t *testing.T) {
+	f := newFleet(threeCentres(), 3)
+	warm(t, f, "large")
+	allowed, denied, _ := takeAll(t, f, "a-0", "large", 100)
+	assert.Assert(t, allowed <= 60, "allowed %d", allowed)
+	assert.Assert(t, allowed >= 57, "allowed %d", allowed)
+	assert.Equal(t, denied, 100-allowed)
+}
+
+func TestSmallBurstIsNotSplit(t *testing.T) {
+	f := newFleet(threeCentres(), 3)
+	warm(t, f, "small")
+	allowed, _, _ := takeAll(t, f, "a-0", "small", 2)
+	more, _, _ := takeAll(t, f, "b-1", "small", 2)
+	assert.Equal(t, allowed+more, 3)
+}
+
+func TestOwnerOutOfReachIsPassedOver(t *testing.T) {
+	f := newFleet(threeCentres(), 3)
+	warm(t, f, "large")
+	lost := ownerHost(f, "a", "large")
+	f.mesh.setCut(lost+":1", true)
+	from := "a-0"
+	if lost == from {
+		from = "a-1"
+	}
+	allowed, denied, noOwner := takeAll(t, f, from, "large", 20)
+	assert.Equal(t, allowed, 20)
+	assert.Equal(t, denied+noOwner, 0)
+}
+
+func TestNoOwnerIsNotRateExceeded(t *testing.T) {
+	f := newFleet(threeCentres(), 3)
+	warm(t, f, "small")
+	for _, p := range f.peers[1:] {
+		f.mesh.setCut(p.RPCAddr, true)
+	}
+	home := limit.NewLayout(f.config.dataCentres, "small", 3).Holders[0]
+	from := "a-0"
+	if ownerHost(f, home, "small") == from {
+		t.Skip("the caller is the owner")
+	}
+	_, err := f.services[from].Take(context.Background(), "small")
+	var e *Error
+	assert.Assert(t, errors.As(err, &e))
+	assert.Equal(t, e.Kind, KindNoOwner)
+}
+
+func TestLostOwnerIsReplacedAfterTheLease(t *testing.T) {
+	f := newFleet(threeCentres(), 3)
+	warm(t, f, "large")
+	lost := ownerHost(f, "a", "large")
+	f.mesh.setCut(lost+":1", true)
+	for range 3 {
+		f.clock.Advance(testStep)
+		f.step(lost)
+		assert.Assert(t, f.services[lost].Stats().RowsOwned > 0)
+	}
+	before := ownerHost(f, "a", "large")
+	assert.Equal(t, before, lost)
+	f.clock.Advance(testStep)
+	f.step(lost)
+	f.clock.Advance(testStep)
+	f.step(lost)
+	// The former owner keeps the standing fraction, the taker has the rest.
+	row := rowID{DataCentre: "a", Shard: limit.Shard("large", 2)}
+	var sum float64
+	for _, s := range f.services {
+		if o := s.ownerOf(row); o != nil {
+			sum += o.fraction(f.clock.Now())
+		}
+	}
+	assert.Equal(t, sum, 1.0)
+}
+
+func TestNewIncarnationGivesTheWholeFraction(t *testing.T) {
+	f := newFleet(threeCentres(), 3)
+	warm(t, f, "large")
+	lost := ownerHost(f, "a", "large")
+	for i := range f.peers {
+		if f.peers[i].Host == lost {
+			f.peers[i].Incarnation = 2
+			f.start(f.peers[i])
+		}
+	}
+	for range 2 {
+		f.clock.Advance(testStep)
+		f.step()
+	}
+	row := rowID{DataCentre: "a", Shard: limit.Shard("large", 2)}
+	now := ownerHost(f, "a", "large")
+	assert.Assert(t, now != "")
+	assert.Equal(t, f.services[now].ownerOf(row).fraction(f.clock.Now()), 1.0)
+}
+
+func TestPlannedStopHandsLevelsOver(t *testing.T) {
+	f := newFleet(threeCentres(), 3)
+	warm(t, f, "large")
+	stop := ownerHost(f, "a", "large")
+	f.services[stop].Release(context.Background())
+	f.step(stop)
+	next := ownerHost(f, "a", "large")
+	assert.Assert(t, next != "" && next != stop)
+	o := f.services[next].ownerOf(rowID{DataCentre: "a", Shard: limit.Shard("large", 2)})
+	assert.Assert(t, o.buckets["large"].Level() >= 19, "level %v", o.buckets["large"].Level())
+	assert.Equal(t, o.fraction(f.clock.Now()), 1.0)
+}
+
+func TestTableOutageKeepsTheStandingFraction(t *testing.T) {
+	f := newFleet(threeCentres(), 3)
+	warm(t, f, "large")
+	f.table.down = true
+	for range 100 {
+		f.clock.Advance(testStep)
+		f.step()
+	}
+	allowed, _, noOwner := takeAll(t, f, "b-0", "large", 100)
+	assert.Assert(t, allowed >= 27 && allowed <= 30, "allowed %d", allowed)
+	assert.Equal(t, noOwner, 0)
+}
+
+func TestLostRepliesOfTheTableAreReadBack(t *testing.T) {
+	f := newFleet(threeCentres(), 3)
+	f.table.loseAll = true
+	warm(t, f, "large")
+	allowed, _, _ := takeAll(t, f, "a-0", "large", 30)
+	assert.Equal(t, allowed, 30)
+}
+
+func TestReplyOfPausedOwnerIsDropped(t *testing.T) {
+	f := newFleet(threeCentres(), 3)
+	warm(t, f, "small")
+	home := limit.NewLayout(f.config.dataCentres, "small", 3).Holders[0]
+	owner := ownerHost(f, home, "small")
+	from := "a-0"
+	if owner == from {
+		from = "b-0"
+	}
+	f.mesh.delay = func(addr, method string) { f.clock.Advance(20 * time.Second) }
+	_, err := f.services[from].Take(context.Background(), "small")
+	var e *Error
+	assert.Assert(t, errors.As(err, &e))
+	assert.Assert(t, f.services[from].Stats().LateReplies > 0)
+}
+
+func TestBarredEpochIsNotInstalled(t *testing.T) {
+	f := newFleet(threeCentres(), 1)
+	s := f.services["a-0"]
+	row := rowID{DataCentre: "a", Shard: 0}
+	reply, err := s.serveYield(context.Background(), yieldRequest{Row: row, Epoch: 1})
+	assert.NilError(t, err)
+	assert.Assert(t, !reply.Holding)
+	next, _ := limit.Record{}.TakeOver(s.opts.owner(), s.policy, limit.EvidenceGone, 1)
+	s.takeRow(context.Background(), row, limit.Record{}, 0, next)
+	assert.Assert(t, s.ownerOf(row) == nil)
+	_, err = f.table.Get(context.Background(), row.key())
+	assert.Assert(t, !platform.IsKind(err, platform.KindNotFound))
+}
--- /dev/null
+++ b/limiter/owner.go
@@ -0,0 +1,192 @@
+package limiter
+
+import (
+	"sync"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/limit"
+)
+
+// owner is this daemon's ownership of one row: the session and the buckets.
+type owner struct {
+	row    rowID
+	policy limit.Policy
+
+	mu      sync.Mutex
+	session limit.Session
+	version uint64
+	// writtenAt is when the last write of the row was known to have succeeded.
+	writtenAt time.Time
+	buckets   map[string]*bucket
+}
+
+// bucket is a workspace's bucket with the state of its pulls.
+type bucket struct {
+	limit.Bucket
+	// pulling is closed when the pull under way ends; nil when there is none.
+	pulling chan struct{}
+	// dryUntil is when asking other owners is worth while again.
+	dryUntil time.Time
+}
+
+// allotment is what the configuration gives one data centre of a workspace.
+type allotment struct {
+	share float64
+	total limit.Terms
+}
+
+// allotmentOf returns what a data centre gets of a workspace, and the layout.
+func allotmentOf(cfg Config, dataCentre, workspace string) (allotment, limit.Layout, bool) {
+	w, ok := cfg.Workspace(workspace)
+	if !ok {
+		return allotment{}, limit.Layout{}, false
+	}
+	layout := limit.NewLayout(cfg.DataCentres(), workspace, w.Burst)
+	total := limit.Terms{Rate: w.Rate, Cap: float64(w.Burst)}
+	return allotment{share: layout.Share(dataCentre), total: total}, layout, true
+}
+
+// grant is an owner's answer to an ask.
+type grant struct {
+	n    int
+	wait time.Duration
+	// mayPull says that other owners may have tokens and none is being asked.
+	mayPull bool
+	// pulling is the pull under way, if any.
+	pulling <-chan struct{}
+}
+
+// take grants up to n tokens. ok is false when the lease allows no grant.
+func (o *owner) take(now time.Time, a allotment, workspace string, n int) (g grant, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	b, t, ok := o.bucket(now, a, workspace)
+	if !ok {
+		return grant{}, false
+	}
+	g.n = b.Take(now, t, n)
+	if g.n < n {
+		g.wait = max(b.Wait(a.total.Rate), b.dryUntil.Sub(now))
+		g.pulling = b.pulling
+		g.mayPull = b.pulling == nil && !now.Before(b.dryUntil)
+	}
+	return g, true
+}
+
+// give deducts up to want tokens for another owner.
+func (o *owner) give(now time.Time, a allotment, workspace string, want int) (int, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	b, t, ok := o.bucket(now, a, workspace)
+	if !ok {
+		return 0, false
+	}
+	return b.Give(now, t, want), true
+}
+
+// startPull reserves room for up to want tokens. It returns 0 when there is no
+// room or a pull is under way.
+func (o *owner) startPull(now time.Time, a allotment, workspace string, want int) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	b, t, ok := o.bucket(now, a, workspace)
+	if !ok || b.pulling != nil {
+		return 0
+	}
+	reserved := b.Reserve(now, t, want)
+	if reserved > 0 {
+		b.pulling = make(chan struct{})
+	}
+	return reserved
+}
+
+// endPull ends a pull: got tokens arrived, and if there were none, other owners
+// are not asked again before dryUntil.
+func (o *owner) endPull(now time.Time, a allotment, workspace string, reserved, got int, dryUntil time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	b, t, ok := o.bucket(now, a, workspace)
+	if !ok {
+		return
+	}
+	b.Deposit(now, t, reserved, got)
+	b.dryUntil = dryUntil
+	if b.pulling != nil {
+		close(b.pulling)
+		b.pulling = nil
+	}
+}
+
+// bucket returns the workspace's bucket and present terms.
+func (o *owner) bucket(now time.Time, a allotment, workspace string) (*bucket, limit.Terms, bool) {
+	fraction := o.session.Fraction(now, o.policy)
+	if fraction <= 0 {
+		return nil, limit.Terms{}, false
+	}
+	t := a.total.Scale(a.share * fraction)
+	b, ok := o.buckets[workspace]
+	if !ok {
+		b = &bucket{Bucket: limit.NewBucket(now, t, 0)}
+		o.buckets[workspace] = b
+	}
+	return b, t, true
+}
+
+func (o *owner) fraction(now time.Time) float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.session.Fraction(now, o.policy)
+}
+
+// end stops all grants for good.
+func (o *owner) end() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.endLocked()
+}
+
+func (o *owner) endLocked() {
+	o.session.Ended = true
+	for _, b := range o.buckets {
+		if b.pulling != nil {
+			close(b.pulling)
+			b.pulling = nil
+		}
+	}
+	o.buckets = map[string]*bucket{}
+}
+
+// surrender stops all grants for good and returns the levels left.
+func (o *owner) surrender(now time.Time, cfg Config) []handoverLevel {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var levels []handoverLevel
+	for w := range o.buckets {
+		a, _, ok := allotmentOf(cfg, o.row.DataCentre, w)
+		if !ok {
+			continue
+		}
+		b, t, ok := o.bucket(now, a, w)
+		if !ok {
+			break
+		}
+		b.Update(now, t)
+		if b.Level() > 0 {
+			levels = append(levels, handoverLevel{Workspace: w, Level: b.Level()})
+		}
+	}
+	o.endLocked()
+	return levels
+}
+
+func (o *owner) stats(now time.Time) (owned, lapsed, buckets int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.session.Ended {
+		return 0, 0, 0
+	}
+	if o.session.Lapsed(now, o.policy) {
+		lapsed = 1
+	}
+	return 1, lapsed, int64(len(o.buckets))
+}
--- /dev/null
+++ b/limiter/router.go
@@ -0,0 +1,116 @@
+package limiter
+
+import (
+	"sync"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/limit"
+	"github.com/gooseberryshed/gooseberryshed/member"
+)
+
+// avoidTime is how long an address that failed is not asked again.
+const avoidTime = time.Second
+
+// maxCandidates is how many daemons may take a row; others never read it.
+const maxCandidates = 2
+
+// ownerReply is a reply that may say that the asked daemon is not the owner.
+type ownerReply interface {
+	redirect() (notOwner bool, hint *limit.Owner)
+}
+
+func (r *takeReply) redirect() (bool, *limit.Owner) { return r.NotOwner, r.Owner }
+func (r *giveReply) redirect() (bool, *limit.Owner) { return r.NotOwner, r.Owner }
+
+// router finds the address of a row's owner.
+type router struct {
+	opts Options
+
+	mu    sync.Mutex
+	known map[rowID]string
+	avoid map[string]time.Time
+}
+
+func newRouter(opts Options) *router {
+	return &router{opts: opts, known: map[rowID]string{}, avoid: map[string]time.Time{}}
+}
+
+// route returns the next address to ask, skipping those tried and those that
+// failed a moment ago.
+func (r *router) route(row rowID, tried map[string]bool, now time.Time) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if addr, ok := r.known[row]; ok && r.usable(addr, tried, now) {
+		return addr, true
+	}
+	for _, d := range candidates(r.opts, row) {
+		if d.RPCAddr != r.opts.Self.RPCAddr && r.usable(d.RPCAddr, tried, now) {
+			return d.RPCAddr, true
+		}
+	}
+	return "", false
+}
+
+func (r *router) usable(addr string, tried map[string]bool, now time.Time) bool {
+	return !tried[addr] && !now.Before(r.avoid[addr])
+}
+
+// found notes the owner of a row.
+func (r *router) found(row rowID, addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.known[row] = addr
+	delete(r.avoid, addr)
+}
+
+// failed notes that an address did not answer in time.
+func (r *router) failed(row rowID, addr string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.avoid[addr] = now.Add(avoidTime)
+	for a, until := range r.avoid {
+		if now.After(until) {
+			delete(r.avoid, a)
+		}
+	}
+}
+
+// redirected notes that a daemon is not the owner and who may be.
+func (r *router) redirected(row rowID, addr string, hint *limit.Owner) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.known[row] == addr {
+		delete(r.known, row)
+	}
+	if hint != nil && hint.Addr != addr {
+		r.known[row] = hint.Addr
+	}
+}
+
+// candidates returns the daemons that may take a row, best first: those that
+// serve in its data centre, or anywhere when there are none.
+func candidates(opts Options, row rowID) []member.Daemon {
+	byHost := map[string]member.Daemon{opts.Self.Host: opts.Self}
+	for _, d := range opts.Peers() {
+		if d.Host != opts.Self.Host && d.State == member.StateServing {
+			byHost[d.Host] = d
+		}
+	}
+	var local, all []string
+	for host, d := range byHost {
+		all = append(all, host)
+		if d.DataCentre == row.DataCentre {
+			local = append(local, host)
+		}
+	}
+	if len(local) == 0 {
+		local = all
+	}
+	order := limit.Candidates(local, row.key())
+	order = order[:min(len(order), maxCandidates)]
+	daemons := make([]member.Daemon, 0, len(order))
+	for _, host := range order {
+		daemons = append(daemons, byHost[host])
+	}
+	return daemons
+}
--- /dev/null
+++ b/limiter/rows.go
@@ -0,0 +1,171 @@
+package limiter
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gooseberryshed/gooseberryshed/limit"
+	"github.com/gooseberryshed/gooseberryshed/platform"
+)
+
+// maxRowWork is how many rows are read or written at the same time.
+const maxRowWork = 8
+
+// maxKicks bounds the rows waiting to be looked at ahead of their time.
+const maxKicks = 64
+
+// bootInterval is the time between steps while some row has not been read yet.
+const bootInterval = 200 * time.Millisecond
+
+// watched is a candidate's view of a row that it does not own.
+type watched struct {
+	watch  limit.Watch
+	record limit.Record
+}
+
+// Run renews this daemon's rows and takes over those of lost owners until ctx
+// ends.
+func (s *Service) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case row := <-s.kicks:
+			s.stepRow(ctx, row)
+		case <-timer.C:
+			s.Step(ctx)
+			timer.Reset(s.interval())
+		}
+	}
+}
+
+// interval is the time to the next step.
+func (s *Service) interval() time.Duration {
+	cfg := s.opts.Config()
+	if cfg == nil {
+		return bootInterval
+	}
+	for _, row := range s.myRows(cfg) {
+		if !s.seen(row) {
+			return bootInterval
+		}
+	}
+	return s.opts.Lease / renewalsPerLease
+}
+
+// seen reports whether this daemon owns the row or has read it.
+func (s *Service) seen(row rowID) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.owners[row] != nil || s.watches[row] != nil
+}
+
+// kick has Run look at a row at once.
+func (s *Service) kick(row rowID) {
+	select {
+	case s.kicks <- row:
+	default:
+	}
+}
+
+// Step renews and watches each row once.
+func (s *Service) Step(ctx context.Context) {
+	cfg := s.opts.Config()
+	if cfg == nil {
+		return
+	}
+	var g errgroup.Group
+	g.SetLimit(maxRowWork)
+	for _, row := range s.myRows(cfg) {
+		g.Go(func() error {
+			s.stepRow(ctx, row)
+			return nil
+		})
+	}
+	g.Wait() //nolint:errcheck // no step returns an error
+}
+
+// myRows lists the rows that this daemon owns or is a candidate for.
+func (s *Service) myRows(cfg Config) []rowID {
+	var rows []rowID
+	for _, dc := range cfg.DataCentres() {
+		for shard := range s.opts.Shards {
+			row := rowID{DataCentre: dc, Shard: shard}
+			if s.ownerOf(row) != nil || s.isCandidate(row) {
+				rows = append(rows, row)
+			}
+		}
+	}
+	return rows
+}
+
+func (s *Service) isCandidate(row rowID) bool {
+	for _, d := range candidates(s.opts, row) {
+		if d.Host == s.opts.Self.Host {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Service) stepRow(ctx context.Context, row rowID) {
+	if o := s.ownerOf(row); o != nil {
+		s.renew(ctx, o)
+		return
+	}
+	s.watchRow(ctx, row)
+}
+
+// readRow reads a row; a missing one has version 0 and an empty record.
+func (s *Service) readRow(ctx context.Context, row rowID) (limit.Record, uint64, error) {
+	s.counters.tableReads.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, s.opts.TableTimeout)
+	defer cancel()
+	r, err := s.opts.Table.Get(ctx, row.key())
+	if platform.IsKind(err, platform.KindNotFound) {
+		return limit.Record{}, 0, nil
+	}
+	if err != nil {
+		return limit.Record{}, 0, err
+	}
+	var rec limit.Record
+	err = json.Unmarshal(r.Value, &rec)
+	return rec, r.Version, errors.Wrapf(err, "row %s", row.key())
+}
+
+// writeRow replaces the row if it has the given version and returns the new
+// version. An uncertain commit is read back.
+func (s *Service) writeRow(ctx context.Context, row rowID, version uint64, rec limit.Record) (uint64, error) {
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return 0, errors.Wrapf(err, "row %s", row.key())
+	}
+	s.counters.tableWrites.Add(1)
+	err = s.commit(ctx, row, version, value)
+	if err != nil && !platform.IsKind(err, platform.KindUncertain) {
+		return 0, err
+	}
+	found, now, rerr := s.readRow(ctx, row)
+	if rerr != nil {
+		return 0, rerr
+	}
+	if found.Owner != rec.Owner || found.Epoch != rec.Epoch || found.Beat != rec.Beat {
+		return 0, &platform.Error{Kind: platform.KindConflict, Op: "commit " + row.key()}
+	}
+	return now, nil
+}
+
+func (s *Service) commit(ctx context.Context, row rowID, version uint64, value []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, s.opts.TableTimeout)
+	defer cancel()
+	return s.opts.Table.Commit(ctx, platform.Txn{
+		Require: []platform.Precondition{{Key: row.key(), Version: version}},
+		Writes:  []platform.Write{{Key: row.key(), Value: value}},
+	})
+}
