Add fabric: faults on single links between processes

One-way partitions and connections that go silent must be brought about between real daemons, per link and per direction.

--- /dev/null
+++ b/internal/e2e/fabric/fabric_test.go
@@ -0,0 +1,120 @@
+package fabric
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const silence = 200 * time.Millisecond
+
+// echo answers each line with itself and counts the lines.
+func echo(t *testing.T) (addr string, lines chan string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	lines = make(chan string, 100)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				scan := bufio.NewScanner(c)
+				for scan.Scan() {
+					lines <- scan.Text()
+					_, _ = io.WriteString(c, scan.Text()+"\n")
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), lines
+}
+
+func setup(t *testing.T) (addr string, f *Fabric, lines chan string) {
+	t.Helper()
+	f = New()
+	t.Cleanup(f.Close)
+	f.AddHost("a", "127.9.0.1")
+	f.AddHost("c", "127.9.0.3")
+	addr, err := f.Advertise("b", "rpc", "127.9.0.2")
+	assert.NilError(t, err)
+	upstream, lines := echo(t)
+	f.SetUpstream("b", "rpc", upstream)
+	return addr, f, lines
+}
+
+func dial(t *testing.T, from, addr string) net.Conn {
+	t.Helper()
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+	c, err := d.Dial("tcp", addr)
+	assert.NilError(t, err)
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// ask sends a line and reports whether its echo came.
+func ask(t *testing.T, c net.Conn) bool {
+	t.Helper()
+	_, err := io.WriteString(c, "x\n")
+	if err != nil {
+		return false
+	}
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(silence)))
+	_, err = io.ReadFull(c, make([]byte, 2))
+	return err == nil
+}
+
+func TestCutsOnlyTheLinkNamed(t *testing.T) {
+	addr, f, lines := setup(t)
+	a, c := dial(t, "127.9.0.1", addr), dial(t, "127.9.0.3", addr)
+	assert.Assert(t, ask(t, a))
+	f.Cut("a", "b", BothWays)
+	assert.Assert(t, !ask(t, a))
+	assert.Assert(t, !ask(t, dial(t, "127.9.0.1", addr)), "a new connection is cut too")
+	assert.Assert(t, ask(t, c))
+	assert.Equal(t, len(lines), 2)
+	f.Heal("a", "b")
+	assert.Assert(t, ask(t, dial(t, "127.9.0.1", addr)))
+}
+
+func TestOneWayCutLosesTheSendersBytesOnly(t *testing.T) {
+	for _, c := range []struct {
+		from, to string
+		arrived  int
+	}{{"a", "b", 0}, {"b", "a", 1}} {
+		t.Run(c.from, func(t *testing.T) {
+			addr, f, lines := setup(t)
+			conn := dial(t, "127.9.0.1", addr)
+			f.Cut(c.from, c.to, OneWay)
+			assert.Assert(t, !ask(t, conn))
+			assert.Equal(t, len(lines), c.arrived)
+		})
+	}
+}
+
+func TestSilenceSparesNewConnections(t *testing.T) {
+	addr, f, _ := setup(t)
+	old := dial(t, "127.9.0.1", addr)
+	assert.Assert(t, ask(t, old))
+	f.Silence("a", "b")
+	assert.Assert(t, !ask(t, old))
+	assert.Assert(t, ask(t, dial(t, "127.9.0.1", addr)))
+}
+
+func TestUpstreamMoves(t *testing.T) {
+	addr, f, first := setup(t)
+	assert.Assert(t, ask(t, dial(t, "127.9.0.1", addr)))
+	upstream, second := echo(t)
+	f.SetUpstream("b", "rpc", upstream)
+	assert.Assert(t, ask(t, dial(t, "127.9.0.1", addr)))
+	assert.Equal(t, len(first), 1)
+	assert.Equal(t, len(second), 1)
+}
