Add process harness and the end-to-end tests, not run yet

The tests start real daemons over three data centres with a target beside each, learn addresses from the log line "listening" and pass every link through package fabric.

--- /dev/null
+++ b/internal/e2e/harness/fleet.go
@@ -0,0 +1,300 @@
+package harness
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/internal/e2e/fabric"
+	"github.com/gooseberryshed/gooseberryshed/internal/e2e/trace"
+	"github.com/gooseberryshed/gooseberryshed/internal/standin/record"
+	"github.com/gooseberryshed/gooseberryshed/internal/standin/target"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// PlatformHost names the platform in the fabric.
+	PlatformHost = "platform"
+	platformIP   = "127.20.0.1"
+	dataCentres  = 3
+	defaultHosts = 6
+	// readyBound is how long a fleet may take until it serves everywhere.
+	readyBound = 30 * time.Second
+	// clusterSecret is shared by the daemons of a fleet.
+	clusterSecret = "cluster-secret-of-the-tests"
+	// fleetsAtOnce bounds the processes of parallel tests.
+	fleetsAtOnce = 3
+)
+
+// running bounds the fleets that run at once.
+var running = make(chan struct{}, fleetsAtOnce)
+
+// Options of a fleet.
+type Options struct {
+	// Hosts is the number of daemons, each with one target. It defaults to 6.
+	Hosts int
+	// Document is the configuration. It defaults to Document(nil, nil).
+	Document string
+	// Slots of each target; it defaults to 7.
+	Slots int
+	// Bears makes the targets start cold.
+	Bears int
+}
+
+// Host is one daemon with its target.
+type Host struct {
+	Name, DataCentre string
+	Daemon, Target   *Process
+	ip               string
+	args             []string
+	runLog           string
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Fabric   *fabric.Fabric
+	Platform *Process
+	Hosts    []*Host
+	t        testing.TB
+	opts     Options
+	dir      string
+	// peers are the rpc addresses of all daemons.
+	peers       string
+	platformURL string
+
+	mu    sync.Mutex
+	calls []trace.Call
+	// clients by host, workspace and address keep connections open.
+	clients map[clientKey]*fasthttp.HostClient
+	nextID  int
+}
+
+// Start starts a fleet and waits until every daemon serves.
+func Start(t testing.TB, opts Options) *Fleet {
+	t.Helper()
+	if opts.Hosts == 0 {
+		opts.Hosts = defaultHosts
+	}
+	if opts.Document == "" {
+		opts.Document = Document(nil, nil)
+	}
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
+	f := &Fleet{Fabric: fabric.New(), t: t, opts: opts, dir: t.TempDir(), clients: make(map[clientKey]*fasthttp.HostClient)}
+	t.Cleanup(f.Fabric.Close)
+	t.Cleanup(f.showLogs)
+	f.startPlatform()
+	f.MustCLI("config", "apply", f.WriteFile("document.yaml", opts.Document))
+	for i := range opts.Hosts {
+		f.addHost(i)
+	}
+	for _, h := range f.Hosts {
+		f.StartDaemon(h)
+	}
+	for _, h := range f.Hosts {
+		f.StartTarget(h, opts.Bears)
+	}
+	for i := range f.Hosts {
+		f.WaitServing(i)
+	}
+	f.mu.Lock()
+	f.calls = nil
+	f.mu.Unlock()
+	return f
+}
+
+func (f *Fleet) startPlatform() {
+	f.Platform = startProcess(f.t, PlatformHost, binaries.platform, nil, "--listen", "127.0.0.1:0")
+	f.Fabric.AddHost(PlatformHost, platformIP)
+	addr, err := f.Fabric.Advertise(PlatformHost, "http", platformIP)
+	f.must(err)
+	f.Fabric.SetUpstream(PlatformHost, "http", f.Platform.Addrs["address"])
+	f.platformURL = "http://" + addr
+}
+
+// addHost reserves the advertised addresses of host number i.
+func (f *Fleet) addHost(i int) {
+	dc := i % dataCentres
+	h := &Host{
+		Name:       fmt.Sprintf("host%d", i+1),
+		DataCentre: fmt.Sprintf("dc%d", dc+1),
+		ip:         fmt.Sprintf("127.21.%d.%d", dc+1, i+1),
+	}
+	h.runLog = filepath.Join(f.dir, h.Name+".runs")
+	f.Fabric.AddHost(h.Name, h.ip)
+	h.args = []string{
+		"--host", h.Name, "--datacentre", h.DataCentre, "--source-address", h.ip,
+		"--platform", f.platformURL, "--cluster-secret", clusterSecret,
+	}
+	for _, port := range []string{"caller", "forward", "rpc", "announce", "admin"} {
+		h.args = append(h.args, "--"+port+"-listen", h.ip+":0")
+	}
+	for _, port := range []string{"forward", "rpc"} {
+		addr, err := f.Fabric.Advertise(h.Name, port, h.ip)
+		f.must(err)
+		h.args = append(h.args, "--"+port+"-advertise", addr)
+		if port == "rpc" {
+			f.peers = strings.TrimPrefix(f.peers+","+addr, ",")
+		}
+	}
+	f.Hosts = append(f.Hosts, h)
+}
+
+// StartDaemon starts the daemon of a host, anew if it ran before.
+func (f *Fleet) StartDaemon(h *Host) {
+	f.t.Helper()
+	args := append([]string{"--peers", f.peers}, h.args...)
+	if h.Daemon != nil {
+		// The host's target announces to this address for good.
+		args = append(args, "--announce-listen", h.Daemon.Addrs["announce"])
+	}
+	p := startProcess(f.t, h.Name, binaries.daemon, nil, args...)
+	f.mu.Lock()
+	h.Daemon = p
+	f.mu.Unlock()
+	for _, port := range []string{"forward", "rpc"} {
+		f.Fabric.SetUpstream(h.Name, port, p.Addrs[port])
+	}
+}
+
+// StartTarget starts the target of a host, anew if it ran before.
+func (f *Fleet) StartTarget(h *Host, bears int) {
+	f.t.Helper()
+	h.Target = startProcess(f.t, h.Name+"-target", binaries.target, nil,
+		"--name", h.Name, "--service", Service, "--announce", "http://"+h.Daemon.Addrs["announce"],
+		"--record", h.runLog, "--secrets", strings.Join(Secrets(), ","),
+		"--slots", fmt.Sprint(f.opts.Slots), "--bears", fmt.Sprint(bears))
+}
+
+// Faults sets the faults of a host's target.
+func (f *Fleet) Faults(h *Host, faults target.Faults) {
+	f.t.Helper()
+	f.post("http://"+h.Target.Addrs["control"]+"/faults", faults)
+}
+
+// platformFaults is the body of the stand-in platform's fault endpoint.
+type platformFaults struct {
+	Mode    string `json:"mode"`
+	DelayMS int    `json:"delay_ms"`
+}
+
+// PlatformMode sets the platform's mode: ok, down, slow or lose-replies.
+func (f *Fleet) PlatformMode(mode string) {
+	f.t.Helper()
+	f.post("http://"+f.Platform.Addrs["address"]+"/faults", platformFaults{Mode: mode, DelayMS: 500})
+}
+
+func (f *Fleet) post(url string, v any) {
+	f.t.Helper()
+	body, err := json.Marshal(v)
+	f.must(err)
+	resp, err := http.Post(url, "application/json", bytes.NewReader(body))
+	f.must(err)
+	resp.Body.Close()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		f.t.Fatalf("%s: status %d", url, resp.StatusCode)
+	}
+}
+
+// Status is what the tests read of a daemon's status.
+type Status struct {
+	Revision uint64 `json:"revision"`
+}
+
+// Status reads a daemon's status.
+func (f *Fleet) Status(h *Host) (Status, error) {
+	var s Status
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + h.Daemon.Addrs["admin"] + "/status")
+	if err != nil {
+		return s, err
+	}
+	defer resp.Body.Close()
+	return s, json.NewDecoder(resp.Body).Decode(&s)
+}
+
+// WaitServing waits until host number i answers a request, by its own target
+// when that is up.
+func (f *Fleet) WaitServing(i int) {
+	f.t.Helper()
+	var last trace.Call
+	ok := Poll(readyBound, func() bool {
+		last = f.Call(Request{Host: i, Workspace: "w1", Method: "GET"})
+		return last.Answered()
+	})
+	if !ok {
+		f.t.Fatalf("%s does not serve after %v: %+v", f.Hosts[i].Name, readyBound, last)
+	}
+}
+
+// Poll asks until done says so and reports whether it did within bound.
+func Poll(bound time.Duration, done func() bool) bool {
+	const pause = 50 * time.Millisecond
+	for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(pause) {
+		if done() {
+			return true
+		}
+	}
+	return false
+}
+
+// Runs returns what all targets recorded.
+func (f *Fleet) Runs() []record.Run {
+	f.t.Helper()
+	var all []record.Run
+	for _, h := range f.Hosts {
+		runs, err := record.Read(h.runLog)
+		f.must(err)
+		all = append(all, runs...)
+	}
+	return all
+}
+
+// Verify fails the test for each broken promise that must hold always. It
+// returns the calls and runs for further judgement.
+func (f *Fleet) Verify() ([]trace.Call, []record.Run) {
+	f.t.Helper()
+	calls, runs := f.Calls(), f.Runs()
+	f.Report(trace.Always(calls, runs))
+	return calls, runs
+}
+
+// Report fails the test for each violation, printing the first few.
+func (f *Fleet) Report(violations []trace.Violation) {
+	f.t.Helper()
+	const shown = 5
+	for i, v := range violations {
+		if i == shown {
+			f.t.Errorf("and %d more", len(violations)-shown)
+			return
+		}
+		f.t.Errorf("violation: %s", v)
+	}
+}
+
+func (f *Fleet) showLogs() {
+	if !f.t.Failed() {
+		return
+	}
+	f.t.Log(f.Platform.Log())
+	for _, h := range f.Hosts {
+		for _, p := range []*Process{h.Daemon, h.Target} {
+			if p != nil {
+				f.t.Log(p.Log())
+			}
+		}
+	}
+}
+
+func (f *Fleet) must(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/e2e/harness/operator.go
@@ -0,0 +1,142 @@
+package harness
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Service is the service of all targets.
+const Service = "orders"
+
+// workspaces of the standard document, each with the keys k1 and k2.
+var workspaces = []string{"w1", "w2", "w3"}
+
+// Secret returns the secret of a key.
+func Secret(workspace, keyID string) string { return "secret-of-" + workspace + "-" + keyID }
+
+// Secrets returns the secrets of all keys.
+func Secrets() []string {
+	var all []string
+	for _, ws := range workspaces {
+		all = append(all, Secret(ws, "k1"), Secret(ws, "k2"))
+	}
+	return append(all, clusterSecret)
+}
+
+// WorkspaceSpec changes a workspace of the standard document.
+type WorkspaceSpec struct {
+	Rate  string
+	Burst int
+	// Keys defaults to k1 and k2.
+	Keys []string
+}
+
+// ServiceSpec holds lines that are added to the service, without indentation.
+type ServiceSpec []string
+
+// Places returns the section of the data centres; those named are out.
+func Places(out ...string) string {
+	var b strings.Builder
+	b.WriteString("  - name: places\n    team: operations\n    datacentres:\n")
+	for i := range dataCentres {
+		name, state := fmt.Sprintf("dc%d", i+1), "in"
+		for _, o := range out {
+			if o == name {
+				state = "out"
+			}
+		}
+		fmt.Fprintf(&b, "      - {name: %s, region: r1, state: %s}\n", name, state)
+	}
+	return b.String()
+}
+
+// Workspaces returns the section of the workspaces.
+func Workspaces(changed map[string]WorkspaceSpec) string {
+	var b strings.Builder
+	b.WriteString("  - name: customers\n    team: sales\n    workspaces:\n")
+	for _, ws := range workspaces {
+		spec, ok := changed[ws]
+		if !ok {
+			spec = WorkspaceSpec{Rate: "2000/s", Burst: 2000}
+		}
+		if spec.Keys == nil {
+			spec.Keys = []string{"k1", "k2"}
+		}
+		fmt.Fprintf(&b, "      - name: %s\n        rate: %s\n        burst: %d\n        keys:\n", ws, spec.Rate, spec.Burst)
+		for _, k := range spec.Keys {
+			sum := sha256.Sum256([]byte(Secret(ws, k)))
+			fmt.Fprintf(&b, "          - {id: %s-%s, sha256: %s}\n", ws, k, hex.EncodeToString(sum[:]))
+		}
+	}
+	return b.String()
+}
+
+// Routes returns the section of the service and its routes: /orders for all
+// workspaces, /w1 for w1 alone and /open for all callers.
+func Routes(spec ServiceSpec) string {
+	if spec == nil {
+		spec = ServiceSpec{"timeout: 8s"}
+	}
+	var b strings.Builder
+	b.WriteString("  - name: shop\n    team: shop\n    services:\n      - name: " + Service + "\n")
+	for _, line := range spec {
+		b.WriteString("        " + line + "\n")
+	}
+	b.WriteString("    routes:\n")
+	fmt.Fprintf(&b, "      - {path: /orders, service: %s}\n", Service)
+	fmt.Fprintf(&b, "      - {path: /w1, service: %s, workspaces: [w1]}\n", Service)
+	fmt.Fprintf(&b, "      - {path: /open, service: %s, access: open}\n", Service)
+	return b.String()
+}
+
+// Document returns the whole configuration.
+func Document(changed map[string]WorkspaceSpec, spec ServiceSpec) string {
+	return "sections:\n" + Places() + Workspaces(changed) + Routes(spec)
+}
+
+// WriteFile writes a file for the command line and returns its path.
+func (f *Fleet) WriteFile(name, content string) string {
+	f.t.Helper()
+	path := filepath.Join(f.dir, name)
+	f.must(os.WriteFile(path, []byte(content), 0o600))
+	return path
+}
+
+// CLI runs the operators' command line and returns its output and exit status.
+func (f *Fleet) CLI(args ...string) (string, int) {
+	f.t.Helper()
+	cmd := exec.Command(binaries.cli, args...)
+	cmd.Env = append(os.Environ(), "GOOSEBERRYSHED_PLATFORM=http://"+f.Platform.Addrs["address"])
+	out, err := cmd.CombinedOutput()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		f.t.Errorf("gooseberryshed %v: %v", args, err)
+		return string(out), -1
+	}
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// MustCLI fails the test unless the command succeeds.
+func (f *Fleet) MustCLI(args ...string) string {
+	f.t.Helper()
+	out, status := f.CLI(args...)
+	if status != 0 {
+		f.t.Fatalf("gooseberryshed %v: exit status %d\n%s", args, status, out)
+	}
+	return out
+}
+
+// Apply puts sections into force: it returns when the change is accepted.
+func (f *Fleet) Apply(sections ...string) time.Time {
+	f.t.Helper()
+	f.MustCLI("config", "apply", f.WriteFile("change.yaml", "sections:\n"+strings.Join(sections, "")))
+	return time.Now()
+}
--- /dev/null
+++ b/internal/e2e/once_test.go
@@ -0,0 +1,151 @@
+package e2e
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/internal/e2e/harness"
+	"github.com/gooseberryshed/gooseberryshed/internal/e2e/trace"
+	"gotest.tools/v3/assert"
+)
+
+const orders = 40
+
+// sendOrder sends an order to each of the hosts in turn until it is answered,
+// and reports whether it was.
+func sendOrder(f *harness.Fleet, key string, hosts ...int) bool {
+	for _, h := range hosts {
+		r := order()
+		r.Host, r.Order, r.Timeout = h, key, 10*time.Second
+		if f.Call(r).Answered() {
+			return true
+		}
+	}
+	return false
+}
+
+// eachOrder sends the orders at once, a few milliseconds apart.
+func eachOrder(send func(n int, key string)) {
+	var wg sync.WaitGroup
+	for n := range orders {
+		wg.Go(func() { send(n, fmt.Sprintf("order-%d", n)) })
+		time.Sleep(10 * time.Millisecond)
+	}
+	wg.Wait()
+}
+
+func TestOrderSentAgainElsewhereRunsOnce(t *testing.T) {
+	t.Parallel()
+	f := harness.Start(t, harness.Options{})
+	eachOrder(func(n int, key string) {
+		var wg sync.WaitGroup
+		for _, h := range []int{n % 6, (n + 1) % 6} {
+			wg.Go(func() { sendOrder(f, key, h, (h+2)%6, (h+3)%6) })
+		}
+		wg.Wait()
+	})
+	before := len(f.Runs())
+	eachOrder(func(n int, key string) {
+		assert.Check(t, sendOrder(f, key, (n+4)%6), "an order that ran is not replayed")
+	})
+	assert.Equal(t, len(f.Runs()), before)
+	f.Verify()
+}
+
+func TestIdempotencyKeyOfAnotherOrderIsRefused(t *testing.T) {
+	t.Parallel()
+	f := harness.Start(t, harness.Options{Hosts: 3})
+	r := order()
+	r.Order = "o"
+	assert.Assert(t, f.Call(r).Answered())
+	r.Body, r.Host = "two trays", 1
+	c := f.Call(r)
+	assert.Equal(t, c.Status, 422)
+	assert.Equal(t, c.Run, "not-run")
+	r.Workspace = "w2"
+	assert.Assert(t, f.Call(r).Answered(), "keys of workspaces are apart")
+	f.Verify()
+}
+
+func TestOrdersRunOnceThoughDaemonsDie(t *testing.T) {
+	t.Parallel()
+	f := harness.Start(t, harness.Options{})
+	slow := order()
+	slow.Query = "work_ms=150"
+	stop := f.StartLoad(harness.Load{Rate: 60, Request: slow})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		eachOrder(func(n int, key string) { sendOrder(f, key, n%6, (n+1)%6, (n+2)%6) })
+	})
+	for _, i := range []int{0, 1, 2} {
+		pause(500 * time.Millisecond)
+		f.Hosts[i].Daemon.Kill()
+		pause(500 * time.Millisecond)
+		f.StartDaemon(f.Hosts[i])
+	}
+	wg.Wait()
+	stop()
+	calls, _ := f.Verify()
+	t.Log(summary(calls))
+}
+
+func TestOrdersRunOnceThoughTheTableLosesReplies(t *testing.T) {
+	t.Parallel()
+	f := harness.Start(t, harness.Options{})
+	f.PlatformMode("lose-replies")
+	eachOrder(func(n int, key string) { sendOrder(f, key, n%6, (n+1)%6) })
+	f.PlatformMode("ok")
+	lost := 0
+	eachOrder(func(n int, key string) {
+		if !sendOrder(f, key, n%6, (n+2)%6, (n+4)%6) {
+			lost++
+		}
+	})
+	calls, runs := f.Verify()
+	t.Log(summary(calls))
+	t.Logf("%d of %d orders answered, %d runs", orders-lost, orders, len(runs))
+}
+
+func TestKeyedOrdersAreRefusedWhileTheTableIsOut(t *testing.T) {
+	t.Parallel()
+	f := harness.Start(t, harness.Options{})
+	f.PlatformMode("down")
+	eachOrder(func(n int, key string) { sendOrder(f, key, n%6) })
+	refused := f.Calls()
+	for _, c := range refused {
+		assert.Equal(t, c.Run, "not-run", "%+v", c)
+	}
+	f.PlatformMode("ok")
+	eachOrder(func(n int, key string) {
+		assert.Check(t, sendOrder(f, key, n%6, (n+1)%6, (n+2)%6), "a refused order cannot be sent again")
+	})
+	f.Verify()
+}
+
+func TestNotRunIsTrueUnderFaults(t *testing.T) {
+	t.Parallel()
+	f := harness.Start(t, harness.Options{})
+	stop := f.StartLoad(harness.Load{Rate: 120, Request: order()})
+	h := f.Hosts
+	for _, fault := range []struct{ set, heal func() }{
+		{func() { f.Fabric.Cut(h[0].Name, h[1].Name, 1) }, func() { f.Fabric.Heal(h[0].Name, h[1].Name) }},
+		{func() { f.Fabric.Cut(h[2].Name, h[3].Name, 0) }, func() { f.Fabric.Heal(h[2].Name, h[3].Name) }},
+		{func() { f.Fabric.Silence(h[4].Name, h[5].Name) }, func() {}},
+		{h[1].Daemon.Freeze, h[1].Daemon.Resume},
+		{h[3].Target.Freeze, h[3].Target.Resume},
+		{h[5].Target.Kill, func() { f.StartTarget(h[5], 0) }},
+		{h[4].Daemon.Kill, func() { f.StartDaemon(h[4]) }},
+	} {
+		fault.set()
+		pause(1500 * time.Millisecond)
+		fault.heal()
+		pause(300 * time.Millisecond)
+	}
+	stop()
+	calls, _ := f.Verify()
+	t.Log(summary(calls))
+	served := trace.Shares(calls)["w1"]
+	t.Logf("served %.3f of %d", served.Ratio(), served.Sent)
+}
--- a/internal/e2e/trace/trace.go
+++ b/internal/e2e/trace/trace.go
@@ -131,14 +131,20 @@
 	return out
 }
 
-// OwnWholeAnswers finds good answers that are cut short or another's.
+// OwnWholeAnswers finds good answers that are cut short or another's. The
+// answer to an order may be replayed to the same order sent again.
 func OwnWholeAnswers(calls []Call) []Violation {
+	orders := make(map[string]string)
+	for _, c := range calls {
+		orders[c.ID] = c.Order
+	}
 	var out []Violation
 	for _, c := range calls {
 		if !c.Answered() || c.Err != "" {
 			continue // a visible failure is no false answer
 		}
-		if !c.Whole || c.AnswerID != c.ID {
+		own := c.AnswerID == c.ID || c.Order != "" && orders[c.AnswerID] == c.Order
+		if !c.Whole || !own {
 			out = append(out, violation("whole own answer", "request %s got the answer of %q, whole %v", c.ID, c.AnswerID, c.Whole))
 		}
 	}
--- /dev/null
+++ b/internal/e2e/workspace_test.go
@@ -0,0 +1,138 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/internal/e2e/fabric"
+	"github.com/gooseberryshed/gooseberryshed/internal/e2e/harness"
+	"github.com/gooseberryshed/gooseberryshed/internal/e2e/trace"
+	"gotest.tools/v3/assert"
+)
+
+// spoofed are internal headers that a caller has no business sending.
+var spoofed = map[string]string{
+	"Gooseberryshed-Workspace":  "w2",
+	"gooseberryshed-workspace":  "w2",
+	"Gooseberryshed-Attempt":    "00000000000000000000000000000000",
+	"Gooseberryshed-Key-Id":     "w2-k1",
+	"Gooseberryshed-Revision":   "999999",
+	"Gooseberryshed-Idempotent": "true",
+}
+
+func TestRequestsRunOnlyForTheWorkspaceOfTheirKey(t *testing.T) {
+	t.Parallel()
+	f := harness.Start(t, harness.Options{Hosts: 3})
+	foreign := map[string]string{"Authorization": "Bearer no-such-key"}
+	twoKeys := map[string]string{"X-Api-Key": harness.Secret("w2", "k1")}
+	for _, c := range []struct {
+		name   string
+		r      harness.Request
+		status int
+	}{
+		{"bearer", harness.Request{Workspace: "w1"}, 200},
+		{"api key", harness.Request{Workspace: "w1", KeyForm: harness.KeyHeader}, 200},
+		{"spoofed headers", harness.Request{Workspace: "w1", Headers: spoofed}, 200},
+		{"no key", harness.Request{Workspace: "w1", KeyForm: harness.KeyNone}, 401},
+		{"no key but spoofed headers", harness.Request{KeyForm: harness.KeyNone, Headers: spoofed}, 401},
+		{"unknown key", harness.Request{Workspace: "w1", KeyForm: harness.KeyNone, Headers: foreign}, 401},
+		{"route of another", harness.Request{Workspace: "w2", Path: "/w1"}, 403},
+		{"own route", harness.Request{Workspace: "w1", Path: "/w1"}, 200},
+		{"route of another by its prefix", harness.Request{Workspace: "w2", Path: "/orders/../w1"}, 403},
+		{"open route", harness.Request{KeyForm: harness.KeyNone, Path: "/open", Method: "GET"}, 200},
+	} {
+		for i := range f.Hosts {
+			c.r.Host = i
+			got := f.Call(c.r)
+			assert.Check(t, got.Status == c.status, "%s at host %d: %+v", c.name, i, got)
+			assert.Check(t, c.status == 200 || got.Run == "not-run", "%s: %+v", c.name, got)
+		}
+	}
+	// Whatever becomes of these, no target may see a key.
+	for i := range f.Hosts {
+		f.Call(harness.Request{Host: i, Workspace: "w1", Headers: twoKeys})
+		f.Call(harness.Request{Host: i, Workspace: "w1", Headers: map[string]string{"Connection": "Authorization"}})
+		f.Call(harness.Request{Host: i, Workspace: "w1", Headers: map[string]string{"Connection": "keep-alive, X-Request-Id"}})
+	}
+	runs := f.Runs()
+	f.Report(trace.NoKeySeen(runs))
+	f.Report(trace.NotRunTrue(f.Calls(), runs))
+	for _, r := range runs {
+		assert.Check(t, r.Workspace == "" || r.Workspace == "w1", "%+v", r)
+	}
+}
+
+func TestKeyOnAnOpenRouteIsNotSeenByTargets(t *testing.T) {
+	t.Parallel()
+	f := harness.Start(t, harness.Options{Hosts: 3})
+	for i := range f.Hosts {
+		for _, form := range []harness.KeyForm{harness.KeyBearer, harness.KeyHeader} {
+			f.Call(harness.Request{Host: i, Workspace: "w1", KeyForm: form, Path: "/open", Method: "GET", Headers: spoofed})
+		}
+	}
+	f.Report(trace.NoKeySeen(f.Runs()))
+	allAnswered(t, f.Calls())
+}
+
+// withdraw takes key k1 of w1 away and returns when that was accepted.
+func withdraw(f *harness.Fleet) time.Time {
+	return f.Apply(harness.Workspaces(map[string]harness.WorkspaceSpec{
+		"w1": {Rate: "2000/s", Burst: 2000, Keys: []string{"k2"}},
+	}))
+}
+
+func TestWithdrawnKeyStopsOnOpenConnections(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name string
+		cut  func(f *harness.Fleet)
+	}{
+		{"all in touch", func(*harness.Fleet) {}},
+		{"a daemon without the table", func(f *harness.Fleet) {
+			f.Fabric.Cut(f.Hosts[0].Name, harness.PlatformHost, fabric.BothWays)
+		}},
+		{"a daemon without table replies", func(f *harness.Fleet) {
+			f.Fabric.Cut(harness.PlatformHost, f.Hosts[0].Name, fabric.OneWay)
+		}},
+		{"a daemon alone", func(f *harness.Fleet) { isolate(f, f.Hosts[0]) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := harness.Start(t, harness.Options{})
+			stop := f.StartLoad(harness.Load{Rate: 120, Request: get()})
+			other := get()
+			other.KeyID = "k2"
+			stopOther := f.StartLoad(harness.Load{Rate: 30, Hosts: []int{1, 2, 3, 4, 5}, Request: other})
+			pause(time.Second)
+			c.cut(f)
+			accepted := withdraw(f)
+			pause(quietBound + 3*time.Second)
+			stop()
+			stopOther()
+			calls, runs := f.Verify()
+			f.Report(trace.Quiet("withdrawn key", accepted.Add(quietBound), time.Now(), runs, byKey(calls, "w1", "k1")))
+			assert.Assert(t, ranAny(runs, accepted.Add(quietBound), byKey(calls, "w1", "k2")), "the other key must go on")
+			t.Log(summary(since(calls, accepted.Add(quietBound))))
+		})
+	}
+}
+
+// isolate cuts a host off from the table and from all other hosts.
+func isolate(f *harness.Fleet, h *harness.Host) {
+	f.Fabric.Cut(h.Name, harness.PlatformHost, fabric.BothWays)
+	for _, other := range f.Hosts {
+		if other != h {
+			f.Fabric.Cut(h.Name, other.Name, fabric.BothWays)
+		}
+	}
+}
+
+// rejoin ends isolate.
+func rejoin(f *harness.Fleet, h *harness.Host) {
+	f.Fabric.Heal(h.Name, harness.PlatformHost)
+	for _, other := range f.Hosts {
+		if other != h {
+			f.Fabric.Heal(h.Name, other.Name)
+		}
+	}
+}
