--- a/member/gossip.go
+++ b/member/gossip.go
@@ -15,7 +15,8 @@
 	// 4 s and 1 s more for each doubling of the fleet.
 	SuspectFor time.Duration
 	// KeepLeft is how long the record of a daemon that left is kept, and
-	// KeepUnreachable that of one that no longer answers. Default 2 h each.
+	// KeepUnreachable that of one that no longer answers; while kept it counts
+	// for the floor and for majorities. Defaults 2 h and 24 h.
 	KeepLeft        time.Duration
 	KeepUnreachable time.Duration
 	// MaxNews bounds the records listed in a message. Default 1,024.
@@ -26,10 +27,11 @@
 }
 
 const (
-	defaultNeighbours     = 4
-	defaultKeep           = 2 * time.Hour
-	defaultMaxNews        = 1024
-	defaultMaxChangeBytes = 64 << 10
+	defaultNeighbours      = 4
+	defaultKeepLeft        = 2 * time.Hour
+	defaultKeepUnreachable = 24 * time.Hour
+	defaultMaxNews         = 1024
+	defaultMaxChangeBytes  = 64 << 10
 
 	suspectBase        = 4 * time.Second
 	suspectPerDoubling = time.Second
@@ -119,8 +121,8 @@
 
 func withDefaults(opt Options) Options {
 	opt.Neighbours = cmp.Or(opt.Neighbours, defaultNeighbours)
-	opt.KeepLeft = cmp.Or(opt.KeepLeft, defaultKeep)
-	opt.KeepUnreachable = cmp.Or(opt.KeepUnreachable, defaultKeep)
+	opt.KeepLeft = cmp.Or(opt.KeepLeft, defaultKeepLeft)
+	opt.KeepUnreachable = cmp.Or(opt.KeepUnreachable, defaultKeepUnreachable)
 	opt.MaxNews = cmp.Or(opt.MaxNews, defaultMaxNews)
 	opt.MaxChangeBytes = cmp.Or(opt.MaxChangeBytes, defaultMaxChangeBytes)
 	return opt
--- /dev/null
+++ b/suspect/entry.go
@@ -0,0 +1,73 @@
+package suspect
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// maxDeaths bounds the deaths kept of a fingerprint.
+const maxDeaths = 4
+
+// Death is the end of one incarnation of a target.
+type Death struct {
+	// Target is the member.Target ID, Incarnation the one that died.
+	Target      string    `json:"t"`
+	Incarnation uint64    `json:"i"`
+	At          time.Time `json:"at"`
+}
+
+// same reports whether two records tell of the same death.
+func (d Death) same(o Death) bool {
+	return d.Target == o.Target && d.Incarnation == o.Incarnation
+}
+
+func latestFirst(a, b Death) int {
+	if c := b.At.Compare(a.At); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.Target, b.Target); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Incarnation, b.Incarnation)
+}
+
+// Entry is what is known of one fingerprint.
+type Entry struct {
+	Fingerprint uint64  `json:"f"`
+	Deaths      []Death `json:"d,omitempty"`
+	// Cleared is the time of the latest success; zero for none.
+	Cleared time.Time `json:"c,omitzero"`
+}
+
+// Join unites what two entries of the same fingerprint tell.
+func Join(a, b Entry) Entry {
+	out := Entry{Fingerprint: a.Fingerprint, Cleared: a.Cleared}
+	if b.Cleared.After(out.Cleared) {
+		out.Cleared = b.Cleared
+	}
+	all := slices.Concat(a.Deaths, b.Deaths)
+	slices.SortFunc(all, latestFirst)
+	for _, d := range all {
+		known := slices.ContainsFunc(out.Deaths, d.same)
+		if !known && !d.At.Before(out.Cleared) && len(out.Deaths) < maxDeaths {
+			out.Deaths = append(out.Deaths, d)
+		}
+	}
+	return out
+}
+
+// Equal reports whether two entries tell the same.
+func (e Entry) Equal(o Entry) bool {
+	equalDeath := func(x, y Death) bool { return x.same(y) && x.At.Equal(y.At) }
+	return e.Fingerprint == o.Fingerprint && e.Cleared.Equal(o.Cleared) &&
+		slices.EqualFunc(e.Deaths, o.Deaths, equalDeath)
+}
+
+// last is the time of the latest event.
+func (e Entry) last() time.Time {
+	if len(e.Deaths) > 0 && e.Deaths[0].At.After(e.Cleared) {
+		return e.Deaths[0].At
+	}
+	return e.Cleared
+}
--- /dev/null
+++ b/suspect/registry.go
@@ -0,0 +1,252 @@
+package suspect
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Level is the verdict on a fingerprint.
+type Level int
+
+const (
+	// Clear means that nothing speaks against the request.
+	Clear Level = iota
+	// Suspected means that it is to run beside no other request.
+	Suspected
+	// Quarantined means that it is refused.
+	Quarantined
+)
+
+// Verdict is the answer of Check.
+type Verdict struct {
+	Level Level
+	// Until is when the verdict ends if nothing new happens.
+	Until time.Time
+}
+
+// Options tune a Registry. Zero fields take the defaults given.
+type Options struct {
+	// SuspectFor is how long one death counts. Default 10 min.
+	SuspectFor time.Duration
+	// QuarantineFor is the quarantine after the second death; it doubles with
+	// each further one. Default 5 min.
+	QuarantineFor time.Duration
+	// MaxEntries bounds the memory; the entries longest without news go
+	// first. Default 4,096.
+	MaxEntries int
+}
+
+const (
+	defaultSuspectFor    = 10 * time.Minute
+	defaultQuarantineFor = 5 * time.Minute
+	defaultMaxEntries    = 4096
+
+	// quarantineDeaths is how many deaths lead to quarantine.
+	quarantineDeaths = 2
+	// keepCleared is how long a success is remembered, so that late news of
+	// an earlier death changes nothing.
+	keepCleared = time.Minute
+)
+
+// Registry holds the fingerprints under suspicion. It is safe for concurrent
+// use, and Check is cheap while there are none.
+type Registry struct {
+	opt  Options
+	size atomic.Int64
+
+	mu      sync.Mutex
+	entries map[uint64]*tracked
+}
+
+type tracked struct {
+	Entry
+	// changed is the local time of the latest news, for Export.
+	changed time.Time
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry(opt Options) *Registry {
+	opt.SuspectFor = cmp.Or(opt.SuspectFor, defaultSuspectFor)
+	opt.QuarantineFor = cmp.Or(opt.QuarantineFor, defaultQuarantineFor)
+	opt.MaxEntries = cmp.Or(opt.MaxEntries, defaultMaxEntries)
+	return &Registry{opt: opt, entries: map[uint64]*tracked{}}
+}
+
+// OnDeath takes the fingerprints in flight when a target's incarnation died.
+func (r *Registry) OnDeath(now time.Time, target string, incarnation uint64, inFlight []uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	death := Death{Target: target, Incarnation: incarnation, At: now}
+	for _, fp := range inFlight {
+		r.join(now, Entry{Fingerprint: fp, Deaths: []Death{death}})
+	}
+	r.shrink(now)
+}
+
+// OnSuccess takes a fingerprint that a target has answered.
+func (r *Registry) OnSuccess(now time.Time, fp uint64) {
+	if r.size.Load() == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t, ok := r.entries[fp]; ok && len(t.Deaths) > 0 {
+		r.join(now, Entry{Fingerprint: fp, Cleared: now})
+	}
+}
+
+// Check returns the verdict on a fingerprint.
+func (r *Registry) Check(now time.Time, fp uint64) Verdict {
+	if r.size.Load() == 0 {
+		return Verdict{}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, ok := r.entries[fp]
+	if !ok {
+		return Verdict{}
+	}
+	return r.judge(now, t.Entry)
+}
+
+func (r *Registry) judge(now time.Time, e Entry) Verdict {
+	n := len(e.Deaths)
+	if n == 0 {
+		return Verdict{}
+	}
+	last := e.Deaths[0].At
+	if n >= quarantineDeaths {
+		until := last.Add(r.quarantine(n))
+		if now.Before(until) {
+			return Verdict{Quarantined, until}
+		}
+	}
+	until := last.Add(r.keep(n))
+	if now.Before(until) {
+		return Verdict{Suspected, until}
+	}
+	return Verdict{}
+}
+
+func (r *Registry) quarantine(deaths int) time.Duration {
+	return r.opt.QuarantineFor << (deaths - quarantineDeaths)
+}
+
+// keep is how long deaths count: a request that has been in quarantine stays
+// under suspicion for as long again, and a further death renews it.
+func (r *Registry) keep(deaths int) time.Duration {
+	if deaths < quarantineDeaths {
+		return r.opt.SuspectFor
+	}
+	return 2*r.quarantine(deaths) + r.opt.SuspectFor
+}
+
+// Export returns the entries with news in the last age, latest news first and
+// at most limit.
+func (r *Registry) Export(now time.Time, age time.Duration, limit int) []Entry {
+	if r.size.Load() == 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []*tracked
+	for _, t := range r.entries {
+		if now.Sub(t.changed) <= age {
+			list = append(list, t)
+		}
+	}
+	slices.SortFunc(list, func(a, b *tracked) int { return newest(a, b) })
+	out := make([]Entry, 0, min(len(list), limit))
+	for _, t := range list[:min(len(list), limit)] {
+		out = append(out, t.Entry)
+	}
+	return out
+}
+
+// Merge takes entries from elsewhere and returns how many told something new.
+func (r *Registry) Merge(now time.Time, list []Entry) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	news := 0
+	for _, e := range list {
+		if r.join(now, e) {
+			news++
+		}
+	}
+	r.shrink(now)
+	return news
+}
+
+// Len returns how many fingerprints are known.
+func (r *Registry) Len() int { return int(r.size.Load()) }
+
+func (r *Registry) join(now time.Time, e Entry) bool {
+	t, ok := r.entries[e.Fingerprint]
+	if !ok {
+		t = &tracked{Entry: Entry{Fingerprint: e.Fingerprint}}
+	}
+	joined := Join(t.Entry, e)
+	if joined.Equal(t.Entry) || !ok && r.expired(now, joined) {
+		return false
+	}
+	t.Entry = joined
+	t.changed = now
+	r.entries[e.Fingerprint] = t
+	r.size.Store(int64(len(r.entries)))
+	return true
+}
+
+func (r *Registry) expired(now time.Time, e Entry) bool {
+	if n := len(e.Deaths); n > 0 {
+		return now.Sub(e.Deaths[0].At) >= r.keep(n)
+	}
+	return now.Sub(e.Cleared) >= keepCleared
+}
+
+// Tick drops what has expired.
+func (r *Registry) Tick(now time.Time) {
+	if r.size.Load() == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for fp, t := range r.entries {
+		if r.expired(now, t.Entry) {
+			delete(r.entries, fp)
+		}
+	}
+	r.size.Store(int64(len(r.entries)))
+}
+
+// shrink drops the least important entries above the bound: cleared before
+// suspected, suspected before quarantined, and the oldest of each first.
+func (r *Registry) shrink(now time.Time) {
+	excess := len(r.entries) - r.opt.MaxEntries
+	if excess <= 0 {
+		return
+	}
+	list := make([]*tracked, 0, len(r.entries))
+	for _, t := range r.entries {
+		list = append(list, t)
+	}
+	slices.SortFunc(list, func(a, b *tracked) int {
+		if c := cmp.Compare(r.judge(now, a.Entry).Level, r.judge(now, b.Entry).Level); c != 0 {
+			return c
+		}
+		return newest(b, a)
+	})
+	for _, t := range list[:excess] {
+		delete(r.entries, t.Fingerprint)
+	}
+	r.size.Store(int64(len(r.entries)))
+}
+
+func newest(a, b *tracked) int {
+	if c := b.last().Compare(a.last()); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Fingerprint, b.Fingerprint)
+}
