--- a/cli/config.go
+++ b/cli/config.go
@@ -14,12 +14,12 @@
 )
 
 func configCommand(g *globals) *cobra.Command {
-	cmd := &cobra.Command{
+	cmd := group(&cobra.Command{
 		Use:   "config",
 		Short: "Check, apply and show the document",
 		Example: "  gooseberryshed config show orders > orders.yaml\n" +
 			"  gooseberryshed config apply orders.yaml --wait",
-	}
+	})
 	cmd.AddCommand(validateCommand(g), diffCommand(g), applyCommand(g), removeCommand(g), showCommand(g), logCommand(g))
 	return cmd
 }
--- a/cli/datacentre.go
+++ b/cli/datacentre.go
@@ -11,11 +11,11 @@
 )
 
 func dataCentreCommand(g *globals) *cobra.Command {
-	cmd := &cobra.Command{
+	cmd := group(&cobra.Command{
 		Use:     "datacentre",
 		Short:   "Take data centres out of service and back in",
 		Example: "  gooseberryshed datacentre out alfold-1 --message 'power works'\n  gooseberryshed datacentre in alfold-1",
-	}
+	})
 	cmd.AddCommand(
 		dataCentreStateCommand(g, config.DataCentreOut, "Give a data centre no new work; what runs there is finished"),
 		dataCentreStateCommand(g, config.DataCentreIn, "Give a data centre work again"),
--- a/cli/key.go
+++ b/cli/key.go
@@ -19,11 +19,11 @@
 const secretBytes = 32
 
 func keyCommand(g *globals) *cobra.Command {
-	cmd := &cobra.Command{
+	cmd := group(&cobra.Command{
 		Use:     "key",
 		Short:   "Grant and withdraw the keys of workspaces",
 		Example: "  gooseberryshed key grant parish-12 --id parish-12-b\n  gooseberryshed key withdraw parish-12-a",
-	}
+	})
 	cmd.AddCommand(grantCommand(g), withdrawCommand(g))
 	return cmd
 }
@@ -55,7 +55,7 @@
 				return grant(st, args[0], config.Key{ID: id, SHA256: digest})
 			})
 			if err != nil {
-				return err
+				return explainGrant(err, id)
 			}
 			fmt.Fprintln(cmd.OutOrStdout(), secret)
 			fmt.Fprintf(cmd.ErrOrStderr(), "key %s granted at revision %d; the secret above is not shown again\n", id, res.Revision)
@@ -70,6 +70,18 @@
 	return cmd
 }
 
+// explainGrant adds the remedy when the key may exist although its secret was
+// never shown.
+func explainGrant(err error, id string) error {
+	var uncertain *configstore.UncertainError
+	var reused *configstore.ReusedIDError
+	if errors.As(err, &uncertain) || errors.As(err, &reused) {
+		return errors.WithMessagef(err, "key %s may have been granted and its secret is lost; "+
+			"when the platform answers again, run gooseberryshed key withdraw %s and grant anew", id, id)
+	}
+	return err
+}
+
 func newSecret() (secret, digest string) {
 	var b [secretBytes]byte
 	rand.Read(b[:]) //nolint:errcheck // crypto/rand.Read never fails
--- a/cli/root.go
+++ b/cli/root.go
@@ -42,7 +42,7 @@
 // New returns the root command with the given commands added.
 func New(extra ...*cobra.Command) *cobra.Command {
 	g := &globals{}
-	root := &cobra.Command{
+	root := group(&cobra.Command{
 		Use:               "gooseberryshed",
 		Short:             "Operate a gooseberryshed fleet",
 		Long:              rootLong,
@@ -50,7 +50,7 @@
 		SilenceUsage:      true,
 		SilenceErrors:     true,
 		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error { return flagsFromEnvironment(cmd.Flags()) },
-	}
+	})
 	root.PersistentFlags().StringVar(&g.platform, "platform", "", "URL of the platform, like http://10.0.0.9:7070")
 	root.PersistentFlags().DurationVar(&g.timeout, "timeout", defaultTimeout, "bound on the work with the platform")
 	root.AddCommand(configCommand(g), keyCommand(g), dataCentreCommand(g), statusCommand(g))
@@ -59,6 +59,19 @@
 	return root
 }
 
+// group completes a command that only holds others: alone it prints its help, and
+// an unknown name is wrong usage.
+func group(cmd *cobra.Command) *cobra.Command {
+	cmd.Args = cobra.ArbitraryArgs
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		if len(args) == 0 {
+			return cmd.Help()
+		}
+		return usageError{errors.Errorf("unknown command %q for %q; see %s --help", args[0], cmd.CommandPath(), cmd.CommandPath())}
+	}
+	return cmd
+}
+
 // flagsFromEnvironment sets the flags that the command line left out.
 func flagsFromEnvironment(flags *pflag.FlagSet) error {
 	var failed error
