configstore: deterministic test of loads during a change

The new test puts a change between two pages of a load and fails without it, with the early section old and the late one new.

--- a/configstore/store_test.go
+++ b/configstore/store_test.go
@@ -434,3 +434,40 @@
 	_, err := New(p, nil).Head(testContext(t))
 	assert.ErrorContains(t, err, "upgrade this program")
 }
+
+// hooked runs a hook before the second scan of a load.
+type hooked struct {
+	platform.Table
+	scans int
+	hook  func()
+}
+
+func (h *hooked) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	h.scans++
+	if h.scans == 2 {
+		h.hook()
+	}
+	return h.Table.Scan(ctx, prefix, after, limit)
+}
+
+// TestLoadIsOfOneRevision changes, between two pages of a load, one section that
+// was read and one that was not.
+func TestLoadIsOfOneRevision(t *testing.T) {
+	p := standin.New()
+	writer := New(p, nil)
+	first := Change{ID: "c1", Author: "x"}
+	for i := range scanRows + 8 {
+		name := fmt.Sprintf("t-%02d", i)
+		first.Edits = append(first.Edits, Edit{Name: name, Section: team(name, 1)})
+	}
+	mustApply(t, writer, first)
+	early, late := first.Edits[0].Name, first.Edits[scanRows+7].Name
+	table := &hooked{Table: p, hook: func() {
+		mustApply(t, writer, Change{ID: "c2", Author: "x", Edits: []Edit{
+			{Name: early, Base: 1, Section: team(early, 2)},
+			{Name: late, Base: 1, Section: team(late, 2)},
+		}})
+	}}
+	st := mustLoad(t, New(table, nil))
+	assertSame(t, st, mustLoad(t, writer))
+}
