The whole path as separate processes: ingress, control, daemon

Cause: mechanisms stood alone; a caller's request could not pass from ingress through the gate of another host to a target. This adds the ingress with its attempt loop, the control loop with configuration transfer, gossip and freshness, and the daemon as a supervisor tree with a planned stop in steps.

--- /dev/null
+++ b/cmd/gooseberryshedd/main.go
@@ -0,0 +1,10 @@
+// Command gooseberryshedd is the daemon that runs beside the targets of a host.
+package main
+
+import (
+	"os"
+
+	"github.com/gooseberryshed/gooseberryshed/daemon"
+)
+
+func main() { os.Exit(daemon.Main()) }
--- /dev/null
+++ b/control/gossip.go
@@ -0,0 +1,137 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/member"
+	"github.com/gooseberryshed/gooseberryshed/rpc"
+)
+
+// maxRounds bounds the exchanges in a row with a peer that has more to tell.
+const maxRounds = 16
+
+// random is the source of randomness of the control work.
+type random struct{}
+
+// IntN implements member.Rand.
+func (random) IntN(n int) int { return rand.IntN(n) }
+
+// Register adds the methods that other daemons call.
+func (c *Control) Register(r rpc.Registrar) {
+	r.Handle(member.MethodExchange, rpc.Typed(c.onExchange))
+	r.Handle(member.MethodFinish, rpc.Typed(c.onFinish))
+	r.Handle(methodTouch, rpc.Typed(c.onTouch))
+	r.Handle(methodSince, rpc.Typed(c.onSince))
+}
+
+func (c *Control) onExchange(ctx context.Context, b member.Begin) (member.Answer, error) {
+	var a member.Answer
+	err := c.do(ctx, func(now time.Time, s *state) {
+		c.told(now, s, b.Host, b.Touch.Revision)
+		a = s.gossip.Answer(now, b)
+		a.Touch = s.ownTouch(now)
+	})
+	return a, err
+}
+
+func (c *Control) onFinish(ctx context.Context, f member.Finish) (member.Final, error) {
+	var final member.Final
+	err := c.do(ctx, func(now time.Time, s *state) { final = s.gossip.Final(now, f) })
+	return final, err
+}
+
+// RunGossip exchanges with a neighbour about once a second.
+func (c *Control) RunGossip(ctx context.Context) error {
+	for sleep(ctx, gossipInterval) {
+		peer, ok := c.pick(ctx)
+		if !ok {
+			c.firstContact(ctx)
+			continue
+		}
+		c.exchange(ctx, peer)
+	}
+	return nil
+}
+
+func (c *Control) pick(ctx context.Context) (member.Peer, bool) {
+	var peer member.Peer
+	var ok bool
+	err := c.do(ctx, func(now time.Time, s *state) { peer, ok = s.gossip.Pick(now, random{}) })
+	return peer, ok && err == nil
+}
+
+// firstContact introduces the daemon to the addresses of the settings.
+func (c *Control) firstContact(ctx context.Context) {
+	for _, addr := range c.opts.Peers {
+		if addr != c.opts.Self.RPCAddr {
+			c.exchange(ctx, member.Peer{RPCAddr: addr})
+		}
+	}
+}
+
+// Spread exchanges with several neighbours at once, to make a change known soon.
+func (c *Control) Spread(ctx context.Context, times int) {
+	for range times {
+		if peer, ok := c.pick(ctx); ok {
+			c.exchange(ctx, peer)
+		}
+	}
+}
+
+func (c *Control) exchange(ctx context.Context, peer member.Peer) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	for range maxRounds {
+		c.stats.Exchanges.Add(1)
+		more, err := c.exchangeOnce(ctx, peer)
+		if err != nil {
+			c.exchangeFailed(peer)
+			return
+		}
+		if !more {
+			return
+		}
+	}
+}
+
+func (c *Control) exchangeFailed(peer member.Peer) {
+	c.stats.ExchangeFail.Add(1)
+	if peer.Host == "" {
+		return
+	}
+	// The exchange's own context may have ended.
+	c.do(context.Background(), func(now time.Time, s *state) { //nolint:errcheck // a stopped loop needs no news
+		s.gossip.Failed(now, peer.Host)
+	})
+}
+
+func (c *Control) exchangeOnce(ctx context.Context, peer member.Peer) (more bool, err error) {
+	var begin member.Begin
+	begun := time.Now()
+	if err := c.do(ctx, func(now time.Time, s *state) {
+		begin = s.gossip.Begin(peer.Host)
+		begin.Touch = s.ownTouch(now)
+	}); err != nil {
+		return false, err
+	}
+	var answer member.Answer
+	if err := c.opts.RPC.Call(ctx, peer.RPCAddr, member.MethodExchange, begin, &answer); err != nil {
+		return false, err
+	}
+	var finish member.Finish
+	var needed bool
+	if err := c.do(ctx, func(now time.Time, s *state) {
+		c.answered(begun, now, s, answer.Host, answer.Touch)
+		finish, needed = s.gossip.Finish(now, begin, answer)
+	}); err != nil || !needed {
+		return false, err
+	}
+	var final member.Final
+	if err := c.opts.RPC.Call(ctx, peer.RPCAddr, member.MethodFinish, finish, &final); err != nil {
+		return false, err
+	}
+	err = c.do(ctx, func(now time.Time, s *state) { more = s.gossip.Merge(now, answer, final) })
+	return more, err
+}
--- /dev/null
+++ b/control/publish.go
@@ -0,0 +1,153 @@
+package control
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gooseberryshed/gooseberryshed/balance"
+	"github.com/gooseberryshed/gooseberryshed/config"
+	"github.com/gooseberryshed/gooseberryshed/eject"
+	"github.com/gooseberryshed/gooseberryshed/freshness"
+	"github.com/gooseberryshed/gooseberryshed/member"
+)
+
+// viewKey identifies the inputs of a view.
+type viewKey struct {
+	revision uint64
+	members  uint64
+	built    bool
+}
+
+// publish replaces the snapshot when something changed.
+func (c *Control) publish(now time.Time, s *state) {
+	old := c.current.Load()
+	next := *old
+	next.InTouch = c.inTouch(now, s)
+	next.TableOutage = s.touch.decision.Mode == freshness.TableOut
+	next.Leaving = s.leaving
+	key := viewKey{revision: s.doc.Revision, members: membersKey(s.gossip), built: true}
+	if key == s.published {
+		if next.InTouch != old.InTouch || next.TableOutage != old.TableOutage || next.Leaving != old.Leaving {
+			c.logTouch(old, &next)
+			c.current.Store(&next)
+		}
+		return
+	}
+	s.published = key
+	c.fill(s, &next)
+	c.logTouch(old, &next)
+	c.current.Store(&next)
+	if next.View != nil {
+		c.opts.Loads.Retain(next.View)
+	}
+}
+
+func (c *Control) logTouch(old, next *Snapshot) {
+	if old.InTouch != next.InTouch {
+		c.opts.Logger.Info("in touch changed", "in_touch", next.InTouch, "table_outage", next.TableOutage)
+	}
+	if old.DataCentreOut != next.DataCentreOut {
+		c.opts.Logger.Info("data centre changed", "out", next.DataCentreOut)
+	}
+	if len(old.Ejected) != len(next.Ejected) {
+		c.opts.Logger.Info("ejected targets changed", "ejected", next.Ejected)
+	}
+}
+
+// membersKey changes whenever a record or the set of unreachable hosts does.
+func membersKey(g *member.Gossip) uint64 {
+	var sum uint64
+	for _, d := range g.List() {
+		sum = sum*31 + xxhash.Sum64String(d.Host) ^ d.Incarnation + d.Version
+	}
+	for _, host := range g.Unreachable() {
+		sum = sum*31 + xxhash.Sum64String(host)
+	}
+	return sum
+}
+
+// fill computes what depends on members and configuration.
+func (c *Control) fill(s *state, next *Snapshot) {
+	next.Self = s.gossip.Self()
+	next.Daemons = s.gossip.List()
+	next.Unreachable = s.gossip.Unreachable()
+	next.Config = s.config
+	if s.config == nil {
+		return
+	}
+	dc, ok := s.config.DataCentre(next.Self.DataCentre)
+	next.DataCentreOut = !ok || dc.State == config.DataCentreOut
+	next.Ejected = ejected(s.config, next)
+	next.View = balance.NewView(balance.Input{
+		Host:        next.Self.Host,
+		DataCentre:  next.Self.DataCentre,
+		Daemons:     next.Daemons,
+		Unreachable: next.Unreachable,
+		Ejected:     next.Ejected,
+		DataCentres: dataCentres(s),
+		Loads:       c.opts.Loads,
+	})
+}
+
+func dataCentres(s *state) []balance.DataCentre {
+	var out []balance.DataCentre
+	for _, dc := range s.config.DataCentres() {
+		out = append(out, balance.DataCentre{
+			Name:   dc.Name,
+			Region: dc.Region,
+			Out:    dc.State == config.DataCentreOut,
+			Since:  s.returned[dc.Name],
+		})
+	}
+	return out
+}
+
+// noteReturns remembers when data centres came back, for their ramp.
+func noteReturns(now time.Time, s *state, next *config.Snapshot) {
+	for name, at := range s.returned {
+		if now.Sub(at) > rampMemory {
+			delete(s.returned, name)
+		}
+	}
+	if s.config == nil {
+		return
+	}
+	for _, dc := range next.DataCentres() {
+		before, ok := s.config.DataCentre(dc.Name)
+		if ok && before.State == config.DataCentreOut && dc.State == config.DataCentreIn {
+			s.returned[dc.Name] = now
+		}
+	}
+}
+
+// ejected applies eject.Set to each service.
+func ejected(cfg *config.Snapshot, snap *Snapshot) []string {
+	unreachable := make(map[string]bool, len(snap.Unreachable))
+	for _, host := range snap.Unreachable {
+		unreachable[host] = true
+	}
+	byService := make(map[string][]eject.Announced)
+	for _, d := range snap.Daemons {
+		if d.State == member.StateLeft {
+			continue
+		}
+		usable := d.State == member.StateServing && !unreachable[d.Host] && isIn(cfg, d.DataCentre)
+		for _, t := range d.Targets {
+			a := eject.Announced{Target: t, Available: usable && t.State == member.TargetReady}
+			byService[t.Service] = append(byService[t.Service], a)
+		}
+	}
+	var out []string
+	for name, all := range byService {
+		if svc, ok := cfg.Service(name); ok {
+			out = append(out, eject.Set(all, svc.Floor).Ejected...)
+		}
+	}
+	return out
+}
+
+func isIn(cfg *config.Snapshot, name string) bool {
+	dc, ok := cfg.DataCentre(name)
+	return ok && dc.State == config.DataCentreIn
+}
--- /dev/null
+++ b/control/snapshot.go
@@ -0,0 +1,41 @@
+package control
+
+import (
+	"github.com/gooseberryshed/gooseberryshed/balance"
+	"github.com/gooseberryshed/gooseberryshed/config"
+	"github.com/gooseberryshed/gooseberryshed/member"
+)
+
+// Snapshot is what traffic goroutines go by. It is immutable.
+type Snapshot struct {
+	// Self is the daemon's own record.
+	Self member.Daemon
+	// Config is nil until a configuration is known.
+	Config *config.Snapshot
+	// View is the basis for choosing targets; nil until Config is known.
+	View *balance.View
+	// Daemons are all known records, Unreachable the hosts among them that do
+	// not answer.
+	Daemons     []member.Daemon
+	Unreachable []string
+	// Ejected lists the targets that are not used.
+	Ejected []string
+	// InTouch allows serving.
+	InTouch bool
+	// TableOutage tells that nobody reaches the table.
+	TableOutage bool
+	// Leaving is set during a planned stop.
+	Leaving bool
+	// DataCentreOut is set while the own data centre is out.
+	DataCentreOut bool
+}
+
+// Find returns the record of a host.
+func (s *Snapshot) Find(host string) (member.Daemon, bool) {
+	for i := range s.Daemons {
+		if s.Daemons[i].Host == host {
+			return s.Daemons[i], true
+		}
+	}
+	return member.Daemon{}, false
+}
--- /dev/null
+++ b/control/stats.go
@@ -0,0 +1,45 @@
+package control
+
+import "sync/atomic"
+
+// Stats counts the control work since the start.
+type Stats struct {
+	HeadReads    atomic.Int64
+	HeadFailures atomic.Int64
+	Adopted      atomic.Int64
+	FromPeers    atomic.Int64
+	FromTable    atomic.Int64
+	Exchanges    atomic.Int64
+	ExchangeFail atomic.Int64
+	Samples      atomic.Int64
+	Outages      atomic.Int64
+}
+
+// Counts is a copy of the counters.
+type Counts struct {
+	HeadReads    int64 `json:"head_reads"`
+	HeadFailures int64 `json:"head_failures"`
+	Adopted      int64 `json:"config_adopted"`
+	FromPeers    int64 `json:"config_from_peers"`
+	FromTable    int64 `json:"config_from_table"`
+	Exchanges    int64 `json:"exchanges"`
+	ExchangeFail int64 `json:"exchange_failures"`
+	Samples      int64 `json:"touch_samples"`
+	Outages      int64 `json:"table_outages"`
+}
+
+// Counts copies the counters.
+func (c *Control) Counts() Counts {
+	s := &c.stats
+	return Counts{
+		HeadReads:    s.HeadReads.Load(),
+		HeadFailures: s.HeadFailures.Load(),
+		Adopted:      s.Adopted.Load(),
+		FromPeers:    s.FromPeers.Load(),
+		FromTable:    s.FromTable.Load(),
+		Exchanges:    s.Exchanges.Load(),
+		ExchangeFail: s.ExchangeFail.Load(),
+		Samples:      s.Samples.Load(),
+		Outages:      s.Outages.Load(),
+	}
+}
--- /dev/null
+++ b/daemon/admin.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"encoding/json"
+	"expvar"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/expvarhandler"
+
+	"github.com/gooseberryshed/gooseberryshed/control"
+	"github.com/gooseberryshed/gooseberryshed/member"
+	"github.com/gooseberryshed/gooseberryshed/report"
+)
+
+const adminReadTimeout = 5 * time.Second
+
+// Status is what /status tells operators.
+type Status struct {
+	Host          string `json:"host"`
+	DataCentre    string `json:"datacentre"`
+	Incarnation   uint64 `json:"incarnation"`
+	Revision      uint64 `json:"revision"`
+	State         string `json:"state"`
+	InTouch       bool   `json:"in_touch"`
+	TableOutage   bool   `json:"table_outage"`
+	DataCentreOut bool   `json:"datacentre_out"`
+	// Daemons and Unreachable count the known members of the fleet.
+	Daemons     int `json:"daemons"`
+	Unreachable int `json:"unreachable"`
+	// Targets are those of this host.
+	Targets []member.Target `json:"targets"`
+	// Ejected lists the targets that this daemon holds ejected.
+	Ejected []string `json:"ejected"`
+}
+
+func statusOf(snap *control.Snapshot) Status {
+	st := Status{
+		Host:          snap.Self.Host,
+		DataCentre:    snap.Self.DataCentre,
+		Incarnation:   snap.Self.Incarnation,
+		State:         string(snap.Self.State),
+		InTouch:       snap.InTouch,
+		TableOutage:   snap.TableOutage,
+		DataCentreOut: snap.DataCentreOut,
+		Daemons:       len(snap.Daemons),
+		Unreachable:   len(snap.Unreachable),
+		Targets:       snap.Self.Targets,
+		Ejected:       snap.Ejected,
+	}
+	if snap.Config != nil {
+		st.Revision = snap.Config.Revision()
+	}
+	return st
+}
+
+// admin serves operators on an address of its own.
+type admin struct {
+	snapshot func() *control.Snapshot
+	recorder *report.Recorder
+	// counts returns the counters under their names.
+	counts func() Counters
+}
+
+func (a *admin) serve(l net.Listener) error {
+	srv := &fasthttp.Server{
+		Handler:               a.handle,
+		NoDefaultServerHeader: true,
+		ReadTimeout:           adminReadTimeout,
+		Logger:                discardLogger{},
+	}
+	return errors.Wrap(srv.Serve(l), "serve operators")
+}
+
+func (a *admin) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/livez":
+		ctx.SetBodyString("ok\n")
+	case "/readyz":
+		a.ready(ctx)
+	case "/status":
+		writeJSON(ctx, statusOf(a.snapshot()))
+	case "/counters":
+		writeJSON(ctx, a.counts())
+	case "/report":
+		writeJSON(ctx, a.recorder.Export(time.Now()))
+	case "/debug/vars":
+		expvarhandler.ExpvarHandler(ctx)
+	default:
+		ctx.Error("no such page; try /livez /readyz /status /counters /report /debug/vars\n", fasthttp.StatusNotFound)
+	}
+}
+
+// ready tells load balancers and callers whether to come here.
+func (a *admin) ready(ctx *fasthttp.RequestCtx) {
+	snap := a.snapshot()
+	reason := notReady(snap)
+	if reason == "" {
+		ctx.SetBodyString("ok\n")
+		return
+	}
+	ctx.Error(reason+"\n", fasthttp.StatusServiceUnavailable)
+}
+
+func notReady(snap *control.Snapshot) string {
+	switch {
+	case snap.Config == nil:
+		return "no configuration yet; check --platform and --peers"
+	case snap.Leaving:
+		return "leaving"
+	case snap.DataCentreOut:
+		return "the data centre is out"
+	case !snap.InTouch:
+		return "out of touch with the table and the other hosts; check the network"
+	}
+	return ""
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	ctx.SetContentType("application/json")
+	enc := json.NewEncoder(ctx)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(v); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+	}
+}
+
+// publish makes the counters visible under the daemon's name in expvar. A name
+// that is taken, as by several daemons in one process, is left alone.
+func publish(name string, counts func() Counters) {
+	if expvar.Get(name) != nil {
+		return
+	}
+	expvar.Publish(name, expvar.Func(func() any { return counts() }))
+}
+
+// discardLogger drops the library's lines; failures are counted instead.
+type discardLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (discardLogger) Printf(string, ...any) {}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,234 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/gooseberryshed/gooseberryshed/balance"
+	"github.com/gooseberryshed/gooseberryshed/claim"
+	"github.com/gooseberryshed/gooseberryshed/config"
+	"github.com/gooseberryshed/gooseberryshed/configstore"
+	"github.com/gooseberryshed/gooseberryshed/control"
+	"github.com/gooseberryshed/gooseberryshed/forward"
+	"github.com/gooseberryshed/gooseberryshed/gate"
+	"github.com/gooseberryshed/gooseberryshed/ingress"
+	"github.com/gooseberryshed/gooseberryshed/limiter"
+	"github.com/gooseberryshed/gooseberryshed/link"
+	"github.com/gooseberryshed/gooseberryshed/member"
+	"github.com/gooseberryshed/gooseberryshed/peertls"
+	"github.com/gooseberryshed/gooseberryshed/platform"
+	"github.com/gooseberryshed/gooseberryshed/report"
+	"github.com/gooseberryshed/gooseberryshed/rpc"
+	"github.com/gooseberryshed/gooseberryshed/settings"
+	"github.com/gooseberryshed/gooseberryshed/supervise"
+	"github.com/gooseberryshed/gooseberryshed/suspect"
+)
+
+// slowAnswer is the latency over which a served request counts as slow in the
+// burn report.
+const slowAnswer = time.Second
+
+// Options are what a daemon is made from.
+type Options struct {
+	// Settings must have been validated.
+	Settings settings.Settings
+	Table    platform.Table
+	Objects  platform.Objects
+	Logger   *log.Logger
+}
+
+// Daemon is one gooseberryshedd.
+type Daemon struct {
+	set    settings.Settings
+	logger *log.Logger
+	listen *listeners
+
+	rpcServer *rpc.Server
+	rpcClient *rpc.Client
+	control   *control.Control
+	gate      *gate.Gate
+	gates     *gates
+	forward   *forward.Server
+	client    *forward.Client
+	limiter   *limiter.Service
+	claims    *claim.Store
+	ingress   *ingress.Ingress
+	evidence  *evidence
+	registry  *suspect.Registry
+	crashes   *crashes
+	recorder  *report.Recorder
+	loads     *balance.Loads
+	tree      *supervise.Tree
+}
+
+// New opens the addresses and builds the parts. Nothing runs until Run.
+func New(o Options) (*Daemon, error) {
+	identity, err := peertls.New(o.Settings.Secrets())
+	if err != nil {
+		return nil, err
+	}
+	ls, err := listen(&o.Settings)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		set:       o.Settings,
+		logger:    o.Logger,
+		listen:    ls,
+		rpcServer: rpc.NewServer(identity.Server()),
+		rpcClient: rpc.NewClient(identity.Client(), o.Settings.Source()),
+		registry:  suspect.NewRegistry(suspect.Options{}),
+		recorder:  report.NewRecorder(slowAnswer),
+		loads:     &balance.Loads{},
+	}
+	d.evidence = newEvidence(d.registry)
+	self := d.self()
+	d.control = d.newControl(self, o)
+	d.crashes = &crashes{registry: d.registry, snapshot: d.control.Snapshot, rpc: d.rpcClient, table: o.Table}
+	d.gate = d.newGate(self)
+	d.newForwarding()
+	d.limiter = d.newLimiter(self, o)
+	d.claims = claim.New(o.Table, claim.Options{})
+	d.ingress = d.newIngress()
+	d.register()
+	d.tree = d.newTree()
+	publish("gooseberryshed."+self.Host, d.Counters)
+	return d, nil
+}
+
+func (d *Daemon) self() member.Daemon {
+	return member.Daemon{
+		Host:        d.set.Host,
+		DataCentre:  d.set.DataCentre,
+		Incarnation: uint64(time.Now().UnixNano()),
+		State:       member.StateServing,
+		ForwardAddr: advertised(d.set.ForwardAdvertise, d.listen.forward),
+		RPCAddr:     advertised(d.set.RPCAdvertise, d.listen.rpc),
+		CallerAddr:  advertised(d.set.CallerAdvertise, d.listen.caller),
+	}
+}
+
+func (d *Daemon) newControl(self member.Daemon, o Options) *control.Control {
+	return control.New(control.Options{
+		Self:    self,
+		Table:   o.Table,
+		Objects: o.Objects,
+		Store:   configstore.New(o.Table, o.Objects),
+		RPC:     d.rpcClient,
+		Peers:   o.Settings.Peers,
+		Targets: d.targets,
+		Loads:   d.loads,
+		Logger:  o.Logger,
+	})
+}
+
+// targets are the records of the host's targets with the gate's verdicts. The
+// control loop calls it.
+func (d *Daemon) targets() []member.Target {
+	return d.evidence.judge(time.Now(), d.gate.Targets(), d.control.Snapshot())
+}
+
+func (d *Daemon) newGate(self member.Daemon) *gate.Gate {
+	p := &policy{
+		snapshot: d.control.Snapshot,
+		behind:   func(host string, revision uint64) { d.control.Behind(host, revision) },
+	}
+	return gate.New(gate.Options{
+		Host:        self.Host,
+		Incarnation: self.Incarnation,
+		Policy:      p,
+		Service:     d.service,
+		Weight:      d.weight,
+		Revision:    d.revision,
+		Observer:    d.evidence,
+		Quarantine:  d.crashes,
+		NewLimiter:  newColdStart,
+		Links:       link.Options{LocalAddr: d.set.SourceAddress},
+	})
+}
+
+func (d *Daemon) service(name string) (config.Service, bool) {
+	cfg := d.control.Snapshot().Config
+	if cfg == nil {
+		return config.Service{}, false
+	}
+	svc, ok := cfg.Service(name)
+	if !ok {
+		return config.Service{}, false
+	}
+	return *svc, true
+}
+
+func (d *Daemon) weight(workspace string) int {
+	cfg := d.control.Snapshot().Config
+	if cfg == nil {
+		return 1
+	}
+	if w, ok := cfg.Workspace(workspace); ok {
+		return w.Weight
+	}
+	return 1
+}
+
+func (d *Daemon) revision() uint64 {
+	if cfg := d.control.Snapshot().Config; cfg != nil {
+		return cfg.Revision()
+	}
+	return 0
+}
+
+func (d *Daemon) newForwarding() {
+	secrets := d.set.Secrets()
+	d.client = forward.NewClient(forward.ClientOptions{
+		Address: func(host string) (string, bool) {
+			m, ok := d.control.Snapshot().Find(host)
+			return m.ForwardAddr, ok
+		},
+		Secrets: secrets,
+		Links:   link.Options{LocalAddr: d.set.SourceAddress},
+	})
+	d.forward = forward.NewServer(forward.ServerOptions{Secrets: secrets, Next: d.gate})
+	d.gates = &gates{
+		host:     d.set.Host,
+		own:      d.gate,
+		client:   d.client,
+		rpc:      d.rpcClient,
+		snapshot: d.control.Snapshot,
+	}
+}
+
+func (d *Daemon) newLimiter(self member.Daemon, o Options) *limiter.Service {
+	return limiter.New(limiter.Options{
+		Self:   self,
+		Table:  o.Table,
+		RPC:    d.rpcClient,
+		Config: func() limiter.Config { return limits(d.control.Snapshot().Config) },
+		Peers:  func() []member.Daemon { return d.control.Snapshot().Daemons },
+		Shards: d.set.RateShards,
+		Logger: o.Logger,
+	})
+}
+
+func (d *Daemon) newIngress() *ingress.Ingress {
+	return ingress.New(ingress.Options{
+		Host:       d.set.Host,
+		Snapshot:   d.control.Snapshot,
+		Gates:      d.gates,
+		Limiter:    d.limiter,
+		Claims:     d.claims,
+		Quarantine: d.crashes,
+		Loads:      d.loads,
+		Avoid:      &balance.Avoid{},
+		Recorder:   d.recorder,
+		Behind:     d.control.Behind,
+		MaxConns:   d.set.MaxConns,
+	})
+}
+
+func (d *Daemon) register() {
+	d.control.Register(d.rpcServer)
+	d.gates.register(d.rpcServer)
+	d.limiter.Register(d.rpcServer)
+	d.crashes.register(d.rpcServer)
+}
--- /dev/null
+++ b/daemon/main.go
@@ -0,0 +1,128 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/gooseberryshed/gooseberryshed/platform/httpplatform"
+	"github.com/gooseberryshed/gooseberryshed/settings"
+)
+
+// Exit codes of the daemon.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// platformDialTimeout bounds connecting to the platform.
+const platformDialTimeout = time.Second
+
+// errUsage marks a command line that could not be read.
+var errUsage = errors.New("see --help")
+
+// Main runs the daemon of the command line and returns the exit code.
+func Main() int {
+	err := Command().Execute()
+	var se *settings.Error
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &se), errors.Is(err, errUsage):
+		fmt.Fprintln(os.Stderr, "gooseberryshedd:", err)
+		return exitUsage
+	default:
+		fmt.Fprintln(os.Stderr, "gooseberryshedd:", err)
+		return exitFailed
+	}
+}
+
+// Command returns the daemon's command line.
+func Command() *cobra.Command {
+	set := &settings.Settings{}
+	cmd := &cobra.Command{
+		Use:   "gooseberryshedd",
+		Short: "Proxy daemon for the targets of one host",
+		Long: `Runs beside the targets of one host: takes callers' requests, passes them to
+targets of any host, and is the only door to the targets of its own.
+
+Each flag can also be set in the environment as GOOSEBERRYSHED_<FLAG>, in
+capitals and with underscores; a flag on the command line wins. SIGTERM and
+SIGINT start a planned stop that cuts no request.
+
+Exit codes: 0 stopped as planned, 1 failed, 2 unusable settings.`,
+		Example: `  GOOSEBERRYSHED_CLUSTER_SECRET=change-me-change-me gooseberryshedd \
+    --host h1 --datacentre alfold-1 --platform http://10.0.0.2:7000`,
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := settings.FromEnvironment(cmd.Flags()); err != nil {
+				return err
+			}
+			if err := set.Validate(); err != nil {
+				return err
+			}
+			return runProcess(cmd.Context(), *set)
+		},
+	}
+	set.Bind(cmd.Flags())
+	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return errors.WithMessage(errUsage, err.Error())
+	})
+	return cmd
+}
+
+// runProcess runs a daemon until a signal comes.
+func runProcess(ctx context.Context, set settings.Settings) error {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	client, err := httpplatform.New(httpplatform.Options{URL: set.Platform, Dial: dialFrom(set.Source())})
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	d, err := New(Options{
+		Settings: set,
+		Table:    client,
+		Objects:  client.Objects(),
+		Logger:   newLogger(set),
+	})
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx)
+}
+
+// dialFrom dials from a source address; nil leaves the choice to the system.
+func dialFrom(source net.IP) func(addr string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: platformDialTimeout}
+	if source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: source}
+	}
+	return func(addr string) (net.Conn, error) { return dialer.Dial("tcp", addr) }
+}
+
+func newLogger(set settings.Settings) *log.Logger {
+	level, err := log.ParseLevel(set.LogLevel)
+	if err != nil {
+		level = log.InfoLevel
+	}
+	return log.NewWithOptions(os.Stderr, log.Options{
+		Level:           level,
+		ReportTimestamp: true,
+		Formatter:       log.LogfmtFormatter,
+	}).With("host", set.Host)
+}
--- /dev/null
+++ b/ingress/admit.go
@@ -0,0 +1,124 @@
+package ingress
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/gooseberryshed/gooseberryshed/config"
+	"github.com/gooseberryshed/gooseberryshed/control"
+	"github.com/gooseberryshed/gooseberryshed/limiter"
+	"github.com/gooseberryshed/gooseberryshed/wire"
+)
+
+// admission is what was found out about a request before it is tried.
+type admission struct {
+	route     *config.Route
+	service   *config.Service
+	workspace string
+	// keyID is the digest of the key, which also names a key whose id was
+	// granted anew.
+	keyID      string
+	idempotent bool
+}
+
+// admit matches route and key. It does not take a token.
+func admit(snap *control.Snapshot, req *fasthttp.Request) (admission, *wire.Refusal) {
+	var a admission
+	if r := serving(snap); r != nil {
+		return a, r
+	}
+	path, err := config.CanonicalPath(rawPath(req))
+	if err != nil {
+		return a, wire.Refuse(wire.ReasonBadRequest, "%v", err)
+	}
+	route, ok := snap.Config.MatchRoute(path)
+	if !ok {
+		return a, wire.Refuse(wire.ReasonNoRoute, "no route matches the path")
+	}
+	a.route = route
+	a.idempotent = route.IsIdempotent(string(req.Header.Method()))
+	a.service, ok = snap.Config.Service(route.Service)
+	if !ok {
+		return a, wire.Refuse(wire.ReasonNoRoute, "the route's service does not exist")
+	}
+	if r := a.authenticate(snap.Config, secretOf(&req.Header)); r != nil {
+		return a, r
+	}
+	if len(req.Body()) > a.service.MaxBody {
+		return a, wire.Refuse(wire.ReasonTooLarge, "the body exceeds the service's %d bytes", a.service.MaxBody)
+	}
+	return a, nil
+}
+
+func serving(snap *control.Snapshot) *wire.Refusal {
+	if snap.Config == nil {
+		return wire.Refuse(wire.ReasonOutOfTouch, "this host has no configuration yet")
+	}
+	if !snap.InTouch {
+		return wire.Refuse(wire.ReasonOutOfTouch, "this host has lost touch with the table and with the other hosts")
+	}
+	return nil
+}
+
+func (a *admission) authenticate(cfg *config.Snapshot, secret string) *wire.Refusal {
+	if a.route.Access == config.AccessOpen {
+		return nil
+	}
+	if secret == "" {
+		return wire.Refuse(wire.ReasonNoKey, "the route demands a key")
+	}
+	digest := sha256.Sum256([]byte(secret))
+	ref, ok := cfg.FindKey(digest)
+	if !ok {
+		return wire.Refuse(wire.ReasonBadKey, "the key is not valid")
+	}
+	if !a.route.Admits(ref.Workspace) {
+		return wire.Refuse(wire.ReasonForbidden, "the route does not admit workspace %s", ref.Workspace)
+	}
+	a.workspace = ref.Workspace
+	a.keyID = hex.EncodeToString(digest[:])
+	return nil
+}
+
+// takeToken takes a token of the workspace. Open routes need none.
+func (x *exchange) takeToken(ctx context.Context) *wire.Refusal {
+	if x.adm.workspace == "" {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.deadline())
+	defer cancel()
+	d, err := x.in.opts.Limiter.Take(ctx, x.adm.workspace)
+	if err != nil {
+		return limiterRefusal(err)
+	}
+	if d.Allowed {
+		return nil
+	}
+	r := wire.Refuse(wire.ReasonRate, "workspace %s exceeds its rate", x.adm.workspace)
+	r.RetryAfter = d.RetryAfter
+	return r
+}
+
+func limiterRefusal(err error) *wire.Refusal {
+	var le *limiter.Error
+	if errors.As(err, &le) && le.Kind == limiter.KindUnknownWorkspace {
+		return wire.Refuse(wire.ReasonForbidden, "the workspace no longer exists")
+	}
+	return wire.Refuse(wire.ReasonLimiter, "no owner of the workspace's rate can be reached")
+}
+
+// rawPath is the path of the request target as the caller wrote it.
+func rawPath(req *fasthttp.Request) string {
+	target := string(req.Header.RequestURI())
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
+// isBodyless reports whether the answer to a method has no body.
+func isBodyless(method []byte) bool { return string(method) == http.MethodHead }
--- /dev/null
+++ b/ingress/server.go
@@ -0,0 +1,105 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/gooseberryshed/gooseberryshed/problem"
+	"github.com/gooseberryshed/gooseberryshed/wire"
+)
+
+// Ingress is the callers' side of a daemon.
+type Ingress struct {
+	opts    Options
+	stats   Stats
+	epochs  epochCache
+	budgets budgets
+	server  *fasthttp.Server
+	// pending counts outcomes that are being recorded.
+	pending sync.WaitGroup
+}
+
+// New returns an ingress.
+func New(o Options) *Ingress {
+	in := &Ingress{opts: o}
+	in.server = &fasthttp.Server{
+		Handler:                      in.handle,
+		ErrorHandler:                 in.handleMalformed,
+		NoDefaultServerHeader:        true,
+		ReadBufferSize:               maxHeaderBytes,
+		MaxRequestBodySize:           MaxBodyBytes,
+		ReadTimeout:                  readTimeout,
+		IdleTimeout:                  idleTimeout,
+		Concurrency:                  o.MaxConns,
+		CloseOnShutdown:              true,
+		DisablePreParseMultipartForm: true,
+		Logger:                       discardLogger{},
+	}
+	return in
+}
+
+// Serve takes connections until the listener is closed.
+func (in *Ingress) Serve(l net.Listener) error {
+	err := in.server.Serve(patientListener{l})
+	return errors.Wrap(err, "serve callers")
+}
+
+// Shutdown stops taking connections and returns when all requests have been
+// answered or ctx ends.
+// Outcomes that wait for the table are recorded first.
+func (in *Ingress) Shutdown(ctx context.Context) error {
+	err := in.server.ShutdownWithContext(ctx)
+	in.pending.Wait()
+	return err
+}
+
+// OpenConnections is the number of callers' connections.
+func (in *Ingress) OpenConnections() int { return int(in.server.GetOpenConnectionsCount()) }
+
+// Stats returns the counters.
+func (in *Ingress) Stats() *Stats { return &in.stats }
+
+// handleMalformed answers requests that could not be read.
+func (in *Ingress) handleMalformed(ctx *fasthttp.RequestCtx, err error) {
+	in.stats.Malformed.Add(1)
+	r := wire.Refuse(wire.ReasonBadRequest, "the request could not be read")
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		r = wire.Refuse(wire.ReasonTooLarge, "the body exceeds %d bytes", MaxBodyBytes)
+	}
+	problem.Write(&ctx.Response, r)
+	ctx.SetConnectionClose()
+}
+
+// patientListener bounds each write instead of each answer, since large answers
+// may take long.
+type patientListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l patientListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return patientConn{conn}, nil
+}
+
+type patientConn struct{ net.Conn }
+
+// Write implements net.Conn.
+func (c patientConn) Write(p []byte) (int, error) {
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeIdleTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// discardLogger drops the library's lines; failures are counted instead.
+type discardLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (discardLogger) Printf(string, ...any) {}
--- a/supervise/supervise.go
+++ b/supervise/supervise.go
@@ -26,8 +26,9 @@
 	// Run works until ctx ends and then returns nil. Returning earlier,
 	// whether with an error or without, is a failure.
 	Run func(ctx context.Context) error
-	// Once marks a child that may end without error; it is not restarted.
-	Once bool
+	// Critical marks a child that cannot be restarted: its failure ends the
+	// tree.
+	Critical bool
 }
 
 // Options bounds the restarts of a child.
@@ -120,11 +121,11 @@
 	var failures []time.Time
 	for {
 		err := runGuarded(ctx, c)
-		if ctx.Err() != nil || (c.Once && err == nil) {
+		if ctx.Err() != nil {
 			return nil
 		}
 		failures = recent(append(failures, time.Now()), t.opts.Window)
-		if len(failures) > t.opts.MaxRestarts {
+		if c.Critical || len(failures) > t.opts.MaxRestarts {
 			return &Error{Child: c.Name, Restarts: len(failures), Err: err}
 		}
 		t.restarts.Add(1)
@@ -153,7 +154,7 @@
 		}
 	}()
 	err = c.Run(ctx)
-	if err == nil && ctx.Err() == nil && !c.Once {
+	if err == nil && ctx.Err() == nil {
 		err = errors.New("returned before it was stopped")
 	}
 	return err
--- a/supervise/supervise_test.go
+++ b/supervise/supervise_test.go
@@ -61,3 +61,13 @@
 	assert.Equal(t, te.Child, "bad")
 	assert.ErrorIs(t, err, boom)
 }
+
+func TestCriticalChildIsNotRestarted(t *testing.T) {
+	starts := 0
+	tree := New(Options{}, Child{Name: "loop", Critical: true, Run: func(context.Context) error {
+		starts++
+		panic("lost state")
+	}})
+	assert.ErrorContains(t, tree.Run(context.Background()), "lost state")
+	assert.Equal(t, starts, 1)
+}
