limiter: shares change only after all owners serve by the new layout

When limits or data centres change, owners adopt the configuration at different times, and an owner past its lease may stay at an old one for hours; shares by different layouts can sum to more than one. Each row now names the revision its owner serves by, and a workspace's part is the least over the configurations that some owner may still use. A property test runs services on a fake table, mesh and clock under arbitrary faults against one exact reference bucket.

--- a/limit/layout.go
+++ b/limit/layout.go
@@ -45,6 +45,13 @@
 	return 1 / float64(len(l.Holders))
 }
 
+// Divisible reports whether a former owner and a taker can both serve with
+// their part of a share. Where one part is less than a token, the owner that
+// holds the row undivided keeps all of it.
+func (p Policy) Divisible(shareOfBurst float64) bool {
+	return shareOfBurst*min(p.Standing, 1-p.Standing) >= 1
+}
+
 // Order returns the holders with the given data centre first, if it is one,
 // and the others in an order that differs between workspaces.
 func (l Layout) Order(first, workspace string) []string {
--- a/limit/record.go
+++ b/limit/record.go
@@ -14,6 +14,8 @@
 	Owner    Owner   `json:"owner"`
 	Epoch    uint64  `json:"epoch"`
 	Fraction float64 `json:"fraction"`
+	// Revision is the configuration by which the former owner computes shares.
+	Revision uint64 `json:"revision"`
 	// Remaining is how long the reservation lasts, counted by whoever holds
 	// the row from when it wrote or first saw this record.
 	Remaining time.Duration `json:"remaining"`
@@ -77,10 +79,13 @@
 const maxReservations = 8
 
 // TakeOver returns the record with which a taker claims a row, and whether it
-// may claim it.
+// may claim it. A taker whose configuration is older than the row's may not,
+// because other owners already rely on the newer one.
 func (r Record) TakeOver(me Owner, p Policy, e Evidence, revision uint64) (Record, bool) {
 	next := Record{Owner: me, Epoch: r.Epoch + 1, Revision: revision}
 	switch {
+	case revision < r.Revision:
+		return Record{}, false
 	case r.Epoch == 0:
 		next.Fraction = 1
 		return next, true
@@ -98,6 +103,7 @@
 		Owner:     r.Owner,
 		Epoch:     r.Epoch,
 		Fraction:  kept,
+		Revision:  r.Revision,
 		Remaining: p.reservationTime(),
 	})
 	return next, true
--- a/limit/session.go
+++ b/limit/session.go
@@ -11,20 +11,36 @@
 	Ended bool
 }
 
-// Fraction returns which part of the share the owner may use now.
-func (s *Session) Fraction(now time.Time, p Policy) float64 {
-	if s.Ended || s.Record.Released {
+// Fraction returns which part of a share the owner may use now. shareOfBurst is
+// the share in tokens.
+func (s *Session) Fraction(now time.Time, p Policy, shareOfBurst float64) float64 {
+	if !s.Grants(now, p) {
 		return 0
 	}
-	age := now.Sub(s.RenewedAt)
-	switch {
-	case age < p.Lease:
-		return s.Record.Fraction
-	case age < p.Lease+p.Term:
+	if !p.Divisible(shareOfBurst) {
+		return s.undivided()
+	}
+	if s.Lapsed(now, p) {
 		return s.Record.Fraction * p.Standing
-	default:
+	}
+	return s.Record.Fraction
+}
+
+// undivided returns the fraction of a share that cannot be divided: all of it
+// when no former owner may be using it.
+func (s *Session) undivided() float64 {
+	if len(s.Record.Standing) > 0 {
 		return 0
 	}
+	return 1
+}
+
+// Grants reports whether the owner may grant anything.
+func (s *Session) Grants(now time.Time, p Policy) bool {
+	if s.Ended || s.Record.Released {
+		return false
+	}
+	return now.Sub(s.RenewedAt) < p.Lease+p.Term
 }
 
 // Lapsed reports that the lease has ended.
--- /dev/null
+++ b/limiter/buckets.go
@@ -0,0 +1,70 @@
+package limiter
+
+import (
+	"sync"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/limit"
+)
+
+// shardIndex lists the workspaces of each shard by the newest configuration.
+type shardIndex struct {
+	mu       sync.Mutex
+	revision uint64
+	names    [][]string
+}
+
+// workspaces returns those of a shard.
+func (x *shardIndex) workspaces(cfg Config, shard, shards int) []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.names == nil || x.revision != cfg.Revision() {
+		x.names = make([][]string, shards)
+		for name := range cfg.Workspaces() {
+			i := limit.Shard(name, shards)
+			x.names[i] = append(x.names[i], name)
+		}
+		x.revision = cfg.Revision()
+	}
+	return x.names[shard]
+}
+
+// touch updates the buckets of all workspaces of the shard, so that each has
+// been filling since the session began, asked for or not. Buckets of workspaces
+// that are no longer configured are dropped.
+func (s *Service) touch(o *owner) {
+	configs := s.configs()
+	if len(configs) == 0 {
+		return
+	}
+	names := s.index.workspaces(configs[len(configs)-1], o.row.Shard, s.opts.Shards)
+	o.touch(s.opts.Clock(), configs, names)
+}
+
+func (o *owner) touch(now time.Time, configs []Config, names []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, name := range names {
+		a, ok := newAllotment(configs, name)
+		if !ok {
+			continue
+		}
+		b, t, ok := o.bucket(now, a, name)
+		if !ok {
+			return
+		}
+		b.Update(now, t)
+	}
+	if len(o.buckets) > len(names) {
+		o.forget(configs[len(configs)-1])
+	}
+}
+
+// forget drops the buckets of unknown workspaces.
+func (o *owner) forget(cfg Config) {
+	for name, b := range o.buckets {
+		if _, ok := cfg.Workspace(name); !ok && b.pulling == nil {
+			delete(o.buckets, name)
+		}
+	}
+}
--- /dev/null
+++ b/limiter/chaos_test.go
@@ -0,0 +1,392 @@
+package limiter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"github.com/gooseberryshed/gooseberryshed/member"
+	"github.com/gooseberryshed/gooseberryshed/platform"
+	"github.com/gooseberryshed/gooseberryshed/rpc"
+)
+
+const (
+	chaosTerm  = time.Minute
+	chaosPause = 20 * time.Second
+)
+
+// reference is an exact bucket of the whole fleet. Grants that it would not
+// have made break the promise.
+type reference struct {
+	at          time.Time
+	level       float64
+	rate, burst float64
+}
+
+func (r *reference) advance(now time.Time, rate, burst float64) {
+	r.level += now.Sub(r.at).Seconds() * math.Max(r.rate, rate)
+	r.level = math.Min(r.level, math.Max(r.burst, burst))
+	r.at, r.rate, r.burst = now, rate, burst
+}
+
+// chaosHost is one daemon: its service, its configuration and its faults.
+type chaosHost struct {
+	self              member.Daemon
+	service           *Service
+	config            *fakeConfig
+	cutIn, cutOut     bool
+	cutTable, stopped bool
+}
+
+// chaos is a fleet under arbitrary faults. Everything runs in one goroutine but
+// for the messages, whose calls return in order.
+type chaos struct {
+	t       *rapid.T
+	clock   *fakeClock
+	table   *fakeTable
+	mesh    *fakeMesh
+	hosts   []*chaosHost
+	newest  *fakeConfig
+	refs    map[string]*reference
+	delayed []platform.Txn
+	// tableFault and replyFault apply to the next operation.
+	tableFault, replyFault string
+	inPause                bool
+	allowed                int
+}
+
+var chaosWorkspaces = []string{"large", "single", "small"}
+
+func newChaos(t *rapid.T) *chaos {
+	c := &chaos{t: t, clock: newFakeClock(), table: newFakeTable(), mesh: newFakeMesh(), refs: map[string]*reference{}}
+	c.newest = &fakeConfig{
+		revision: 1, since: 1, dataCentres: []string{"a", "b", "c"},
+		limits: map[string]Limits{
+			"large":  {Rate: 4, Burst: 12, Since: 1},
+			"small":  {Rate: 1, Burst: 3, Since: 1},
+			"single": {Rate: 0.5, Burst: 1, Since: 1},
+		},
+	}
+	for i := range 6 {
+		host := fmt.Sprintf("%s%d", c.newest.dataCentres[i%3], i/3)
+		h := &chaosHost{self: member.Daemon{
+			Host: host, DataCentre: host[:1], Incarnation: 1, State: member.StateServing, RPCAddr: host + ":1",
+		}}
+		c.hosts = append(c.hosts, h)
+		c.boot(h)
+	}
+	for w, l := range c.newest.limits {
+		c.refs[w] = &reference{at: c.clock.Now(), level: float64(l.Burst), rate: l.Rate, burst: float64(l.Burst)}
+	}
+	return c
+}
+
+func (c *chaos) boot(h *chaosHost) {
+	h.config = c.newest
+	h.service = New(Options{
+		Self: h.self, Table: chaosTable{c, h}, RPC: chaosCaller{c, h}, Clock: c.clock.Now, Shards: 1,
+		Config: func() Config { return h.config }, Peers: c.peers, StandingTerm: chaosTerm,
+	})
+	h.service.rowWork = 1
+	h.service.Register(meshRegistrar{mesh: c.mesh, addr: h.self.RPCAddr})
+}
+
+func (c *chaos) peers() []member.Daemon {
+	var peers []member.Daemon
+	for _, h := range c.hosts {
+		if !h.stopped {
+			peers = append(peers, h.self)
+		}
+	}
+	return peers
+}
+
+// pause lets time pass and the others work in the middle of an operation of h.
+func (c *chaos) pause(h *chaosHost) {
+	if c.inPause {
+		return
+	}
+	c.inPause = true
+	defer func() { c.inPause = false }()
+	for range 5 {
+		c.clock.Advance(chaosPause / 5)
+		for _, other := range c.hosts {
+			if other != h {
+				c.step(other)
+			}
+		}
+	}
+}
+
+func (c *chaos) step(h *chaosHost) {
+	if !h.stopped {
+		h.service.Step(context.Background())
+	}
+}
+
+// takeSome asks n times at a host and holds the grants against the reference.
+func (c *chaos) takeSome(h *chaosHost, workspace string, n int) int {
+	got := 0
+	for range n {
+		d, err := h.service.Take(context.Background(), workspace)
+		c.advanceReference()
+		var e *Error
+		if err != nil && !errors.As(err, &e) {
+			c.t.Fatalf("untyped error %v", err)
+		}
+		if err != nil || !d.Allowed {
+			continue
+		}
+		got++
+		c.allowed++
+		ref := c.refs[workspace]
+		ref.level--
+		if ref.level < -1e-6 {
+			c.t.Fatalf("%s: %v tokens more than rate and burst allow", workspace, -ref.level)
+		}
+	}
+	return got
+}
+
+// advanceReference uses the highest limits that any host serves by.
+func (c *chaos) advanceReference() {
+	for w, ref := range c.refs {
+		var rate, burst float64
+		for _, h := range c.hosts {
+			l := h.config.limits[w]
+			rate = math.Max(rate, l.Rate)
+			burst = math.Max(burst, float64(l.Burst))
+		}
+		ref.advance(c.clock.Now(), rate, burst)
+	}
+}
+
+// change accepts a configuration with other limits or data centres.
+func (c *chaos) change(workspace string, l Limits, dcs []string) {
+	next := &fakeConfig{revision: c.newest.revision + 1, since: c.newest.since, dataCentres: dcs, limits: map[string]Limits{}}
+	if !slices.Equal(dcs, c.newest.dataCentres) {
+		next.since = next.revision
+	}
+	for w, old := range c.newest.limits {
+		next.limits[w] = old
+	}
+	l.Since = next.revision
+	next.limits[workspace] = l
+	c.newest = next
+}
+
+// chaosTable is the table as one host reaches it.
+type chaosTable struct {
+	c *chaos
+	h *chaosHost
+}
+
+func (t chaosTable) out() error {
+	if t.h.cutTable || t.c.table.down {
+		return &platform.Error{Kind: platform.KindUnavailable, Op: "table"}
+	}
+	return nil
+}
+
+func (t chaosTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := t.out(); err != nil {
+		return platform.Row{}, err
+	}
+	return t.c.table.Get(ctx, key)
+}
+
+func (t chaosTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := t.out(); err != nil {
+		return nil, err
+	}
+	return t.c.table.Scan(ctx, prefix, after, limit)
+}
+
+func (t chaosTable) Commit(ctx context.Context, txn platform.Txn) error {
+	if err := t.out(); err != nil {
+		return err
+	}
+	f := t.c.tableFault
+	t.c.tableFault = ""
+	uncertain := &platform.Error{Kind: platform.KindUncertain, Op: "commit"}
+	switch f {
+	case "pause-before":
+		t.c.pause(t.h)
+	case "delay":
+		t.c.delayed = append(t.c.delayed, txn)
+		return uncertain
+	case "swallow":
+		return uncertain
+	}
+	err := t.c.table.Commit(ctx, txn)
+	switch f {
+	case "lose-reply":
+		return uncertain
+	case "pause-after":
+		t.c.pause(t.h)
+	}
+	return err
+}
+
+// chaosCaller carries the calls of one host.
+type chaosCaller struct {
+	c *chaos
+	h *chaosHost
+}
+
+func (m chaosCaller) Call(ctx context.Context, addr, method string, params, result any) error {
+	var to *chaosHost
+	for _, h := range m.c.hosts {
+		if h.self.RPCAddr == addr {
+			to = h
+		}
+	}
+	if to == nil || to.stopped || to.cutIn || m.h.cutOut {
+		return errors.Errorf("%s unreachable", addr)
+	}
+	f := m.c.replyFault
+	m.c.replyFault = ""
+	var raw json.RawMessage
+	err := m.c.mesh.Call(ctx, addr, method, params, &raw)
+	if f == "pause-owner" {
+		m.c.pause(to)
+	}
+	if f == "lose" || to.cutOut || m.h.cutIn {
+		return errors.New("reply lost")
+	}
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, result)
+}
+
+var _ rpc.Caller = chaosCaller{}
+
+// TestNeverMoreThanRateAndBurst runs arbitrary interleavings of faults: lost and
+// late replies, pauses in the middle of operations, one-way cuts, crashes, new
+// incarnations, planned stops, table outages, delayed and lost writes, and
+// changes of limits and data centres that reach hosts at different times.
+func TestNeverMoreThanRateAndBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newChaos(t)
+		host := func() *chaosHost { return c.hosts[rapid.IntRange(0, len(c.hosts)-1).Draw(t, "host")] }
+		stepAll := func() {
+			for _, h := range c.hosts {
+				c.step(h)
+			}
+		}
+		take := func(t *rapid.T) {
+			w := rapid.SampledFrom(chaosWorkspaces).Draw(t, "workspace")
+			h := host()
+			if !h.stopped {
+				c.takeSome(h, w, rapid.IntRange(1, 15).Draw(t, "n"))
+			}
+		}
+		round := func(t *rapid.T) {
+			c.clock.Advance(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
+			stepAll()
+			c.advanceReference()
+		}
+		round(t)
+		stepAll()
+		t.Repeat(map[string]func(*rapid.T){
+			"take":   take,
+			"take2":  take,
+			"round":  round,
+			"round2": round,
+			"long": func(t *rapid.T) {
+				for range rapid.IntRange(3, 30).Draw(t, "rounds") {
+					c.clock.Advance(3 * time.Second)
+					stepAll()
+				}
+				c.advanceReference()
+			},
+			"fault": func(t *rapid.T) {
+				c.tableFault = rapid.SampledFrom([]string{"", "pause-before", "pause-after", "delay", "swallow", "lose-reply"}).Draw(t, "table")
+				c.replyFault = rapid.SampledFrom([]string{"", "pause-owner", "lose"}).Draw(t, "reply")
+			},
+			"deliver": func(t *rapid.T) {
+				for _, txn := range c.delayed {
+					c.table.Commit(context.Background(), txn) //nolint:errcheck // conflicts are expected
+				}
+				c.delayed = nil
+			},
+			"cut": func(t *rapid.T) {
+				h := host()
+				h.cutIn = rapid.Bool().Draw(t, "in")
+				h.cutOut = rapid.Bool().Draw(t, "out")
+				h.cutTable = rapid.Bool().Draw(t, "table")
+			},
+			"outage": func(t *rapid.T) { c.table.down = !c.table.down },
+			"restart": func(t *rapid.T) {
+				h := host()
+				h.self.Incarnation++
+				h.stopped = false
+				c.boot(h)
+			},
+			"stop": func(t *rapid.T) {
+				h := host()
+				if !h.stopped {
+					h.service.Release(context.Background())
+					h.stopped = true
+				}
+			},
+			"limits": func(t *rapid.T) {
+				w := rapid.SampledFrom(chaosWorkspaces).Draw(t, "changed")
+				l := Limits{
+					Rate:  float64(rapid.IntRange(1, 8).Draw(t, "rate")) / 2,
+					Burst: rapid.SampledFrom([]int{1, 2, 3, 4, 12}).Draw(t, "burst"),
+				}
+				dcs := rapid.SampledFrom([][]string{{"a", "b", "c"}, {"a", "b"}, {"b", "c"}}).Draw(t, "dcs")
+				c.change(w, l, dcs)
+			},
+			"adopt": func(t *rapid.T) {
+				c.advanceReference()
+				host().config = c.newest
+				c.advanceReference()
+			},
+			"": func(t *rapid.T) {},
+		})
+		c.heal(t, stepAll)
+	})
+}
+
+// heal ends all faults and checks that the whole burst can be had again.
+func (c *chaos) heal(t *rapid.T, stepAll func()) {
+	c.table.down, c.tableFault, c.replyFault, c.delayed = false, "", "", nil
+	for _, h := range c.hosts {
+		h.cutIn, h.cutOut, h.cutTable = false, false, false
+		c.advanceReference()
+		h.config = c.newest
+		if h.stopped {
+			h.self.Incarnation++
+			h.stopped = false
+			c.boot(h)
+		}
+	}
+	rounds := func(n int) {
+		for range n {
+			c.clock.Advance(3 * time.Second)
+			stepAll()
+		}
+	}
+	rounds(60)
+	for _, w := range chaosWorkspaces {
+		c.takeSome(c.hosts[0], w, 1)
+	}
+	rounds(40)
+	for _, w := range chaosWorkspaces {
+		burst := c.newest.limits[w].Burst
+		got := c.takeSome(c.hosts[0], w, burst)
+		if got < burst-len(c.newest.dataCentres) || got == 0 {
+			t.Fatalf("%s: only %d of %d tokens after all faults ended", w, got, burst)
+		}
+	}
+}
--- a/limiter/fake_test.go
+++ b/limiter/fake_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"iter"
+	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -59,8 +62,19 @@
 	return r, nil
 }
 
-func (t *fakeTable) Scan(context.Context, string, string, int) ([]platform.Row, error) {
-	return nil, errors.New("not used")
+func (t *fakeTable) Scan(_ context.Context, prefix, _ string, _ int) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return nil, &platform.Error{Kind: platform.KindUnavailable, Op: "scan " + prefix}
+	}
+	var rows []platform.Row
+	for k, r := range t.rows {
+		if strings.HasPrefix(k, prefix) {
+			rows = append(rows, r)
+		}
+	}
+	return rows, nil
 }
 
 func (t *fakeTable) Commit(_ context.Context, txn platform.Txn) error {
@@ -153,6 +167,7 @@
 // fakeConfig is a configuration in memory.
 type fakeConfig struct {
 	revision    uint64
+	since       uint64
 	dataCentres []string
 	limits      map[string]Limits
 }
@@ -162,7 +177,9 @@
 	l, ok := c.limits[name]
 	return l, ok
 }
-func (c *fakeConfig) DataCentres() []string { return c.dataCentres }
+func (c *fakeConfig) DataCentres() []string        { return c.dataCentres }
+func (c *fakeConfig) Workspaces() iter.Seq[string] { return maps.Keys(c.limits) }
+func (c *fakeConfig) DataCentresSince() uint64     { return c.since }
 
 // fleet is a set of services on one fake table, mesh and clock.
 type fleet struct {
--- a/limiter/handover.go
+++ b/limiter/handover.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/gooseberryshed/gooseberryshed/limit"
 )
 
 // Release gives up all rows for a planned stop. The best other candidate of
@@ -33,12 +31,12 @@
 }
 
 func (s *Service) surrender(o *owner) []handoverLevel {
-	cfg := s.opts.Config()
-	if cfg == nil {
+	configs := s.configs()
+	if len(configs) == 0 {
 		o.end()
 		return nil
 	}
-	return o.surrender(s.opts.Clock(), cfg)
+	return o.surrender(s.opts.Clock(), configs)
 }
 
 // handOver passes levels to the successor and returns its host. A lost message
@@ -74,16 +72,13 @@
 	s.mu.RLock()
 	h, ok := s.handed[o.row]
 	s.mu.RUnlock()
-	cfg := s.opts.Config()
-	if !ok || h.Epoch != epoch || cfg == nil {
+	configs := s.configs()
+	if !ok || h.Epoch != epoch || len(configs) == 0 {
 		return
 	}
 	for _, l := range h.Levels {
-		a, _, ok := allotmentOf(cfg, o.row.DataCentre, l.Workspace)
-		if !ok {
-			continue
+		if a, ok := newAllotment(configs, l.Workspace); ok {
+			o.fill(now, a, l)
 		}
-		t := a.total.Scale(a.share * o.session.Record.Fraction)
-		o.buckets[l.Workspace] = &bucket{Bucket: limit.NewBucket(now, t, l.Level)}
 	}
 }
--- a/limiter/lease.go
+++ b/limiter/lease.go
@@ -103,10 +103,11 @@
 }
 
 func (s *Service) revision() uint64 {
-	if cfg := s.opts.Config(); cfg != nil {
-		return cfg.Revision()
+	configs := s.configs()
+	if len(configs) == 0 {
+		return 0
 	}
-	return 0
+	return configs[len(configs)-1].Revision()
 }
 
 // goneCheck returns a check of whether the holder of a reservation has stopped
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -63,13 +63,20 @@
 func ownerHost(f *fleet, dc, workspace string) string {
 	row := rowID{DataCentre: dc, Shard: limit.Shard(workspace, 2)}
 	for host, s := range f.services {
-		if o := s.ownerOf(row); o != nil && o.fraction(f.clock.Now()) > 0 {
+		if o := s.ownerOf(row); o != nil && o.fractionNow(f.clock.Now()) > 0 {
 			return host
 		}
 	}
 	return ""
 }
 
+// fractionNow is the fraction of a share that is large enough to be divided.
+func (o *owner) fractionNow(now time.Time) float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.session.Fraction(now, o.policy, 100)
+}
+
 func TestSkewedDemandReachesTheWholeBurst(t *testing.T) {
 	f := newFleet(threeCentres(), 3)
 	warm(t, f, "large")
@@ -139,7 +146,7 @@
 	var sum float64
 	for _, s := range f.services {
 		if o := s.ownerOf(row); o != nil {
-			sum += o.fraction(f.clock.Now())
+			sum += o.fractionNow(f.clock.Now())
 		}
 	}
 	assert.Equal(t, sum, 1.0)
@@ -162,7 +169,7 @@
 	row := rowID{DataCentre: "a", Shard: limit.Shard("large", 2)}
 	now := ownerHost(f, "a", "large")
 	assert.Assert(t, now != "")
-	assert.Equal(t, f.services[now].ownerOf(row).fraction(f.clock.Now()), 1.0)
+	assert.Equal(t, f.services[now].ownerOf(row).fractionNow(f.clock.Now()), 1.0)
 }
 
 func TestPlannedStopHandsLevelsOver(t *testing.T) {
@@ -175,7 +182,7 @@
 	assert.Assert(t, next != "" && next != stop)
 	o := f.services[next].ownerOf(rowID{DataCentre: "a", Shard: limit.Shard("large", 2)})
 	assert.Assert(t, o.buckets["large"].Level() >= 19, "level %v", o.buckets["large"].Level())
-	assert.Equal(t, o.fraction(f.clock.Now()), 1.0)
+	assert.Equal(t, o.fractionNow(f.clock.Now()), 1.0)
 }
 
 func TestTableOutageKeepsTheStandingFraction(t *testing.T) {
--- a/limiter/messages.go
+++ b/limiter/messages.go
@@ -1,7 +1,6 @@
 package limiter
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/gooseberryshed/gooseberryshed/limit"
@@ -22,7 +21,7 @@
 }
 
 // key is the row's key in the table.
-func (r rowID) key() string { return fmt.Sprintf("limit/%s/%d", r.DataCentre, r.Shard) }
+func (r rowID) key() string { return shardPrefix(r.Shard) + r.DataCentre }
 
 // takeItem asks for N tokens of one workspace.
 type takeItem struct {
@@ -39,6 +38,8 @@
 // takeGrant answers one takeItem.
 type takeGrant struct {
 	Granted int `json:"g"`
+	// NotHolder means that the owner holds no share of the workspace.
+	NotHolder bool `json:"not_holder,omitempty"`
 	// Wait is when to try again if less than asked was granted.
 	Wait time.Duration `json:"wait,omitempty"`
 }
--- a/limiter/options.go
+++ b/limiter/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"iter"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -30,6 +31,10 @@
 	// Rate is in requests per second over the whole fleet.
 	Rate  float64
 	Burst int
+	// Since is the revision at which these limits last may have changed, for
+	// example that of the section. Revision() is always right but makes each
+	// change of the configuration spread like a change of these limits.
+	Since uint64
 }
 
 // Config is what the limiter reads of the configuration. It is immutable.
@@ -38,8 +43,13 @@
 	Revision() uint64
 	// Workspace returns the limits of a workspace, or false.
 	Workspace(name string) (Limits, bool)
+	// Workspaces ranges over the names of all workspaces.
+	Workspaces() iter.Seq[string]
 	// DataCentres lists all configured data centres, in or out.
 	DataCentres() []string
+	// DataCentresSince is the revision at which that list last may have
+	// changed.
+	DataCentresSince() uint64
 }
 
 // Options configures a Service.
--- a/limiter/owner.go
+++ b/limiter/owner.go
@@ -13,6 +13,7 @@
 	policy limit.Policy
 
 	mu      sync.Mutex
+	agreed  agreement
 	session limit.Session
 	version uint64
 	// writtenAt is when the last write of the row was known to have succeeded.
@@ -29,27 +30,19 @@
 	dryUntil time.Time
 }
 
-// allotment is what the configuration gives one data centre of a workspace.
+// allotment is what the configuration gives a workspace.
 type allotment struct {
-	share float64
-	total limit.Terms
-}
-
-// allotmentOf returns what a data centre gets of a workspace, and the layout.
-func allotmentOf(cfg Config, dataCentre, workspace string) (allotment, limit.Layout, bool) {
-	w, ok := cfg.Workspace(workspace)
-	if !ok {
-		return allotment{}, limit.Layout{}, false
-	}
-	layout := limit.NewLayout(cfg.DataCentres(), workspace, w.Burst)
-	total := limit.Terms{Rate: w.Rate, Cap: float64(w.Burst)}
-	return allotment{share: layout.Share(dataCentre), total: total}, layout, true
+	configs []Config
+	total   limit.Terms
+	layout  limit.Layout
 }
 
 // grant is an owner's answer to an ask.
 type grant struct {
 	n    int
 	wait time.Duration
+	// notHolder says that this owner has no share of the workspace.
+	notHolder bool
 	// mayPull says that other owners may have tokens and none is being asked.
 	mayPull bool
 	// pulling is the pull under way, if any.
@@ -64,6 +57,9 @@
 	if !ok {
 		return grant{}, false
 	}
+	if t.Cap <= 0 {
+		return grant{notHolder: true}, true
+	}
 	g.n = b.Take(now, t, n)
 	if g.n < n {
 		g.wait = max(b.Wait(a.total.Rate), b.dryUntil.Sub(now))
@@ -119,11 +115,12 @@
 
 // bucket returns the workspace's bucket and present terms.
 func (o *owner) bucket(now time.Time, a allotment, workspace string) (*bucket, limit.Terms, bool) {
-	fraction := o.session.Fraction(now, o.policy)
-	if fraction <= 0 {
+	if !o.session.Grants(now, o.policy) {
 		return nil, limit.Terms{}, false
 	}
-	t := a.total.Scale(a.share * fraction)
+	t := a.total.Scale(agreedPart(a.configs, o.agreed, workspace, func(cfg Config) (float64, bool) {
+		return o.part(now, cfg, workspace)
+	}))
 	b, ok := o.buckets[workspace]
 	if !ok {
 		b = &bucket{Bucket: limit.NewBucket(now, t, 0)}
@@ -132,10 +129,24 @@
 	return b, t, true
 }
 
-func (o *owner) fraction(now time.Time) float64 {
+// part returns the part of a workspace that this owner may use by one
+// configuration.
+func (o *owner) part(now time.Time, cfg Config, workspace string) (float64, bool) {
+	w, ok := cfg.Workspace(workspace)
+	if !ok {
+		return 0, false
+	}
+	share := limit.NewLayout(cfg.DataCentres(), workspace, w.Burst).Share(o.row.DataCentre)
+	return share * o.session.Fraction(now, o.policy, share*float64(w.Burst)), true
+}
+
+// fill starts a bucket with a level that the former owner gave up.
+func (o *owner) fill(now time.Time, a allotment, l handoverLevel) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.session.Fraction(now, o.policy)
+	if b, t, ok := o.bucket(now, a, l.Workspace); ok {
+		b.Bucket = limit.NewBucket(now, t, l.Level)
+	}
 }
 
 // end stops all grants for good.
@@ -157,12 +168,12 @@
 }
 
 // surrender stops all grants for good and returns the levels left.
-func (o *owner) surrender(now time.Time, cfg Config) []handoverLevel {
+func (o *owner) surrender(now time.Time, configs []Config) []handoverLevel {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var levels []handoverLevel
 	for w := range o.buckets {
-		a, _, ok := allotmentOf(cfg, o.row.DataCentre, w)
+		a, ok := newAllotment(configs, w)
 		if !ok {
 			continue
 		}
--- a/limiter/pull.go
+++ b/limiter/pull.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/gooseberryshed/gooseberryshed/limit"
 )
 
 // Bounds of the time between two pulls that got nothing.
@@ -18,14 +16,17 @@
 
 // pull asks the other holders in turn for the missing tokens. It reports
 // whether any arrived.
-func (s *Service) pull(o *owner, a allotment, layout limit.Layout, workspace string, missing int) bool {
+func (s *Service) pull(o *owner, a allotment, workspace string, missing int) bool {
 	reserved := o.startPull(s.opts.Clock(), a, workspace, missing*pullAhead)
 	if reserved == 0 {
 		return false
 	}
 	s.counters.pulls.Add(1)
 	got := 0
-	for _, dc := range layout.Order(o.row.DataCentre, workspace)[1:] {
+	for _, dc := range a.layout.Order(o.row.DataCentre, workspace) {
+		if dc == o.row.DataCentre {
+			continue
+		}
 		got += s.pullFrom(rowID{DataCentre: dc, Shard: o.row.Shard}, workspace, reserved-got)
 		if got >= min(missing, reserved) {
 			break
--- a/limiter/rows.go
+++ b/limiter/rows.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,11 +48,10 @@
 
 // interval is the time to the next step.
 func (s *Service) interval() time.Duration {
-	cfg := s.opts.Config()
-	if cfg == nil {
+	if s.opts.Config() == nil {
 		return bootInterval
 	}
-	for _, row := range s.myRows(cfg) {
+	for _, row := range s.myRows() {
 		if !s.seen(row) {
 			return bootInterval
 		}
@@ -59,11 +59,15 @@
 	return s.opts.Lease / renewalsPerLease
 }
 
-// seen reports whether this daemon owns the row or has read it.
+// seen reports whether this daemon has read a row that it watches, or the
+// whole shard of a row that it owns.
 func (s *Service) seen(row rowID) bool {
+	if o := s.ownerOf(row); o != nil {
+		return o.agreement().rows > 0
+	}
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.owners[row] != nil || s.watches[row] != nil
+	return s.watches[row] != nil
 }
 
 // kick has Run look at a row at once.
@@ -76,13 +80,9 @@
 
 // Step renews and watches each row once.
 func (s *Service) Step(ctx context.Context) {
-	cfg := s.opts.Config()
-	if cfg == nil {
-		return
-	}
 	var g errgroup.Group
-	g.SetLimit(maxRowWork)
-	for _, row := range s.myRows(cfg) {
+	g.SetLimit(s.rowWork)
+	for _, row := range s.myRows() {
 		g.Go(func() error {
 			s.stepRow(ctx, row)
 			return nil
@@ -91,13 +91,19 @@
 	g.Wait() //nolint:errcheck // no step returns an error
 }
 
-// myRows lists the rows that this daemon owns or is a candidate for.
-func (s *Service) myRows(cfg Config) []rowID {
+// myRows lists the rows that this daemon owns or may take.
+func (s *Service) myRows() []rowID {
+	configs := s.configs()
+	if len(configs) == 0 {
+		return nil
+	}
+	present := configs[len(configs)-1].DataCentres()
 	var rows []rowID
-	for _, dc := range cfg.DataCentres() {
+	for _, dc := range dataCentres(configs) {
 		for shard := range s.opts.Shards {
 			row := rowID{DataCentre: dc, Shard: shard}
-			if s.ownerOf(row) != nil || s.isCandidate(row) {
+			removed := !slices.Contains(present, dc)
+			if s.ownerOf(row) != nil || s.isCandidate(row) || (removed && s.ownsShard(shard)) {
 				rows = append(rows, row)
 			}
 		}
@@ -105,6 +111,20 @@
 	return rows
 }
 
+// ownsShard reports whether this daemon owns some row of a shard. Such a daemon
+// takes the lapsed rows of removed data centres, whose own daemons may not know
+// of them any more: the shares of the others can't grow before.
+func (s *Service) ownsShard(shard int) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for row := range s.owners {
+		if row.Shard == shard {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Service) isCandidate(row rowID) bool {
 	for _, d := range candidates(s.opts, row) {
 		if d.Host == s.opts.Self.Host {
@@ -115,11 +135,17 @@
 }
 
 func (s *Service) stepRow(ctx context.Context, row rowID) {
-	if o := s.ownerOf(row); o != nil {
+	o := s.ownerOf(row)
+	if o == nil {
+		s.watchRow(ctx, row)
+		o = s.ownerOf(row)
+	} else {
 		s.renew(ctx, o)
-		return
 	}
-	s.watchRow(ctx, row)
+	if o != nil {
+		s.refreshAgreement(ctx, o)
+		s.touch(o)
+	}
 }
 
 // readRow reads a row; a missing one has version 0 and an empty record.
--- a/limiter/serve.go
+++ b/limiter/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -47,23 +46,19 @@
 
 // grant takes tokens as their owner and pulls from other owners when short.
 func (s *Service) grant(ctx context.Context, o *owner, item takeItem) (takeGrant, bool) {
-	cfg := s.opts.Config()
-	if cfg == nil {
-		return takeGrant{}, false
-	}
-	a, layout, ok := allotmentOf(cfg, o.row.DataCentre, item.Workspace)
-	if !ok {
-		return takeGrant{Wait: time.Second}, true
+	a, err := s.allotment(item.Workspace)
+	if err != nil {
+		return takeGrant{NotHolder: true}, true
 	}
 	g, ok := o.take(s.opts.Clock(), a, item.Workspace, item.N)
 	if !ok {
 		return takeGrant{}, false
 	}
-	if g.n == item.N || len(layout.Holders) < 2 {
-		return takeGrant{Granted: g.n, Wait: g.wait}, true
+	if g.n == item.N || g.notHolder || len(a.layout.Holders) < 2 {
+		return takeGrant{Granted: g.n, NotHolder: g.notHolder, Wait: g.wait}, true
 	}
 	missing := item.N - g.n
-	if !s.refill(ctx, o, a, layout, item.Workspace, missing, g) {
+	if !s.refill(ctx, o, a, item.Workspace, missing, g) {
 		return takeGrant{Granted: g.n, Wait: g.wait}, true
 	}
 	more, ok := o.take(s.opts.Clock(), a, item.Workspace, missing)
@@ -72,9 +67,9 @@
 
 // refill waits for the pull under way or makes one. It reports whether it is
 // worth while to take again.
-func (s *Service) refill(ctx context.Context, o *owner, a allotment, layout limit.Layout, workspace string, missing int, g grant) bool {
+func (s *Service) refill(ctx context.Context, o *owner, a allotment, workspace string, missing int, g grant) bool {
 	if g.mayPull {
-		return s.pull(o, a, layout, workspace, missing)
+		return s.pull(o, a, workspace, missing)
 	}
 	if g.pulling == nil {
 		return false
@@ -98,12 +93,11 @@
 // give deducts tokens for another owner; ok is false if this daemon may not.
 func (s *Service) give(req giveRequest) (n int, ok bool) {
 	o := s.ownerOf(req.Row)
-	cfg := s.opts.Config()
-	if o == nil || cfg == nil {
+	if o == nil {
 		return 0, false
 	}
-	a, _, known := allotmentOf(cfg, req.Row.DataCentre, req.Workspace)
-	if !known {
+	a, err := s.allotment(req.Workspace)
+	if err != nil {
 		return 0, true
 	}
 	n, ok = o.give(s.opts.Clock(), a, req.Workspace, req.Want)
--- a/limiter/service.go
+++ b/limiter/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,8 @@
 	policy   limit.Policy
 	counters counters
 	router   *router
+	history  history
+	index    shardIndex
 
 	mu      sync.RWMutex
 	owners  map[rowID]*owner
@@ -38,6 +41,8 @@
 
 	beats atomic.Uint64
 	kicks chan rowID
+	// rowWork is how many rows are worked on at once.
+	rowWork int
 
 	askersMu sync.Mutex
 	askers   map[rowID]*asker
@@ -53,6 +58,7 @@
 		watches: map[rowID]*watched{},
 		handed:  map[rowID]handoverRequest{},
 		barred:  map[rowID]uint64{},
+		rowWork: maxRowWork,
 		kicks:   make(chan rowID, maxKicks),
 		askers:  map[rowID]*asker{},
 	}
@@ -64,32 +70,78 @@
 // ctx; it never means that the rate was exceeded.
 func (s *Service) Take(ctx context.Context, workspace string) (Decision, error) {
 	s.counters.asks.Add(1)
-	cfg := s.opts.Config()
-	if cfg == nil {
-		return Decision{}, &Error{Kind: KindNoConfig, Workspace: workspace}
+	a, err := s.allotment(workspace)
+	if err != nil {
+		return Decision{}, err
 	}
-	w, ok := cfg.Workspace(workspace)
-	if !ok {
-		return Decision{}, &Error{Kind: KindUnknownWorkspace, Workspace: workspace}
+	if a.total.Rate <= 0 || a.total.Cap < 1 {
+		return s.decide(takeGrant{Wait: time.Minute}), nil
 	}
-	layout := limit.NewLayout(cfg.DataCentres(), workspace, w.Burst)
 	shard := limit.Shard(workspace, s.opts.Shards)
 	var last error
-	for _, dc := range layout.Order(s.opts.Self.DataCentre, workspace) {
+	for _, dc := range s.askOrder(a, workspace) {
 		g, err := s.ask(ctx, rowID{DataCentre: dc, Shard: shard}, workspace)
 		if ctx.Err() != nil {
 			return Decision{}, errors.Wrap(ctx.Err(), "waiting for the owner of the rate")
 		}
+		if err == nil && !g.NotHolder {
+			return s.decide(g), nil
+		}
 		if err != nil {
 			last = err
-			continue
 		}
-		return s.decide(g), nil
 	}
 	s.counters.noOwner.Add(1)
 	return Decision{}, &Error{Kind: KindNoOwner, Workspace: workspace, Err: last}
 }
 
+// configs returns the configurations that this daemon has served by, the one
+// in force last, or nil when there is none.
+func (s *Service) configs() []Config {
+	cfg := s.opts.Config()
+	if cfg == nil {
+		return nil
+	}
+	return s.history.note(cfg)
+}
+
+func (s *Service) allotment(workspace string) (allotment, error) {
+	configs := s.configs()
+	if len(configs) == 0 {
+		return allotment{}, &Error{Kind: KindNoConfig, Workspace: workspace}
+	}
+	a, ok := newAllotment(configs, workspace)
+	if !ok {
+		return allotment{}, &Error{Kind: KindUnknownWorkspace, Workspace: workspace}
+	}
+	return a, nil
+}
+
+func newAllotment(configs []Config, workspace string) (allotment, bool) {
+	cfg := configs[len(configs)-1]
+	w, ok := cfg.Workspace(workspace)
+	if !ok {
+		return allotment{}, false
+	}
+	return allotment{
+		configs: configs,
+		total:   limit.Terms{Rate: w.Rate, Cap: float64(w.Burst)},
+		layout:  limit.NewLayout(cfg.DataCentres(), workspace, w.Burst),
+	}, true
+}
+
+// askOrder lists the holders, this data centre first, and then the data centres
+// that may still hold the workspace by an earlier configuration.
+func (s *Service) askOrder(a allotment, workspace string) []string {
+	order := a.layout.Order(s.opts.Self.DataCentre, workspace)
+	for _, dc := range dataCentres(a.configs) {
+		if !slices.Contains(order, dc) {
+			order = append(order, dc)
+		}
+	}
+	return order
+}
+
 func (s *Service) decide(g takeGrant) Decision {
 	if g.Granted > 0 {
 		s.counters.allowed.Add(1)
@@ -102,7 +154,12 @@
 // ask asks the owner of a row for one token.
 func (s *Service) ask(ctx context.Context, row rowID, workspace string) (takeGrant, error) {
 	if o := s.ownerOf(row); o != nil {
+		start := s.opts.Clock()
 		g, ok := s.grant(ctx, o, takeItem{Workspace: workspace, N: 1})
+		if age := s.opts.Clock().Sub(start); age >= s.opts.ReplyBound {
+			s.counters.lateReplies.Add(1)
+			return takeGrant{}, errors.Errorf("own grant dropped after %s", age.Round(time.Millisecond))
+		}
 		if ok {
 			return g, nil
 		}
