Copies of an attempt get the one run's answer

An order whose answer was lost between two daemons was reported as unknown, though the gate knew the answer. Repeating the request as a new attempt was ruled out, since it may run twice; asking by settle only tells that it ran.

Now the same attempt (same id and epoch) may be sent again. The gate lets a copy join the first one or gives it the kept answer, bounded by 32 KiB per answer, 4 MiB and 15 s in all. The client sends copies on new connections after a broken path, not after silence on a new connection, where settling is faster. An attempt that may not be repeated is no longer cut off when its sender's connection breaks, because that would turn a known outcome into an unknown one.

TestAtMostOnce asked for a refusal of a copy. That was wrong under the new rule; it now demands the same answer from one run, a refusal after the answer's expiry, and the refusal as before for repeatable attempts.

--- a/forward/client.go
+++ b/forward/client.go
@@ -1,7 +1,10 @@
 package forward
 
 import (
+	"bytes"
 	"context"
+	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/gooseberryshed/gooseberryshed/headers"
@@ -56,6 +59,13 @@
 	opts   ClientOptions
 	secret []byte
 	links  *link.Pool
+	resent atomic.Int64
+}
+
+// ClientStats counts the events of a client.
+type ClientStats struct {
+	Resent      int64 // copies sent after a broken path
+	Connections link.Stats
 }
 
 // NewClient returns a client.
@@ -75,25 +85,96 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.links.Close() }
 
-// Stats returns the counts of the connections.
-func (c *Client) Stats() link.Stats { return c.links.Stats() }
+// Stats returns the counts so far.
+func (c *Client) Stats() ClientStats {
+	return ClientStats{Resent: c.resent.Load(), Connections: c.links.Stats()}
+}
 
 // Forward runs an attempt at the gate of host. The error is a *wire.Refusal;
 // when it says Unknown and nothing of the target, settle the attempt.
+//
+// When the path breaks under an attempt that may not be repeated, copies of it
+// are sent on new connections: the gate runs it once and answers all copies
+// alike.
 func (c *Client) Forward(ctx context.Context, host string, att wire.Attempt, req *fasthttp.Request) (*wire.Answer, error) {
 	addr, ok := c.opts.Address(host)
 	if !ok {
 		return nil, wire.Refuse(wire.ReasonUnreachable, "no address of host %q is known", host)
 	}
+	first, ref, broken := c.send(ctx, host, addr, att, req, false)
+	if !broken || att.Idempotent {
+		return result(first, ref)
+	}
+	return result(c.resend(ctx, host, addr, att, req, ref))
+}
+
+// resend sends further copies of an attempt, each on a new connection, until
+// the gate answers one. A copy that did not run says nothing about the first
+// one, so the outcome stays unknown then.
+func (c *Client) resend(ctx context.Context, host, addr string, att wire.Attempt, req *fasthttp.Request, why *wire.Refusal) (*wire.Answer, *wire.Refusal) {
+	deadline := time.Now().Add(att.Remaining)
+	pause := firstPause
+	for range maxCopies {
+		if !sleep(ctx, pause) {
+			break
+		}
+		pause *= 2
+		att.Remaining = time.Until(deadline)
+		if att.Remaining <= 0 {
+			break
+		}
+		c.resent.Add(1)
+		answer, ref, broken := c.send(ctx, host, addr, att, req, true)
+		if ref == nil || (ref.Run != wire.NotRun && !broken) {
+			return answer, ref
+		}
+		if ref.Run == wire.NotRun && ref.Reason != wire.ReasonUnreachable {
+			return nil, wire.RefuseUnknown(why.Reason, "%s; a copy: %s", why.Detail, ref.Detail)
+		}
+	}
+	return nil, why
+}
+
+const (
+	// maxCopies bounds the copies after the first one.
+	maxCopies = 4
+	// firstPause precedes the first copy; it doubles for each further one.
+	firstPause = 5 * time.Millisecond
+)
+
+// sleep pauses and reports whether the context is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func result(answer *wire.Answer, ref *wire.Refusal) (*wire.Answer, error) {
+	if ref != nil {
+		return nil, ref
+	}
+	return answer, nil
+}
+
+// send sends one copy of an attempt. It reports as broken when the copy may
+// have arrived, no answer of the gate has, and another copy may fare better.
+func (c *Client) send(ctx context.Context, host, addr string, att wire.Attempt, req *fasthttp.Request, fresh bool) (answer *wire.Answer, ref *wire.Refusal, broken bool) {
 	out := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(out)
 	req.Header.CopyTo(&out.Header)
 	headers.CleanRequest(&out.Header)
 	writeAttempt(&out.Header, att, c.secret)
 	out.SetBodyRaw(req.Body())
-	resp, err := c.links.Do(ctx, addr, out, c.bounds(att))
+	x := c.bounds(att)
+	x.Fresh = fresh
+	resp, err := c.links.Do(ctx, addr, out, x)
 	if err != nil {
-		return nil, refusalOf(host, err)
+		return nil, refusalOf(host, err), mayHeal(link.AsError(err))
 	}
 	return c.answer(host, att, resp)
 }
@@ -119,6 +200,12 @@
 	}
 }
 
+// mayHeal reports whether another copy on a new connection has a chance: not
+// when a new connection was silent already.
+func mayHeal(le *link.Error) bool {
+	return le.Stage != link.StageDial && (le.Reused || le.Cause == link.CauseClosed)
+}
+
 // refusalOf says what a failed exchange means for the attempt.
 func refusalOf(host string, err error) *wire.Refusal {
 	le := link.AsError(err)
@@ -132,18 +219,18 @@
 	return wire.RefuseUnknown(reason, "host %s: %s", host, le)
 }
 
-func (c *Client) answer(host string, att wire.Attempt, resp *link.Response) (*wire.Answer, error) {
+func (c *Client) answer(host string, att wire.Attempt, resp *link.Response) (answer *wire.Answer, ref *wire.Refusal, broken bool) {
 	h := &resp.Header
 	if string(h.Peek(fieldAttempt)) != att.ID.String() {
 		resp.Body.Close()
-		return nil, wire.RefuseUnknown(wire.ReasonUnreachable, "host %s: %s", host, errOtherAttempt)
+		return nil, wire.RefuseUnknown(wire.ReasonUnreachable, "host %s: %s", host, errOtherAttempt), true
 	}
 	if ref := readRefusal(h); ref != nil {
 		drain(resp)
-		return nil, ref
+		return nil, ref, false
 	}
 	p := parser{h: h}
-	answer := &wire.Answer{
+	answer = &wire.Answer{
 		Header: h,
 		Length: resp.Length,
 		Body:   resp.Body,
@@ -152,14 +239,29 @@
 	}
 	if p.err != nil {
 		resp.Body.Close()
-		return nil, wire.RefuseUnknown(wire.ReasonUnreachable, "host %s: %s", host, p.err)
+		return nil, wire.RefuseUnknown(wire.ReasonUnreachable, "host %s: %s", host, p.err), true
 	}
 	if length, ok := readLength(h); ok {
 		answer.Length = length
 		answer.Body = &countedBody{ReadCloser: resp.Body, left: length}
 	}
 	headers.CleanResponse(h)
-	return answer, nil
+	if err := buffer(answer, att); err != nil {
+		return nil, wire.RefuseUnknown(wire.ReasonUnreachable, "host %s: answer cut short: %s", host, err), true
+	}
+	return answer, nil, false
+}
+
+// buffer reads a small answer to an attempt that may not be repeated, so that
+// one cut short on the way can be asked for again.
+func buffer(answer *wire.Answer, att wire.Attempt) error {
+	if att.Idempotent || answer.Length < 0 || answer.Length > maxBuffered {
+		return nil
+	}
+	data, err := io.ReadAll(answer.Body)
+	answer.Body.Close()
+	answer.Body = io.NopCloser(bytes.NewReader(data))
+	return err
 }
 
 // drain reads the empty body of a refusal, so that the connection is kept.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -120,7 +120,7 @@
 		_, err := c.Forward(context.Background(), "h", attempt(), request())
 		assert.DeepEqual(t, wire.AsRefusal(err), want)
 	}
-	assert.Equal(t, c.Stats().Reuses, int64(1))
+	assert.Equal(t, c.Stats().Connections.Reuses, int64(1))
 }
 
 func TestUnauthenticSenderIsRefused(t *testing.T) {
--- a/forward/server.go
+++ b/forward/server.go
@@ -53,6 +53,7 @@
 	Malformed   int64
 	Interim     int64 // interim answers sent
 	Abandoned   int64 // attempts whose client closed the connection
+	Errors      int64 // connections that broke
 }
 
 // Server takes attempts from other daemons.
@@ -60,7 +61,7 @@
 	opts    ServerOptions
 	secrets [][]byte
 	count   struct {
-		attempts, unauthentic, malformed, interim, abandoned atomic.Int64
+		attempts, unauthentic, malformed, interim, abandoned, errors atomic.Int64
 	}
 }
 
@@ -90,13 +91,21 @@
 		Malformed:   s.count.malformed.Load(),
 		Interim:     s.count.interim.Load(),
 		Abandoned:   s.count.abandoned.Load(),
+		Errors:      s.count.errors.Load(),
 	}
 }
 
+// errorCounter counts what the HTTP server would log per connection.
+type errorCounter struct{ n *atomic.Int64 }
+
+// Printf implements fasthttp.Logger.
+func (c errorCounter) Printf(string, ...any) { c.n.Add(1) }
+
 // HTTP returns an HTTP server for the forward address.
 func (s *Server) HTTP() *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:               s.Handle,
+		Logger:                errorCounter{&s.count.errors},
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
 		NoDefaultContentType:  true,
--- a/gate/failure_test.go
+++ b/gate/failure_test.go
@@ -229,7 +229,9 @@
 		<-arrived
 		cancel()
 	}()
-	_, ref := read(t, f.Gate, ctx, f.attempt())
+	att := f.attempt()
+	att.Idempotent = true
+	_, ref := read(t, f.Gate, ctx, att)
 	refused(t, ref, wire.ReasonTimeout, wire.Unknown)
 	assert.Equal(t, f.Stats().InFlight, int64(1))
 	got := make(chan string, 1)
--- a/gate/forward.go
+++ b/gate/forward.go
@@ -24,17 +24,34 @@
 
 // Forward implements wire.Forwarder for the targets of the gate's host.
 // att.Remaining bounds the time to the answer's header; ctx governs the whole
-// exchange, the body included.
+// exchange, the body included. The answer's body must be closed.
+//
+// An attempt that may not be repeated runs on when ctx ends after its
+// dispatch. Sending the same attempt again, with the same id and epoch, is
+// always safe: it joins the first one or gets its kept answer.
 func (g *Gate) Forward(ctx context.Context, att wire.Attempt, req *fasthttp.Request) (*wire.Answer, error) {
-	tk, ref := g.admit(ctx, att)
-	if ref == nil {
-		var answer *wire.Answer
-		if answer, ref = g.run(ctx, tk, req); ref == nil {
-			return answer, nil
-		}
+	var answer *wire.Answer
+	var ref *wire.Refusal
+	if att.Idempotent {
+		answer, ref = g.attempt(ctx, ctx, att, req)
+	} else {
+		answer, ref = g.once(ctx, att, req)
+	}
+	if ref != nil {
+		g.countRefusal(ref)
+		return nil, ref
+	}
+	return answer, nil
+}
+
+// attempt takes an attempt through the queue under the context waiting, and
+// through the exchange under the context running.
+func (g *Gate) attempt(waiting, running context.Context, att wire.Attempt, req *fasthttp.Request) (*wire.Answer, *wire.Refusal) {
+	tk, ref := g.admit(waiting, att)
+	if ref != nil {
+		return nil, ref
 	}
-	g.countRefusal(ref)
-	return nil, ref
+	return g.run(running, tk, req)
 }
 
 func (g *Gate) countRefusal(ref *wire.Refusal) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -71,6 +71,10 @@
 	// Linger is how long an exchange that was given up keeps its slot unless
 	// the target closes its end before. Default 2 s.
 	Linger time.Duration
+	// KeepFor and KeepBytes bound the answers that are kept for copies of
+	// attempts that may not be repeated. Default 15 s and 4 MiB.
+	KeepFor   time.Duration
+	KeepBytes int
 	// Gone is the silence after which a target counts as gone. Default 5 s.
 	Gone time.Duration
 }
@@ -103,6 +107,12 @@
 	if o.Linger <= 0 {
 		o.Linger = DefaultLinger
 	}
+	if o.KeepFor <= 0 {
+		o.KeepFor = DefaultKeepFor
+	}
+	if o.KeepBytes <= 0 {
+		o.KeepBytes = DefaultKeepBytes
+	}
 	if o.Gone <= 0 {
 		o.Gone = DefaultGone
 	}
@@ -120,6 +130,8 @@
 	Uncertain   int64 // failed with unknown outcome
 	Stale       int64 // refused for their epoch
 	Duplicates  int64
+	Replayed    int64 // copies of attempts that got the first one's outcome
+	KeptBytes   int64 // of answers kept now
 	Settled     int64 // settle calls
 	Tombstones  int64 // settled as not run
 	Busy        int64 // refused for lack of room or time
@@ -143,6 +155,7 @@
 	mu       sync.Mutex
 	ledger   *ledger.Ledger
 	targets  map[string]*target // by name; the current instance of each
+	kept     keeper
 	draining bool
 	active   int           // attempts admitted and not yet ended
 	idle     chan struct{} // closed when draining and none is active
@@ -157,6 +170,7 @@
 		links:   link.New(opts.Links),
 		ledger:  ledger.New(opts.Ledger, opts.Clock()),
 		targets: map[string]*target{},
+		kept:    keeper{maxAge: opts.KeepFor, maxBytes: opts.KeepBytes, byID: map[wire.ID]*kept{}},
 		idle:    make(chan struct{}),
 	}
 }
@@ -174,6 +188,7 @@
 	defer g.mu.Unlock()
 	s := g.stats
 	s.LedgerSize = int64(g.ledger.Len())
+	s.KeptBytes = int64(g.kept.bytes)
 	for _, t := range g.targets {
 		s.InFlight += int64(t.inFlight)
 		s.Waiting += int64(t.queue.Len())
@@ -199,6 +214,7 @@
 func (g *Gate) Tick(now time.Time) {
 	g.mu.Lock()
 	g.ledger.Tick(now)
+	g.kept.expire(now)
 	var deaths []Outcome
 	for name, t := range g.targets {
 		if d, died := g.ageTarget(name, t, now); died {
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -185,23 +185,93 @@
 func TestAtMostOnce(t *testing.T) {
 	f := start(t, startBackend(t, hello), "orders", nil)
 	att := f.attempt()
-	_, ref := f.forward(att)
-	assert.Assert(t, ref == nil, "%v", ref)
-	_, ref = f.forward(att)
-	refused(t, ref, wire.ReasonDuplicateOrder, wire.Unknown)
+	for range 2 {
+		got, ref := f.forward(att)
+		assert.Assert(t, ref == nil, "%v", ref)
+		assert.Equal(t, got, "hello")
+	}
+	assert.Equal(t, f.backend.runs(), 1)
 	state, err := f.Settle(context.Background(), att.ID, att.Epoch)
 	assert.NilError(t, err)
 	assert.Equal(t, state, wire.Ran)
+	f.Tick(f.clock.advance(gate.DefaultKeepFor + time.Millisecond))
+	assert.NilError(t, f.Announce(f.said))
+	_, ref := f.forward(att)
+	refused(t, ref, wire.ReasonDuplicateOrder, wire.Unknown)
+
+	repeatable := f.attempt()
+	repeatable.Idempotent = true
+	_, ref = f.forward(repeatable)
+	assert.Assert(t, ref == nil, "%v", ref)
+	_, ref = f.forward(repeatable)
+	refused(t, ref, wire.ReasonDuplicateOrder, wire.Unknown)
 
 	late := f.attempt()
 	state, err = f.Settle(context.Background(), late.ID, late.Epoch)
 	assert.NilError(t, err)
 	assert.Equal(t, state, wire.NotRun)
-	_, ref = f.forward(late)
-	refused(t, ref, wire.ReasonSettled, wire.NotRun)
+	for range 2 {
+		_, ref = f.forward(late)
+		refused(t, ref, wire.ReasonSettled, wire.NotRun)
+	}
+	assert.Equal(t, f.backend.runs(), 2)
+}
+
+// TestCopyGetsAnswerOfLostOne gives an attempt up while it runs; a copy of it
+// joins and gets the answer of the one run.
+func TestCopyGetsAnswerOfLostOne(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	f := start(t, startBackend(t, func(rc *fasthttp.RequestCtx) {
+		close(arrived)
+		<-release
+		hello(rc)
+	}), "orders", nil)
+	att := f.attempt()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, ref := read(t, f.Gate, ctx, att)
+	refused(t, ref, wire.ReasonTimeout, wire.Unknown)
+	got := make(chan string, 1)
+	go func() {
+		s, _ := f.forward(att)
+		got <- s
+	}()
+	close(release)
+	assert.Equal(t, <-got, "hello")
+	assert.Equal(t, f.backend.runs(), 1)
+	assert.Equal(t, f.Stats().Replayed, int64(1))
+}
+
+// TestLargeAnswersAreNotKept streams what is too large to keep; a copy of the
+// attempt is told that it has run.
+func TestLargeAnswersAreNotKept(t *testing.T) {
+	large := strings.Repeat("x", 100_000)
+	f := start(t, startBackend(t, func(rc *fasthttp.RequestCtx) {
+		rc.SetBodyStream(strings.NewReader(large), -1)
+	}), "orders", nil)
+	att := f.attempt()
+	got, ref := f.forward(att)
+	assert.Assert(t, ref == nil, "%v", ref)
+	assert.Assert(t, got == large)
+	_, ref = f.forward(att)
+	refused(t, ref, wire.ReasonDuplicateOrder, wire.Unknown)
 	assert.Equal(t, f.backend.runs(), 1)
 }
 
+func TestKeptAnswersAreBounded(t *testing.T) {
+	const most = 20_000
+	f := start(t, startBackend(t, func(rc *fasthttp.RequestCtx) { rc.SetBodyString(strings.Repeat("x", 5000)) }),
+		"orders", func(o *gate.Options) { o.KeepBytes = most })
+	for range 10 {
+		_, ref := f.forward(f.attempt())
+		assert.Assert(t, ref == nil, "%v", ref)
+		assert.Assert(t, f.Stats().KeptBytes <= most)
+	}
+}
+
 func TestStaleEpochTellsCurrent(t *testing.T) {
 	f := start(t, startBackend(t, hello), "orders", nil)
 	att := f.attempt()
