balance: give little to targets in doubt; compare ways of choosing

A verdict waits 4 s for confirmation, during which a target that fails everything kept its full share.

A target that publishes a score now counts as four times as full, so it gets work only when the others are much busier. No capacity is taken out, so the floor is untouched, and when all are in doubt nothing changes. Shortening the confirmation was ruled out, as it is what keeps trouble of the whole service from ejecting anybody.

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -15,6 +15,11 @@
 	tricklePeriod = time.Second
 )
 
+// troubledFactor makes a target against which evidence gathers seem fuller, so
+// that it gets little while the verdict waits for confirmation, or when the
+// floor keeps it in use. When all are troubled it changes nothing.
+const troubledFactor = 4.0
+
 // Rand is the source of randomness. *rand.Rand of math/rand/v2 implements it.
 type Rand interface {
 	IntN(n int) int
@@ -166,7 +171,11 @@
 
 func (p *picker) occupancy(c *candidate) float64 {
 	limit := c.load.limitOr(p.now, c.limit)
-	return (c.load.inFlight(p.now) + 1) / float64(limit)
+	occ := (c.load.inFlight(p.now) + 1) / float64(limit)
+	if c.troubled {
+		return occ * troubledFactor
+	}
+	return occ
 }
 
 // hasRoom reports whether one more request fits; with Alone, whether the
@@ -175,7 +184,8 @@
 	if p.req.Alone {
 		return c.load.inFlight(p.now) < 0.5
 	}
-	return p.occupancy(c) <= 1
+	limit := c.load.limitOr(p.now, c.limit)
+	return c.load.inFlight(p.now)+1 <= float64(limit)
 }
 
 // trial picks an ejected target for a trial request now and then.
--- a/balance/view.go
+++ b/balance/view.go
@@ -65,6 +65,8 @@
 	host  string
 	limit int
 	load  *Load
+	// troubled targets gather evidence against themselves but are in use.
+	troubled bool
 }
 
 // zone holds the candidates of one service in one data centre.
@@ -232,7 +234,7 @@
 		if hosts[t.Service] >= bound && !counted[t.Service] {
 			continue
 		}
-		c := candidate{id: t.ID, host: d.Host, limit: capacity(t), load: b.in.Loads.Of(t.ID)}
+		c := candidate{id: t.ID, host: d.Host, limit: capacity(t), load: b.in.Loads.Of(t.ID), troubled: t.Score > 0}
 		if _, out := b.ejected[t.ID]; out {
 			s := b.service(t.Service)
 			s.ejected = append(s.ejected, c)
--- /dev/null
+++ b/internal/measure/balance_test.go
@@ -0,0 +1,64 @@
+package measure
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+var choosers = []struct {
+	name string
+	make func(ing *Ingress) Chooser
+}{
+	{"two-choices", func(ing *Ingress) Chooser { return TwoChoices{ing} }},
+	{"random", func(ing *Ingress) Chooser { return Random{ing} }},
+	{"least-of-all", NewLeastOfAll},
+	{"ewma", NewLatencyAverage},
+}
+
+// capacity is the rate at which all slots of healthy workers are busy.
+func capacity(cfg Config) float64 {
+	const meanOfMedian = 1.133 // lognormal with sigma 0.5
+	return float64(cfg.Workers*cfg.Slots) / (cfg.Median.Seconds() * meanOfMedian)
+}
+
+// BenchmarkChoice compares ways of choosing while nothing is ejected.
+func BenchmarkChoice(b *testing.B) {
+	for _, workers := range []int{6, 12} {
+		for _, tc := range []struct {
+			name   string
+			load   float64
+			change func(*Config)
+		}{
+			{"load-70pc", 0.7, func(*Config) {}},
+			{"load-90pc", 0.9, func(*Config) {}},
+			{"skewed-70pc", 0.7, func(c *Config) { c.Skew = 0.7 }},
+			{"one-slow-3x", 0.6, func(c *Config) { c.Faults = []Fault{{Worker: 1, To: time.Hour, Slow: 3}} }},
+		} {
+			for _, ch := range choosers {
+				b.Run(fmt.Sprintf("%d/%s/%s", workers, tc.name, ch.name), func(b *testing.B) {
+					for range b.N {
+						cfg := karpithaz(1)
+						cfg.Workers, cfg.NewJudge, cfg.NewChooser = workers, nil, ch.make
+						cfg.Rate = tc.load * capacity(cfg)
+						cfg.Duration = 2 * time.Minute
+						tc.change(&cfg)
+						reportLatency(b, Run(cfg))
+					}
+				})
+			}
+		}
+	}
+}
+
+func reportLatency(b *testing.B, res Result) {
+	slices.Sort(res.Latencies)
+	at := func(q float64) float64 {
+		return float64(res.Latencies[int(q*float64(len(res.Latencies)-1))].Microseconds()) / 1000
+	}
+	b.ReportMetric(at(0.5), "ms-p50")
+	b.ReportMetric(at(0.99), "ms-p99")
+	b.ReportMetric(at(0.999), "ms-p999")
+	b.ReportMetric(float64(res.Busy), "busy")
+}
--- a/internal/measure/control.go
+++ b/internal/measure/control.go
@@ -43,7 +43,7 @@
 // snapshot is the present state of all records.
 func (s *Sim) snapshot() []member.Daemon {
 	var out []member.Daemon
-	for _, w := range s.workers {
+	for i, w := range s.workers {
 		t := member.Target{
 			ID: w.id, Service: "s", State: member.TargetReady, Slots: s.cfg.Slots, Limit: s.cfg.Slots,
 		}
@@ -52,11 +52,13 @@
 			t.Suspect, t.Score = w.judge.Suspect(), w.judge.Score()
 			t.ErrorPermille, t.LatencyMicros = sum.ErrorPermille, sum.LatencyMicros
 		}
-		host := w.id[:len(w.id)-2]
 		out = append(out, member.Daemon{
-			Host: host, DataCentre: w.dc, State: member.StateServing, Targets: []member.Target{t},
+			Host: hostOf(i), DataCentre: w.dc, State: member.StateServing, Targets: []member.Target{t},
 		})
 	}
+	for i := len(s.workers); i < s.cfg.Ingresses; i++ {
+		out = append(out, member.Daemon{Host: hostOf(i), DataCentre: s.dcOf(i), State: member.StateServing})
+	}
 	return out
 }
 
@@ -66,21 +68,17 @@
 		all = append(all, eject.Announced{Target: t, Available: true})
 	}
 	ejected := eject.Set(all, s.cfg.Floor).Ejected
-	changed := false
 	for i, w := range s.workers {
 		out := slices.Contains(ejected, w.id)
 		if out == w.ejected {
 			continue
 		}
-		changed = true
 		w.ejected = out
 		if out {
 			s.countEjection(i)
 		}
 	}
-	if changed {
-		s.rebuild()
-	}
+	s.rebuild()
 }
 
 func (s *Sim) countEjection(i int) {
--- a/internal/measure/service.go
+++ b/internal/measure/service.go
@@ -22,6 +22,9 @@
 	// Ingresses that receive Rate requests a second together.
 	Ingresses int
 	Rate      float64
+	// Skew is the share of requests that enter through the first data centre;
+	// 0 spreads them evenly.
+	Skew float64
 	// Median service time and the Sigma of its lognormal distribution.
 	Median time.Duration
 	Sigma  float64
@@ -81,21 +84,18 @@
 
 // worker is a target with its gate.
 type worker struct {
-	id       string
-	dc       string
-	judge    Judge
-	running  int
-	queue    []*request
-	ejected  bool
-	verdicts int
-	suspect  bool
+	id      string
+	dc      string
+	judge   Judge
+	running int
+	queue   []*request
+	ejected bool
 }
 
 type request struct {
 	ing   *Ingress
 	begun time.Time
 	sent  time.Time
-	done  bool
 }
 
 // Ingress is one entry of requests.
@@ -144,7 +144,7 @@
 	s.Result.Dispatched = make([]int, cfg.Workers)
 	for i := range cfg.Workers {
 		s.Result.FirstEjected[i] = -1
-		w := &worker{id: fmt.Sprintf("h%d/w", i), dc: s.dcOf(i)}
+		w := &worker{id: hostOf(i) + "/w", dc: s.dcOf(i)}
 		if cfg.NewJudge != nil {
 			w.judge = cfg.NewJudge()
 		}
@@ -152,7 +152,7 @@
 	}
 	s.records = s.snapshot()
 	for i := range cfg.Ingresses {
-		ing := &Ingress{Loads: &balance.Loads{}, sim: s, host: fmt.Sprintf("h%d", i), dc: s.dcOf(i)}
+		ing := &Ingress{Loads: &balance.Loads{}, sim: s, host: hostOf(i), dc: s.dcOf(i)}
 		s.ings = append(s.ings, ing)
 		ing.choose = cfg.NewChooser(ing)
 	}
@@ -163,6 +163,8 @@
 	return s.Result
 }
 
+func hostOf(i int) string { return fmt.Sprintf("h%d", i) }
+
 func (s *Sim) dcOf(i int) string { return fmt.Sprintf("dc%d", i%s.cfg.DataCentres) }
 
 func (s *Sim) elapsed() time.Duration { return s.loop.now.Sub(epoch) }
@@ -170,7 +172,7 @@
 func (s *Sim) arrive() {
 	gap := time.Duration(s.rng.ExpFloat64() / s.cfg.Rate * float64(time.Second))
 	s.loop.after(gap, s.arrive)
-	ing := s.ings[s.rng.IntN(len(s.ings))]
+	ing := s.entry()
 	i := ing.choose.Choose(s.loop.now)
 	if i < 0 {
 		s.Result.Busy++
@@ -186,6 +188,15 @@
 	s.start(i, w, r)
 }
 
+// entry picks the ingress of a request.
+func (s *Sim) entry() *Ingress {
+	n := len(s.ings)
+	if s.rng.Float64() < s.cfg.Skew {
+		return s.ings[s.rng.IntN(n/s.cfg.DataCentres)*s.cfg.DataCentres]
+	}
+	return s.ings[s.rng.IntN(n)]
+}
+
 func (s *Sim) enqueue(i int, w *worker, r *request) {
 	if len(w.queue) >= queueBound {
 		s.Result.Busy++
