Judge calls made before a fleet was ready too

Calls of the waiting phase were dropped while the targets' records of them were kept, so every fleet seemed to run requests of nobody ("request r1 of "" ran for w1"). They are now kept apart: judged with the rest, not counted as load.

No test has run against the project's daemon yet.

--- a/internal/e2e/harness/fleet.go
+++ b/internal/e2e/harness/fleet.go
@@ -68,8 +68,9 @@
 	peers       string
 	platformURL string
 
-	mu    sync.Mutex
-	calls []trace.Call
+	mu sync.Mutex
+	// early are the calls made before the fleet was ready.
+	early, calls []trace.Call
 	// clients by host, workspace and address keep connections open.
 	clients map[clientKey]*fasthttp.HostClient
 	nextID  int
@@ -104,7 +105,7 @@
 		f.WaitServing(i)
 	}
 	f.mu.Lock()
-	f.calls = nil
+	f.early, f.calls = f.calls, nil
 	f.mu.Unlock()
 	return f
 }
@@ -261,7 +262,7 @@
 func (f *Fleet) Verify() ([]trace.Call, []record.Run) {
 	f.t.Helper()
 	calls, runs := f.Calls(), f.Runs()
-	f.Report(trace.Always(calls, runs))
+	f.Report(trace.Always(append(f.early, calls...), runs))
 	return calls, runs
 }
 
