Let e2e operators edit from the shown revision

The command line refuses a change of a section without the revision that it was edited from, so every Apply of the tests ended in status 3. Changes now carry the base that config show prints, and operators who race on one section all start from the same base: exactly one may win.

--- a/internal/e2e/harness/operator.go
+++ b/internal/e2e/harness/operator.go
@@ -134,9 +134,16 @@
 	return out
 }
 
-// Apply puts sections into force: it returns when the change is accepted.
+// Change writes a file that changes sections of the configuration of now.
+func (f *Fleet) Change(name string, sections ...string) string {
+	f.t.Helper()
+	base, _, _ := strings.Cut(f.MustCLI("config", "show"), "\n")
+	return f.WriteFile(name, base+"\nsections:\n"+strings.Join(sections, ""))
+}
+
+// Apply changes sections and returns when the change was accepted.
 func (f *Fleet) Apply(sections ...string) time.Time {
 	f.t.Helper()
-	f.MustCLI("config", "apply", f.WriteFile("change.yaml", "sections:\n"+strings.Join(sections, "")))
+	f.MustCLI("config", "apply", f.Change("change.yaml", sections...))
 	return time.Now()
 }
