Cold time, repeated asks for a token, limits with the revision of their section

(1) A cold target got 3 requests at once although it bears 2: the limit grew by success while the target was still cold (output: 'cold limit: host2 had 3 requests at once and bears 2'). (2) After all open connections of a daemon had gone silent, 129 of 1,050 requests were refused as limiter-unavailable, because each ask gave up after one time-out. (3) The limiter needs to know when a workspace's limits last changed, so that owners on different revisions mint no tokens.

Ruled out for (1): growing more slowly, which passes the limit later but passes it all the same; trusting the target's load endpoint, which may lie. The operators know how long a start takes, so the document now says cold_time. Ruled out for (2): a longer time-out of one ask, which only waits on the silent connection; a second ask uses a new one.

Conclusion: unit test TestStaysColdForTheColdTime fails without the hold.

--- a/coldstart/doc.go
+++ b/coldstart/doc.go
@@ -1,9 +1,11 @@
 // Package coldstart bounds how many requests a target gets at once, by what it
 // has shown to bear.
 //
-// A target starts at its service's cold limit. Each time it has served as many
-// requests in a row as its limit, without a jump in latency, the limit rises by
-// one, up to the announced slots. A new incarnation, an announced restart, a
+// A target starts at its service's cold limit and stays there for the service's
+// cold time, because growing by success alone must pass what a cold target bears
+// to find it. After that, each time it has served as many requests in a row as
+// its limit, without a jump in latency, the limit rises by one, up to the
+// announced slots. A new incarnation, an announced restart, a
 // run of answers far slower than the target's own warm latency, or repeated
 // shedding brings it back to the cold limit, so a target that turns cold
 // unannounced is noticed within a few requests.
--- a/coldstart/limiter.go
+++ b/coldstart/limiter.go
@@ -11,6 +11,9 @@
 	Slots int
 	// ColdLimit is the limit of a cold target. Default 1.
 	ColdLimit int
+	// ColdTime is how long a target stays cold at least: the limit does not
+	// rise before. Default 0.
+	ColdTime time.Duration
 	// Step is the least time between two rises of the limit. Default 250 ms.
 	Step time.Duration
 	// JumpFactor is how many times its warm latency makes an answer a jump.
@@ -46,19 +49,20 @@
 	sheds   int
 	shedAt  time.Time
 	stepAt  time.Time
-	warm    float64 // nanoseconds
+	coldAt  time.Time // since when the target is cold
+	warm    float64   // nanoseconds
 	answers int
 	resets  int
 }
 
-// New returns the limiter of a cold target.
-func New(opt Options) *Limiter {
+// New returns the limiter of a target that is cold from now on.
+func New(opt Options, now time.Time) *Limiter {
 	opt.Slots = max(1, opt.Slots)
 	opt.ColdLimit = min(max(1, opt.ColdLimit), opt.Slots)
 	opt.Step = cmp.Or(opt.Step, defaultStep)
 	opt.JumpFactor = cmp.Or(opt.JumpFactor, defaultJumpFactor)
 	opt.JumpRun = cmp.Or(opt.JumpRun, defaultJumpRun)
-	return &Limiter{opt: opt, limit: opt.ColdLimit}
+	return &Limiter{opt: opt, limit: opt.ColdLimit, coldAt: now}
 }
 
 // Limit is how many requests the target may have at once now.
@@ -86,7 +90,7 @@
 	l.jumps = 0
 	l.learn(latency, latencyWeight)
 	l.good++
-	if l.good < l.limit || now.Sub(l.stepAt) < l.opt.Step {
+	if l.good < l.limit || now.Sub(l.stepAt) < l.opt.Step || now.Sub(l.coldAt) < l.opt.ColdTime {
 		return
 	}
 	l.rise(now)
@@ -155,4 +159,5 @@
 	l.jumps = 0
 	l.sheds = 0
 	l.stepAt = now
+	l.coldAt = now
 }
--- a/coldstart/limiter_test.go
+++ b/coldstart/limiter_test.go
@@ -22,7 +22,7 @@
 }
 
 func TestGrowsToSlots(t *testing.T) {
-	l := New(Options{Slots: 7, ColdLimit: 2})
+	l := New(Options{Slots: 7, ColdLimit: 2}, start)
 	assert.Equal(t, l.Limit(start), 2)
 	now := warm(l, start)
 	assert.Equal(t, l.Limit(now), 7)
@@ -47,7 +47,7 @@
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			l := New(Options{Slots: 7})
+			l := New(Options{Slots: 7}, start)
 			now := warm(l, start)
 			tc.make(l, now)
 			assert.Equal(t, l.Limit(now), 1)
@@ -58,7 +58,7 @@
 }
 
 func TestSingleSlowAnswerChangesNothing(t *testing.T) {
-	l := New(Options{Slots: 7})
+	l := New(Options{Slots: 7}, start)
 	now := warm(l, start)
 	l.OnSuccess(now, 20*usual)
 	assert.Equal(t, l.Limit(now), 7)
@@ -67,7 +67,7 @@
 
 // TestRelearnsLastingSlowness takes a target that is slower for good.
 func TestRelearnsLastingSlowness(t *testing.T) {
-	l := New(Options{Slots: 7})
+	l := New(Options{Slots: 7}, start)
 	now := warm(l, start)
 	for range 1000 {
 		now = now.Add(5 * usual)
@@ -80,7 +80,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		slots := rapid.IntRange(1, 20).Draw(t, "slots")
 		cold := rapid.IntRange(1, 20).Draw(t, "cold")
-		l := New(Options{Slots: slots, ColdLimit: cold})
+		l := New(Options{Slots: slots, ColdLimit: cold}, start)
 		now := start
 		for range 100 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
@@ -102,3 +102,14 @@
 		}
 	})
 }
+
+func TestStaysColdForTheColdTime(t *testing.T) {
+	l := New(Options{Slots: 7, ColdLimit: 2, ColdTime: time.Minute}, start)
+	now := warm(l, start)
+	assert.Equal(t, l.Limit(now), 2)
+	now = warm(l, start.Add(time.Minute))
+	assert.Equal(t, l.Limit(now), 7)
+	l.Restart(now)
+	now = warm(l, now)
+	assert.Equal(t, l.Limit(now), 2)
+}
--- a/config/defaults.go
+++ b/config/defaults.go
@@ -13,6 +13,7 @@
 	DefaultQueue     = 32
 	DefaultAttempts  = 3
 	DefaultColdLimit = 1
+	DefaultColdTime  = Duration(5 * time.Second)
 )
 
 // Bounds of fields.
@@ -66,6 +67,7 @@
 	s.Queue = orDefault(s.Queue, DefaultQueue)
 	s.Attempts = orDefault(s.Attempts, DefaultAttempts)
 	s.ColdLimit = orDefault(s.ColdLimit, DefaultColdLimit)
+	s.ColdTime = orDefault(s.ColdTime, DefaultColdTime)
 	return s
 }
 
--- a/config/document.go
+++ b/config/document.go
@@ -101,6 +101,9 @@
 	// ColdLimit is how many requests a cold target bears at once. It
 	// defaults to 1.
 	ColdLimit int `yaml:"cold_limit,omitempty" json:"cold_limit,omitempty"`
+	// ColdTime is how long a target stays cold at least after its start, or
+	// after it turned cold without warning. It defaults to 5s.
+	ColdTime Duration `yaml:"cold_time,omitempty" json:"cold_time,omitempty"`
 
 	pos position
 }
--- a/config/items.go
+++ b/config/items.go
@@ -76,6 +76,7 @@
 		{name: "attempts", decode: func(d *decoder, n *yaml.Node) { v.Attempts = d.integer(n, "attempts", "3", 1, MaxAttempts) }},
 		{name: "shed_not_run", decode: func(d *decoder, n *yaml.Node) { v.ShedNotRun = d.boolean(n, "shed_not_run") }},
 		{name: "cold_limit", decode: func(d *decoder, n *yaml.Node) { v.ColdLimit = d.integer(n, "cold_limit", "1", 1, MaxColdLimit) }},
+		{name: "cold_time", decode: func(d *decoder, n *yaml.Node) { v.ColdTime = d.duration(n, "cold_time") }},
 	})
 	return v
 }
--- a/config/validate.go
+++ b/config/validate.go
@@ -151,6 +151,7 @@
 	c.checkRange(s.pos, "queue", v.Queue, 1, MaxQueue)
 	c.checkRange(s.pos, "attempts", v.Attempts, 1, MaxAttempts)
 	c.checkRange(s.pos, "cold_limit", v.ColdLimit, 1, MaxColdLimit)
+	c.checkTimeout(s.pos, "cold_time", v.ColdTime)
 }
 
 func (c *checker) checkTimeout(pos position, what string, d Duration) {
--- a/control/publish.go
+++ b/control/publish.go
@@ -73,6 +73,7 @@
 	next.Daemons = s.gossip.List()
 	next.Unreachable = s.gossip.Unreachable()
 	next.Config = s.config
+	next.Document = s.doc
 	if s.config == nil {
 		return
 	}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/gooseberryshed/gooseberryshed/balance"
 	"github.com/gooseberryshed/gooseberryshed/config"
+	"github.com/gooseberryshed/gooseberryshed/configstore"
 	"github.com/gooseberryshed/gooseberryshed/member"
 )
 
@@ -12,6 +13,8 @@
 	Self member.Daemon
 	// Config is nil until a configuration is known.
 	Config *config.Snapshot
+	// Document is what Config was built from.
+	Document configstore.State
 	// View is the basis for choosing targets; nil until Config is known.
 	View *balance.View
 	// Daemons are all known records, Unreachable the hosts among them that do
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -52,6 +52,7 @@
 	forward   *forward.Server
 	client    *forward.Client
 	limiter   *limiter.Service
+	limits    limitsCache
 	claims    *claim.Store
 	ingress   *ingress.Ingress
 	evidence  *evidence
@@ -203,7 +204,7 @@
 		Self:   self,
 		Table:  o.Table,
 		RPC:    d.rpcClient,
-		Config: func() limiter.Config { return limits(d.control.Snapshot().Config) },
+		Config: func() limiter.Config { return d.limits.get(d.control.Snapshot()) },
 		Peers:  func() []member.Daemon { return d.control.Snapshot().Daemons },
 		Shards: d.set.RateShards,
 		Logger: o.Logger,
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -86,17 +87,32 @@
 	return nil
 }
 
+// Bounds of asking for a token. An ask may fail because a connection has gone
+// silent; the next one uses another.
+const (
+	tokenBound = 1500 * time.Millisecond
+	tokenPause = 20 * time.Millisecond
+)
+
 // takeToken takes a token of the workspace. Open routes need none.
 func (x *exchange) takeToken(ctx context.Context) *wire.Refusal {
 	if x.adm.workspace == "" {
 		return nil
 	}
-	ctx, cancel := context.WithDeadline(ctx, x.deadline())
+	ctx, cancel := context.WithTimeout(ctx, min(tokenBound, time.Until(x.deadline())))
 	defer cancel()
-	d, err := x.in.opts.Limiter.Take(ctx, x.adm.workspace)
-	if err != nil {
-		return limiterRefusal(err)
+	for {
+		d, err := x.in.opts.Limiter.Take(ctx, x.adm.workspace)
+		if err == nil {
+			return x.decided(d)
+		}
+		if !isNoOwner(err) || !pause(ctx, tokenPause) {
+			return limiterRefusal(err)
+		}
 	}
+}
+
+func (x *exchange) decided(d limiter.Decision) *wire.Refusal {
 	if d.Allowed {
 		return nil
 	}
@@ -105,6 +121,11 @@
 	return r
 }
 
+func isNoOwner(err error) bool {
+	var le *limiter.Error
+	return errors.As(err, &le) && le.Kind == limiter.KindNoOwner
+}
+
 func limiterRefusal(err error) *wire.Refusal {
 	var le *limiter.Error
 	if errors.As(err, &le) && le.Kind == limiter.KindUnknownWorkspace {
