Operators' commands find the daemons through any one of them

Relying on the revisions in gossiped records was ruled out, because a change of the revision alone is not gossiped.

--- a/cli/apply.go
+++ b/cli/apply.go
@@ -70,9 +70,12 @@
 			"A section that has changed since is a conflict (exit code 3), because applying the file\n" +
 			"would undo that change, such as the withdrawal of a key.",
 		Example: "  gooseberryshed config apply orders.yaml\n" +
-			"  gooseberryshed config apply orders.yaml --message 'more for parish-12' --wait --admin 10.0.0.1:7004",
+			"  gooseberryshed config apply orders.yaml --message 'more for parish-12' --wait --admin 10.0.0.1:8084",
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := flags.wait.check(); err != nil {
+				return err
+			}
 			doc, err := readFiles(args, cmd.InOrStdin())
 			if err != nil {
 				return err
@@ -125,6 +128,9 @@
 		Example: "  gooseberryshed config remove swatches --base 42",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := flags.wait.check(); err != nil {
+				return err
+			}
 			store, err := g.store()
 			if err != nil {
 				return err
--- a/cli/datacentre.go
+++ b/cli/datacentre.go
@@ -28,7 +28,7 @@
 	cmd := &cobra.Command{
 		Use:     string(state) + " DATACENTRE",
 		Short:   short,
-		Example: "  gooseberryshed datacentre " + string(state) + " alfold-1 --wait --admin 10.0.0.1:7004",
+		Example: "  gooseberryshed datacentre " + string(state) + " alfold-1 --wait --admin 10.0.0.1:8084",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			res, err := g.update(cmd, &flags, func(st configstore.State) ([]configstore.Edit, error) {
--- a/cli/key.go
+++ b/cli/key.go
@@ -30,6 +30,9 @@
 
 // update runs a change that follows from the current document.
 func (g *globals) update(cmd *cobra.Command, flags *changeFlags, decide func(configstore.State) ([]configstore.Edit, error)) (configstore.Result, error) {
+	if err := flags.wait.check(); err != nil {
+		return configstore.Result{}, err
+	}
 	store, err := g.store()
 	if err != nil {
 		return configstore.Result{}, err
@@ -106,7 +109,7 @@
 		Use:     "withdraw KEY",
 		Short:   "Withdraw a key",
 		Long:    "Withdraw a key. It stops working everywhere within seconds, also on open connections.",
-		Example: "  gooseberryshed key withdraw parish-12-a --message 'laptop stolen' --wait --admin 10.0.0.1:7004",
+		Example: "  gooseberryshed key withdraw parish-12-a --message 'laptop stolen' --wait --admin 10.0.0.1:8084",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			res, err := g.update(cmd, &flags, func(st configstore.State) ([]configstore.Edit, error) {
--- a/cli/wait.go
+++ b/cli/wait.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
-	"github.com/valyala/fasthttp"
 
 	"github.com/gooseberryshed/gooseberryshed/member"
 )
@@ -17,6 +16,9 @@
 	defaultWait = 30 * time.Second
 	// pollInterval is the time between two rounds of questions.
 	pollInterval = 250 * time.Millisecond
+	// silenceGrace is how long the wait goes on for daemons without an answer.
+	// A daemon that is cut off from the fleet stops serving sooner.
+	silenceGrace = 8 * time.Second
 )
 
 // waitFlags are the flags that wait for a change to be in force.
@@ -24,37 +26,46 @@
 	wait    bool
 	timeout time.Duration
 	admins  []string
+	// grace replaces silenceGrace in tests.
+	grace time.Duration
 }
 
 func (f *waitFlags) add(cmd *cobra.Command) {
-	cmd.Flags().BoolVar(&f.wait, "wait", false, "wait until the change is in force at every daemon; needs --admin")
+	f.grace = silenceGrace
+	cmd.Flags().BoolVar(&f.wait, "wait", false, "wait until the change is in force at every daemon that answers; needs --admin")
 	cmd.Flags().DurationVar(&f.timeout, "wait-timeout", defaultWait, "bound on the wait")
 	addAdminFlag(cmd, &f.admins)
 }
 
+// check refuses --wait without --admin before anything is done.
+func (f *waitFlags) check() error {
+	if f.wait && len(f.admins) == 0 {
+		return usageError{errors.New("--wait needs --admin IP:PORT of a daemon; nothing was done")}
+	}
+	return nil
+}
+
 // run waits for revision rev when --wait was given.
 func (f *waitFlags) run(cmd *cobra.Command, rev uint64) error {
 	if !f.wait {
 		return nil
 	}
-	if len(f.admins) == 0 {
-		return usageError{errors.Errorf("revision %d is accepted, but --wait needs --admin IP:PORT of a daemon", rev)}
-	}
 	ctx, cancel := context.WithTimeout(cmd.Context(), f.timeout)
 	defer cancel()
-	client := adminClient()
+	started := time.Now()
+	a := newAsker()
 	var last progress
 	for {
-		p := f.ask(ctx, client, rev)
-		if p.String() != last.String() {
+		p := measure(a.askFleet(ctx, f.admins), rev)
+		if p != last {
 			fmt.Fprintln(cmd.ErrOrStderr(), p)
 		}
 		last = p
-		if p.complete() {
+		if p.complete(time.Since(started) >= f.grace) {
 			return nil
 		}
 		if !sleep(ctx, pollInterval) {
-			return errors.Errorf("revision %d is accepted, but after %s only %s; see gooseberryshed status", rev, f.timeout, last)
+			return errors.Errorf("revision %d is accepted, but after %s it %s; see gooseberryshed status", rev, f.timeout, last.reach())
 		}
 	}
 }
@@ -73,34 +84,37 @@
 // progress tells how far a revision has come.
 type progress struct {
 	revision uint64
-	daemons  int
-	inForce  int
-	// silent counts daemons that were asked and gave no answer.
-	silent int
-}
-
-// String implements fmt.Stringer.
-func (p progress) String() string {
-	s := fmt.Sprintf("revision %d is in force at %d of %d daemons", p.revision, p.inForce, p.daemons)
-	if p.silent > 0 {
-		s += fmt.Sprintf(", %d of those asked gave no answer", p.silent)
-	}
-	return s
+	// answered counts the daemons that serve and answered, inForce those of
+	// them that have the revision, silent those that gave no answer.
+	answered, inForce, silent int
 }
 
-func (p progress) complete() bool { return p.daemons > 0 && p.inForce == p.daemons && p.silent == 0 }
-
-func (f *waitFlags) ask(ctx context.Context, client *fasthttp.Client, rev uint64) progress {
-	view := askFleet(ctx, client, f.admins)
-	p := progress{revision: rev, silent: len(view.failed)}
-	for _, d := range view.sorted() {
-		if d.State == member.StateLeaving {
+func measure(f fleet, rev uint64) progress {
+	p := progress{revision: rev, silent: len(f.silent())}
+	for _, h := range f {
+		if h.err != nil || h.status.State != string(member.StateServing) {
 			continue
 		}
-		p.daemons++
-		if d.Revision >= rev {
+		p.answered++
+		if h.status.Revision >= rev {
 			p.inForce++
 		}
 	}
 	return p
 }
+
+func (p progress) reach() string {
+	s := fmt.Sprintf("is in force at %d of %d daemons", p.inForce, p.answered)
+	if p.silent > 0 {
+		s += fmt.Sprintf(", and %d gave no answer", p.silent)
+	}
+	return s
+}
+
+// String implements fmt.Stringer.
+func (p progress) String() string { return fmt.Sprintf("revision %d %s", p.revision, p.reach()) }
+
+// complete reports the end of the wait; graceOver allows for silent daemons.
+func (p progress) complete(graceOver bool) bool {
+	return p.answered > 0 && p.inForce == p.answered && (p.silent == 0 || graceOver)
+}
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -82,6 +82,8 @@
 		a.ready(ctx)
 	case "/status":
 		writeJSON(ctx, statusOf(a.snapshot()))
+	case "/members":
+		writeJSON(ctx, a.snapshot().Daemons)
 	case "/counters":
 		writeJSON(ctx, a.counts())
 	case "/report":
@@ -89,7 +91,7 @@
 	case "/debug/vars":
 		expvarhandler.ExpvarHandler(ctx)
 	default:
-		ctx.Error("no such page; try /livez /readyz /status /counters /report /debug/vars\n", fasthttp.StatusNotFound)
+		ctx.Error("no such page; try /livez /readyz /status /members /counters /report /debug/vars\n", fasthttp.StatusNotFound)
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -106,6 +106,7 @@
 		ForwardAddr: advertised(d.set.ForwardAdvertise, d.listen.forward),
 		RPCAddr:     advertised(d.set.RPCAdvertise, d.listen.rpc),
 		CallerAddr:  advertised(d.set.CallerAdvertise, d.listen.caller),
+		AdminAddr:   advertised("", d.listen.admin),
 	}
 }
 
--- a/member/delta.go
+++ b/member/delta.go
@@ -86,12 +86,12 @@
 
 // head is the part of a record whose change is gossiped at once.
 type head struct {
-	dataCentre, forward, rpc, caller string
-	state                            State
+	dataCentre, forward, rpc, caller, admin string
+	state                                   State
 }
 
 func headOf(d Daemon) head {
-	return head{d.DataCentre, d.ForwardAddr, d.RPCAddr, d.CallerAddr, d.State}
+	return head{d.DataCentre, d.ForwardAddr, d.RPCAddr, d.CallerAddr, d.AdminAddr, d.State}
 }
 
 func stampTarget(old Daemon, t *Target, version uint64) bool {
--- a/member/record.go
+++ b/member/record.go
@@ -29,6 +29,8 @@
 	ForwardAddr string `json:"fwd,omitempty"`
 	RPCAddr     string `json:"rpc,omitempty"`
 	CallerAddr  string `json:"in,omitempty"`
+	// AdminAddr takes operators' questions.
+	AdminAddr string `json:"adm,omitempty"`
 	// Revision is the configuration in force at the daemon. A change of it or
 	// of TableOK alone does not raise Version: exchanges carry both.
 	Revision uint64 `json:"rev,omitempty"`
