report burn: service-level burn of the fleet from the command line

The daemons count outcomes, but nobody summed them, so operators could not see the burn of a route. 'report burn' asks every daemon for its counts, computes the report with the limits of the document, as text or JSON, and exits with 5 when there is an alert. It goes on without the platform, since it is wanted most during an outage, and then leaves out wrongful refusals with a note. Daemons without an answer are named.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -218,6 +218,13 @@
 // 1 in force only after lag answers, and of h3, which has left. It returns the
 // admin address of h1.
 func fakeFleet(t *testing.T, lag int64) string {
+	r := report.NewRecorder(time.Second)
+	r.Record(time.Now(), "/orders", "retail-1", report.OutcomeServed, 0)
+	return fakeFleetWith(t, lag, r)
+}
+
+// fakeFleetWith is fakeFleet whose daemons have both counted what r holds.
+func fakeFleetWith(t *testing.T, lag int64, r *report.Recorder) string {
 	addrs := make([]string, 2)
 	var asked atomic.Int64
 	for i := range addrs {
@@ -232,8 +239,6 @@
 				{Host: "h2", State: member.StateServing, AdminAddr: addrs[1]},
 				{Host: "h3", State: member.StateLeft},
 			}
-			r := report.NewRecorder(time.Second)
-			r.Record(time.Now(), "/orders", "retail-1", report.OutcomeServed, 0)
 			pages := map[string]any{pageStatus: st, pageMembers: members, pageReport: r.Export(time.Now())}
 			body, err := json.Marshal(pages[string(rc.Path())])
 			assert.Check(t, err)
@@ -280,6 +285,52 @@
 	assert.ErrorContains(t, h.err, "set --admin-listen")
 }
 
+func TestBurnSumsTheFleet(t *testing.T) {
+	b := newBench(t)
+	b.succeed("config", "apply", b.file(document))
+	admin := fakeFleet(t, 0)
+	out := b.succeed("report", "burn", "--admin", admin, "--json")
+	var rep report.Report
+	assert.NilError(t, json.Unmarshal([]byte(out.stdout), &rep))
+	assert.Equal(t, rep.Daemons, 2)
+	assert.Equal(t, rep.Worst, "retail-1")
+	assert.Equal(t, rep.Rows[0].Total.Served, uint32(2))
+	out = b.succeed("report", "burn", "--admin", admin+",127.0.0.1:1")
+	assert.Assert(t, strings.Contains(out.stdout, "no answer from: 127.0.0.1:1"), out.stdout)
+	b.fail(exitFailed, "no daemon gave its counts", "report", "burn", "--admin", "127.0.0.1:1")
+	b.fail(exitUsage, "--objective cannot be 1", "report", "burn", "--admin", admin, "--objective", "1")
+	b.fail(exitUsage, "pass --admin", "report", "burn")
+}
+
+func TestBurnAlerts(t *testing.T) {
+	b := newBench(t)
+	r := report.NewRecorder(time.Second)
+	for range 100 {
+		r.Record(time.Now(), "/orders", "retail-1", report.OutcomeBad, 0)
+	}
+	b.fail(exitAlerting, "spends its allowance", "report", "burn", "--admin", fakeFleetWith(t, 0, r))
+}
+
+// TestBurnWithoutPlatform reports on, as the report is wanted most then.
+func TestBurnWithoutPlatform(t *testing.T) {
+	b := newBench(t)
+	b.platform.SetFault(standin.Fault{Mode: standin.ModeDown})
+	out := b.succeed("report", "burn", "--admin", fakeFleet(t, 0))
+	assert.Assert(t, strings.Contains(out.err, "wrongful refusals are left out"), out.err)
+}
+
+// TestWrongfulRefusalsNeedTheLimits counts refusals within the rate.
+func TestWrongfulRefusalsNeedTheLimits(t *testing.T) {
+	b := newBench(t)
+	b.succeed("config", "apply", b.file(document))
+	r := report.NewRecorder(time.Second)
+	r.Record(time.Now(), "/orders", "retail-1", report.OutcomeLimited, 0)
+	out := b.succeed("report", "burn", "--json", "--admin", fakeFleetWith(t, 0, r))
+	var rep report.Report
+	assert.NilError(t, json.Unmarshal([]byte(out.stdout), &rep))
+	assert.Equal(t, rep.Rows[1].Wrongful, uint32(2))
+}
+
 // TestEveryCommandHasExamples keeps the help complete.
 func TestEveryCommandHasExamples(t *testing.T) {
 	var visit func(cmd *cobra.Command)
--- a/cli/exit.go
+++ b/cli/exit.go
@@ -17,6 +17,7 @@
 	exitUsage       = 2
 	exitConflict    = 3
 	exitUnavailable = 4
+	exitAlerting    = 5
 )
 
 // failure marks an error of a command that was used rightly.
@@ -54,6 +55,8 @@
 		return exitOK
 	case !errors.As(err, &marked) || errors.As(err, &usage):
 		return exitUsage
+	case errors.Is(err, errAlerting):
+		return exitAlerting
 	case isConflict(err):
 		return exitConflict
 	case isUnavailable(err):
--- a/cli/root.go
+++ b/cli/root.go
@@ -31,7 +31,8 @@
   1  failed; the message says what to do
   2  wrong usage
   3  conflict with another change; nothing was applied
-  4  the platform is unavailable or did not reply; see the message`
+  4  the platform is unavailable or did not reply; see the message
+  5  report burn: a route or workspace is over a threshold`
 
 // globals are the flags of all commands.
 type globals struct {
@@ -53,7 +54,7 @@
 	})
 	root.PersistentFlags().StringVar(&g.platform, "platform", "", "URL of the platform, like http://10.0.0.9:7070")
 	root.PersistentFlags().DurationVar(&g.timeout, "timeout", defaultTimeout, "bound on the work with the platform")
-	root.AddCommand(configCommand(g), keyCommand(g), dataCentreCommand(g), statusCommand(g))
+	root.AddCommand(configCommand(g), keyCommand(g), dataCentreCommand(g), statusCommand(g), reportCommand(g))
 	root.AddCommand(extra...)
 	markFailures(root)
 	return root
