--- a/internal/e2e/harness/fleet.go
+++ b/internal/e2e/harness/fleet.go
@@ -68,8 +68,9 @@
 	peers       string
 	platformURL string
 
-	mu    sync.Mutex
-	calls []trace.Call
+	mu sync.Mutex
+	// early are the calls made before the fleet was ready.
+	early, calls []trace.Call
 	// clients by host, workspace and address keep connections open.
 	clients map[clientKey]*fasthttp.HostClient
 	nextID  int
@@ -104,7 +105,7 @@
 		f.WaitServing(i)
 	}
 	f.mu.Lock()
-	f.calls = nil
+	f.early, f.calls = f.calls, nil
 	f.mu.Unlock()
 	return f
 }
@@ -202,23 +203,6 @@
 	}
 }
 
-// Status is what the tests read of a daemon's status.
-type Status struct {
-	Revision uint64 `json:"revision"`
-}
-
-// Status reads a daemon's status.
-func (f *Fleet) Status(h *Host) (Status, error) {
-	var s Status
-	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + h.Daemon.Addrs["admin"] + "/status")
-	if err != nil {
-		return s, err
-	}
-	defer resp.Body.Close()
-	return s, json.NewDecoder(resp.Body).Decode(&s)
-}
-
 // WaitServing waits until host number i answers a request, by its own target
 // when that is up.
 func (f *Fleet) WaitServing(i int) {
@@ -261,7 +245,7 @@
 func (f *Fleet) Verify() ([]trace.Call, []record.Run) {
 	f.t.Helper()
 	calls, runs := f.Calls(), f.Runs()
-	f.Report(trace.Always(calls, runs))
+	f.Report(trace.Always(append(f.early, calls...), runs))
 	return calls, runs
 }
 
