--- /dev/null
+++ b/config/snapshot.go
@@ -0,0 +1,171 @@
+package config
+
+import (
+	"slices"
+	"strings"
+)
+
+const (
+	// digestBytes is the length of a SHA-256 digest.
+	digestBytes = 32
+	// linearAdmits is the length up to which Admits searches a plain list.
+	linearAdmits = 8
+)
+
+// Digest is the SHA-256 digest of a key's secret.
+type Digest = [digestBytes]byte
+
+// KeyRef tells whose key it is.
+type KeyRef struct {
+	// ID names the key.
+	ID string
+	// Workspace is the key's workspace.
+	Workspace string
+}
+
+// Snapshot is the whole document at one revision, indexed for requests. It is
+// immutable; callers must not change what its methods return.
+//
+// Routes are looked up by hashing each whole-segment prefix of the path, the
+// longest first, in a map. A trie would share prefixes but costs more memory and
+// pointer loads for the few segments that paths have.
+type Snapshot struct {
+	revision uint64
+	// depth bounds the segments of routes.
+	depth       int
+	routes      *shards[string, *Route]
+	keys        *shards[Digest, KeyRef]
+	workspaces  *shards[string, *Workspace]
+	services    *shards[string, *Service]
+	dataCentres []DataCentre
+}
+
+// Empty returns the snapshot of a document without sections, at revision 0.
+func Empty() *Snapshot { return Index(0, nil) }
+
+// Build validates sections as a whole and indexes them. The error is Problems.
+func Build(revision uint64, sections []Section) (*Snapshot, error) {
+	if err := Validate(sections); err != nil {
+		return nil, err
+	}
+	return Index(revision, sections), nil
+}
+
+// Index builds a snapshot of sections that were validated when they were
+// accepted. It skips what it cannot index.
+func Index(revision uint64, sections []Section) *Snapshot {
+	patches := make([]Patch, len(sections))
+	for i := range sections {
+		patches[i] = Patch{Section: sections[i].Name, Put: sections[i].items()}
+	}
+	empty := &Snapshot{
+		routes:     &shards[string, *Route]{},
+		keys:       &shards[Digest, KeyRef]{},
+		workspaces: &shards[string, *Workspace]{},
+		services:   &shards[string, *Service]{},
+	}
+	return empty.Advance(revision, patches)
+}
+
+// Revision is the revision of the document.
+func (s *Snapshot) Revision() uint64 { return s.revision }
+
+// MatchRoute returns the route with the longest prefix of path by whole
+// segments. path must be in its only canonical spelling; see CanonicalPath.
+func (s *Snapshot) MatchRoute(path string) (*Route, bool) {
+	if path == "" || path[0] != '/' {
+		return nil, false
+	}
+	prefix := firstSegments(path, s.depth)
+	for {
+		if r, ok := s.routes.get(prefix); ok {
+			return r, true
+		}
+		cut := strings.LastIndexByte(prefix, '/')
+		if cut <= 0 {
+			break
+		}
+		prefix = prefix[:cut]
+	}
+	return s.routes.get("/")
+}
+
+// firstSegments cuts path after n segments, so that the work of MatchRoute is
+// bounded by the deepest route and not by the caller.
+func firstSegments(path string, n int) string {
+	end := 0
+	for range n {
+		next := strings.IndexByte(path[end+1:], '/')
+		if next < 0 {
+			return path
+		}
+		end += 1 + next
+	}
+	return path[:max(end, 1)]
+}
+
+// FindKey returns the key with the given digest.
+func (s *Snapshot) FindKey(digest Digest) (KeyRef, bool) {
+	return s.keys.get(digest)
+}
+
+// Workspace returns a workspace by name.
+func (s *Snapshot) Workspace(name string) (*Workspace, bool) {
+	return s.workspaces.get(name)
+}
+
+// Service returns a service by name.
+func (s *Snapshot) Service(name string) (*Service, bool) {
+	return s.services.get(name)
+}
+
+// Workspaces calls yield for each workspace, in no order, until it returns false.
+func (s *Snapshot) Workspaces(yield func(*Workspace) bool) {
+	s.workspaces.all(func(_ string, w *Workspace) bool { return yield(w) })
+}
+
+// Services calls yield for each service, in no order, until it returns false.
+func (s *Snapshot) Services(yield func(*Service) bool) {
+	s.services.all(func(_ string, v *Service) bool { return yield(v) })
+}
+
+// DataCentre returns a data centre by name.
+func (s *Snapshot) DataCentre(name string) (*DataCentre, bool) {
+	for i := range s.dataCentres {
+		if s.dataCentres[i].Name == name {
+			return &s.dataCentres[i], true
+		}
+	}
+	return nil, false
+}
+
+// DataCentres returns all data centres by name.
+func (s *Snapshot) DataCentres() []DataCentre { return slices.Clone(s.dataCentres) }
+
+// Admits reports whether the route serves requests of the workspace. An open
+// route admits all, also requests without a workspace, named "".
+func (r *Route) Admits(workspace string) bool {
+	if r.Access == AccessOpen {
+		return true
+	}
+	if workspace == "" {
+		return false
+	}
+	if len(r.Workspaces) == 0 {
+		return true
+	}
+	if r.admitted != nil {
+		_, ok := r.admitted[workspace]
+		return ok
+	}
+	return slices.Contains(r.Workspaces, workspace)
+}
+
+// IsIdempotent reports whether a request with the method may be repeated.
+func (r *Route) IsIdempotent(method string) bool {
+	methods := r.Idempotent
+	if len(methods) == 0 {
+		methods = defaultIdempotent
+	}
+	return method != NoMethod && slices.Contains(methods, method)
+}
