--- a/demo/demo.go
+++ b/demo/demo.go
@@ -14,6 +14,7 @@
 	"github.com/gooseberryshed/gooseberryshed/config"
 	"github.com/gooseberryshed/gooseberryshed/configstore"
 	"github.com/gooseberryshed/gooseberryshed/daemon"
+	"github.com/gooseberryshed/gooseberryshed/internal/standin/record"
 	"github.com/gooseberryshed/gooseberryshed/internal/standin/target"
 	"github.com/gooseberryshed/gooseberryshed/member"
 	"github.com/gooseberryshed/gooseberryshed/report"
@@ -82,6 +83,8 @@
 	seen     int
 	// changedAt is when the state of the data centre was last changed.
 	changedAt time.Time
+	// brokenAt is when the target was broken.
+	brokenAt time.Time
 }
 
 func (d *demo) say(format string, args ...any) {
@@ -188,11 +191,28 @@
 
 func (d *demo) breakTarget(context.Context) error {
 	d.say("the target of orders beside %s now fails %.0f%% of its requests, and its health check says all is well", d.broken().name, 100*brokenShare)
+	d.brokenAt = time.Now()
 	d.broken().targets[serviceOrders].SetFaults(target.Faults{ErrorShare: brokenShare, LieHealth: true})
 	return nil
 }
 
+// tellBroken tells how much the broken target was used.
+func (d *demo) tellBroken() {
+	var ran, failed int
+	for _, r := range d.broken().targets[serviceOrders].Runs() {
+		if r.Start.Before(d.brokenAt) {
+			continue
+		}
+		ran++
+		if r.Outcome == record.OutcomeError {
+			failed++
+		}
+	}
+	d.say("the broken target ran %d requests, of which it failed %d", ran, failed)
+}
+
 func (d *demo) repairTarget(ctx context.Context) error {
+	d.tellBroken()
 	ejected := map[string]int{}
 	for _, h := range admin.New().Fleet(ctx, d.fleet.admins()) {
 		for _, id := range h.Status.Ejected {
