Refuse two different keys in one request and answers that name another attempt

Ruled out: preferring one header (a caller cannot know which), and comparing X-Request-Id, which is the caller's own and need not be unique.

--- a/gate/forward.go
+++ b/gate/forward.go
@@ -9,6 +9,7 @@
 	"github.com/gooseberryshed/gooseberryshed/headers"
 	"github.com/gooseberryshed/gooseberryshed/link"
 	"github.com/gooseberryshed/gooseberryshed/wire"
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -72,6 +73,9 @@
 	defer fasthttp.ReleaseRequest(out)
 	prepare(out, req, tk, now)
 	resp, err := g.exchange(ctx, tk, out)
+	if err == nil {
+		err = checkEcho(tk, resp)
+	}
 	latency := g.opts.Clock().Sub(now)
 	if err != nil {
 		return nil, g.fail(ctx, tk, err, latency)
@@ -82,6 +86,20 @@
 	return g.answer(tk, resp, latency), nil
 }
 
+// errCrossed reports an answer that names another attempt.
+var errCrossed = errors.New("the answer belongs to another request; check how the target matches answers to requests")
+
+// checkEcho refuses an answer that names another attempt than the one it came
+// for. Targets need not echo the attempt, but what they echo must be right.
+func checkEcho(tk *ticket, resp *link.Response) error {
+	echo := resp.Header.Peek(headers.Attempt)
+	if len(echo) == 0 || string(echo) == tk.att.ID.String() {
+		return nil
+	}
+	resp.Body.Close()
+	return &link.Error{Stage: link.StageAnswer, Cause: link.CauseProtocol, Addr: tk.t.addr, Err: errCrossed}
+}
+
 // prepare builds the request that the target gets: the caller's, without
 // credentials, hop-by-hop fields and foreign internal fields.
 func prepare(out, req *fasthttp.Request, tk *ticket, now time.Time) {
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -48,7 +48,7 @@
 	if !ok {
 		return a, wire.Refuse(wire.ReasonNoRoute, "the route's service does not exist")
 	}
-	if r := a.authenticate(snap.Config, secretOf(&req.Header)); r != nil {
+	if r := a.authenticate(snap.Config, &req.Header); r != nil {
 		return a, r
 	}
 	if len(req.Body()) > a.service.MaxBody {
@@ -67,10 +67,14 @@
 	return nil
 }
 
-func (a *admission) authenticate(cfg *config.Snapshot, secret string) *wire.Refusal {
+func (a *admission) authenticate(cfg *config.Snapshot, h *fasthttp.RequestHeader) *wire.Refusal {
 	if a.route.Access == config.AccessOpen {
 		return nil
 	}
+	secret, err := secretOf(h)
+	if err != nil {
+		return wire.Refuse(wire.ReasonBadRequest, "%v", err)
+	}
 	if secret == "" {
 		return wire.Refuse(wire.ReasonNoKey, "the route demands a key")
 	}
--- a/ingress/headers.go
+++ b/ingress/headers.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/gooseberryshed/gooseberryshed/headers"
@@ -21,16 +22,34 @@
 // maxIdempotencyKey bounds an Idempotency-Key in bytes.
 const maxIdempotencyKey = 255
 
-// secretOf returns the key that a request carries, or "".
-func secretOf(h *fasthttp.RequestHeader) string {
-	if key := h.Peek(headers.APIKey); len(key) > 0 {
-		return string(key)
+// errTwoKeys reports a request that carries different keys.
+var errTwoKeys = errors.New("the request carries two different keys; send one")
+
+// secretOf returns the key that a request carries, or "". Each form counts each
+// time it is given.
+func secretOf(h *fasthttp.RequestHeader) (string, error) {
+	found := ""
+	for _, secret := range secretsOf(h) {
+		if found != "" && secret != found {
+			return "", errTwoKeys
+		}
+		found = secret
+	}
+	return found, nil
+}
+
+func secretsOf(h *fasthttp.RequestHeader) []string {
+	var secrets []string
+	for _, key := range h.PeekAll(headers.APIKey) {
+		secrets = append(secrets, string(key))
 	}
-	auth := string(h.Peek(headers.Authorization))
-	if len(auth) > len(bearerPrefix) && strings.EqualFold(auth[:len(bearerPrefix)], bearerPrefix) {
-		return strings.TrimSpace(auth[len(bearerPrefix):])
+	for _, value := range h.PeekAll(headers.Authorization) {
+		auth := string(value)
+		if len(auth) > len(bearerPrefix) && strings.EqualFold(auth[:len(bearerPrefix)], bearerPrefix) {
+			secrets = append(secrets, strings.TrimSpace(auth[len(bearerPrefix):]))
+		}
 	}
-	return ""
+	return secrets
 }
 
 // outgoing copies a caller's request for the gates: without the key in any
