coldstart: hold the cold limit until the target is as fast as when warm

The cause was that it relearnt its warm latency from cold answers within a few rounds and then rose while the target was still cold.

A service whose cold targets bear more says so by cold_limit. Lasting slowness is taken as it is after a minute.

--- a/coldstart/doc.go
+++ b/coldstart/doc.go
@@ -1,16 +1,29 @@
 // Package coldstart bounds how many requests a target gets at once, by what it
 // has shown to bear.
 //
-// A target starts at its service's cold limit. Each time it has served as many
-// requests in a row as its limit, without a jump in latency, the limit rises by
-// one, up to the announced slots. A new incarnation, an announced restart, a
-// run of answers far slower than the target's own warm latency, or repeated
-// shedding brings it back to the cold limit, so a target that turns cold
-// unannounced is noticed within a few requests.
+// A target starts at its service's cold limit. Below the announced slots the
+// limit moves in rounds of answers. While the target is slower than when warm
+// the limit stays; once a round is as fast, it rises by one for each round. A
+// new target is compared with the service's other targets. When those are not
+// known either, it is compared with itself at lower limits: a round much slower
+// than those means that the limit was above what it bears.
 //
-// Trade-offs: a fixed limit overloads a target whose capacity drops; additive
-// increase and multiplicative decrease (AIMD) probes above the capacity for
-// ever and recovers from a drop only step by step. Both are compared in the
-// benchmarks. A target that has become slow for good is relearnt: while the
-// limit is low the warm latency moves slowly to what is seen.
+// At the full slots a cumulative sum of slow answers, and of requests in flight
+// for longer than a slow answer takes, notices a target that turns cold
+// unannounced. A new incarnation, an announced restart and repeated shedding
+// do so at once. The limit then returns to the cold limit.
+//
+// Latencies are compared as geometric means and by a tracked quantile, because
+// arithmetic means of a few long-tailed samples vary too much.
+//
+// Trade-offs: a fixed limit overloads a target whose capacity drops. Additive
+// increase and multiplicative decrease (AIMD) on single slow answers takes
+// noise for overload and keeps a warm target far below its slots. Relearning
+// the warm latency from cold answers lets the limit rise while the target is
+// still cold, so the warm latency is only learnt at the full slots. Rising while
+// the target is slower than when warm, as far as its own latency did not grow,
+// gives a warming target more to do, but a good part of it beyond what it
+// bears. The price of waiting is capacity unused during the warm-up; a service
+// whose cold targets bear more says so by its cold limit. A target that is
+// slower for good is taken as it is after the patience time.
 package coldstart
--- a/coldstart/limiter.go
+++ b/coldstart/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 )
 
@@ -11,44 +12,51 @@
 	Slots int
 	// ColdLimit is the limit of a cold target. Default 1.
 	ColdLimit int
-	// Step is the least time between two rises of the limit. Default 250 ms.
+	// Step is the least time between two rises of a target that serves as fast
+	// as when warm. Default 250 ms.
 	Step time.Duration
-	// JumpFactor is how many times its warm latency makes an answer a jump.
-	// Default 3.
-	JumpFactor float64
-	// JumpRun is how many jumps in a row mean a cold target. Default 3.
-	JumpRun int
+	// SlowStep is that of a slower one. Default 2 s.
+	SlowStep time.Duration
+	// Patience is how long a target is held below its slots before its warm
+	// latency is taken as outdated. Default 60 s.
+	Patience time.Duration
 }
 
 const (
-	defaultStep       = 250 * time.Millisecond
-	defaultJumpFactor = 3.0
-	defaultJumpRun    = 3
-
-	// latencyWeight is the weight of a new answer in the warm latency.
-	latencyWeight = 1.0 / 16
-	// relearnWeight is the weight of an answer that exceeds the warm latency
-	// by JumpFactor.
-	relearnWeight = 1.0 / 64
-	// learnRun is how many answers set the first warm latency.
-	learnRun = 8
+	defaultStep     = 250 * time.Millisecond
+	defaultSlowStep = 2 * time.Second
+	defaultPatience = time.Minute
+
+	// minRound is the least number of answers in a round.
+	minRound = 8
+	// minSlowRound is that of a round slower than when warm.
+	minSlowRound = 16
+	// asWarm is how many times the warm latency still counts as warm.
+	asWarm = 1.4
+	// overload is how many times the latency at lower limits means that the
+	// limit is above what the target bears.
+	overload = 1.6
+	// baseWeight is the weight of a faster round in the base.
+	baseWeight = 0.4
 	// shedRun is how many sheds within shedWindow mean a cold target.
 	shedRun    = 2
 	shedWindow = time.Second
+	// shedMemory is how long after a shed the slow step applies.
+	shedMemory = 10 * time.Second
 )
 
 // Limiter is the limit of one target. It is not safe for concurrent use.
 type Limiter struct {
-	opt     Options
-	limit   int
-	good    int // answers in a row without a jump since the last rise
-	jumps   int
-	sheds   int
-	shedAt  time.Time
-	stepAt  time.Time
-	warm    float64 // nanoseconds
-	answers int
-	resets  int
+	opt    Options
+	limit  int
+	round  mean
+	base   float64 // log latency at lower limits; 0 is unknown
+	stepAt time.Time
+	heldAt time.Time // since when the limit has not risen
+	warm   warmth
+	sheds  int
+	shedAt time.Time
+	resets int
 }
 
 // New returns the limiter of a cold target.
@@ -56,8 +64,8 @@
 	opt.Slots = max(1, opt.Slots)
 	opt.ColdLimit = min(max(1, opt.ColdLimit), opt.Slots)
 	opt.Step = cmp.Or(opt.Step, defaultStep)
-	opt.JumpFactor = cmp.Or(opt.JumpFactor, defaultJumpFactor)
-	opt.JumpRun = cmp.Or(opt.JumpRun, defaultJumpRun)
+	opt.SlowStep = cmp.Or(opt.SlowStep, defaultSlowStep)
+	opt.Patience = cmp.Or(opt.Patience, defaultPatience)
 	return &Limiter{opt: opt, limit: opt.ColdLimit}
 }
 
@@ -79,17 +87,46 @@
 
 // OnSuccess takes an answer and the time to its first byte.
 func (l *Limiter) OnSuccess(now time.Time, latency time.Duration) {
-	if l.isJump(latency) {
-		l.onJump(now, latency)
-		return
+	lat := math.Log(float64(max(latency, time.Microsecond)))
+	if l.heldAt.IsZero() {
+		l.heldAt = now
 	}
-	l.jumps = 0
-	l.learn(latency, latencyWeight)
-	l.good++
-	if l.good < l.limit || now.Sub(l.stepAt) < l.opt.Step {
+	if !l.Cold() {
+		if l.warm.observe(lat) {
+			l.reset(now)
+		}
 		return
 	}
-	l.rise(now)
+	l.round.add(lat)
+	if l.round.n >= max(minRound, l.limit) {
+		l.judge(now)
+	}
+}
+
+// SetReference takes the p90 latency of the service's other targets, which a
+// target is compared with until its own warm latency is known.
+func (l *Limiter) SetReference(p90 time.Duration) {
+	if p90 > 0 {
+		l.warm.refer(math.Log(float64(p90)))
+	}
+}
+
+// SlowAfter is the time in flight after which a request is to be reported by
+// OnOverdue; 0 when there is nothing to compare with.
+func (l *Limiter) SlowAfter() time.Duration {
+	if l.Cold() || !l.warm.known() {
+		return 0
+	}
+	return time.Duration(math.Exp(l.warm.high) * slowFactor)
+}
+
+// OnOverdue takes a request that is in flight for longer than SlowAfter, so
+// that a target turned cold is noticed before its slow answers arrive. It is
+// called at most once for each request; the answer is taken as well.
+func (l *Limiter) OnOverdue(now time.Time) {
+	if !l.Cold() && l.warm.overdue() {
+		l.reset(now)
+	}
 }
 
 // OnShed takes a request that the target refused for overload.
@@ -99,19 +136,17 @@
 	}
 	l.sheds++
 	l.shedAt = now
-	l.good = 0
-	l.stepAt = now
 	if l.sheds >= shedRun {
 		l.reset(now)
 		return
 	}
-	l.limit = max(l.opt.ColdLimit, l.limit/2)
+	l.move(now, max(l.opt.ColdLimit, l.limit/2))
 }
 
 // OnFailure takes a request that the target failed. A failure says nothing of
 // capacity, but the limit does not rise on it.
 func (l *Limiter) OnFailure(now time.Time) {
-	l.good = 0
+	l.round = mean{}
 	l.stepAt = now
 }
 
@@ -119,40 +154,73 @@
 // kept, as the new process is compared with it.
 func (l *Limiter) Restart(now time.Time) { l.reset(now) }
 
-func (l *Limiter) isJump(latency time.Duration) bool {
-	return l.answers >= learnRun && float64(latency) > l.opt.JumpFactor*l.warm
+// judge ends a round when the step is over.
+func (l *Limiter) judge(now time.Time) {
+	got := l.round.value()
+	since := now.Sub(l.stepAt)
+	fast := l.warm.known() && got <= l.warm.mean+math.Log(asWarm)
+	if fast && !l.shedLately(now) {
+		if since >= l.opt.Step {
+			l.rise(now, got)
+		}
+		return
+	}
+	if l.round.n < max(minSlowRound, l.limit) || since < l.opt.SlowStep {
+		return
+	}
+	switch {
+	case fast, l.bearsMore(got):
+		l.rise(now, got)
+	case now.Sub(l.heldAt) >= l.opt.Patience:
+		l.base = got
+		l.warm.forget()
+		l.rise(now, got)
+	default:
+		l.move(now, max(l.opt.ColdLimit, l.limit-1))
+	}
 }
 
-func (l *Limiter) onJump(now time.Time, latency time.Duration) {
-	l.learn(latency, relearnWeight)
-	l.good = 0
-	l.jumps++
-	if l.jumps >= l.opt.JumpRun {
-		l.reset(now)
+// bearsMore compares a target whose warm latency is not known with itself at
+// lower limits.
+func (l *Limiter) bearsMore(got float64) bool {
+	if l.warm.known() {
+		return false
 	}
+	return l.base == 0 || got <= l.base+math.Log(overload)
+}
+
+func (l *Limiter) shedLately(now time.Time) bool {
+	return !l.shedAt.IsZero() && now.Sub(l.shedAt) < shedMemory
 }
 
-func (l *Limiter) learn(latency time.Duration, weight float64) {
-	l.answers++
-	if l.answers <= learnRun {
-		weight = 1 / float64(l.answers)
+func (l *Limiter) rise(now time.Time, got float64) {
+	switch {
+	case l.base == 0:
+		l.base = got
+	case got < l.base:
+		l.base += baseWeight * (got - l.base)
+	}
+	l.heldAt = now
+	l.move(now, min(l.limit+1, l.opt.Slots))
+	if !l.Cold() {
+		l.warm.start(got)
 	}
-	l.warm += weight * (float64(latency) - l.warm)
 }
 
-func (l *Limiter) rise(now time.Time) {
-	l.good = 0
+// move sets the limit and begins a round.
+func (l *Limiter) move(now time.Time, limit int) {
+	l.limit = limit
+	l.round = mean{}
 	l.stepAt = now
-	l.limit = min(l.limit+1, l.opt.Slots)
 }
 
 func (l *Limiter) reset(now time.Time) {
 	if l.limit > l.opt.ColdLimit {
 		l.resets++
 	}
-	l.limit = l.opt.ColdLimit
-	l.good = 0
-	l.jumps = 0
+	l.move(now, l.opt.ColdLimit)
+	l.base = 0
+	l.heldAt = now
 	l.sheds = 0
-	l.stepAt = now
+	l.warm.reset()
 }
--- a/coldstart/limiter_test.go
+++ b/coldstart/limiter_test.go
@@ -12,9 +12,9 @@
 
 const usual = 25 * time.Millisecond
 
-// warm serves answers of the usual latency until the limit stops rising.
+// warm serves answers of the usual latency for 20 s.
 func warm(l *Limiter, now time.Time) time.Time {
-	for range 400 {
+	for range 800 {
 		now = now.Add(usual)
 		l.OnSuccess(now, usual)
 	}
@@ -29,6 +29,40 @@
 	assert.Assert(t, !l.Cold())
 }
 
+// TestReferenceSpeedsUpAndHolds compares a new target with the others.
+func TestReferenceSpeedsUpAndHolds(t *testing.T) {
+	serve := func(latency time.Duration) int {
+		l := New(Options{Slots: 7})
+		l.SetReference(2 * usual)
+		now := start
+		for range 120 {
+			now = now.Add(usual)
+			l.OnSuccess(now, latency)
+		}
+		return l.Limit(now)
+	}
+	assert.Equal(t, serve(usual), 7, "as fast as the others, 3 s")
+	assert.Equal(t, serve(3*usual), 1, "slower than the others")
+}
+
+// TestOverdueRequestsTellOfColdTarget takes no answer at all.
+func TestOverdueRequestsTellOfColdTarget(t *testing.T) {
+	l := New(Options{Slots: 7})
+	now := warm(l, start)
+	assert.Assert(t, l.SlowAfter() > usual && l.SlowAfter() < 5*usual, "%s", l.SlowAfter())
+	for range 7 {
+		l.OnOverdue(now)
+	}
+	assert.Equal(t, l.Limit(now), 1)
+}
+
+func TestColdLimitOfAllSlots(t *testing.T) {
+	l := New(Options{Slots: 3, ColdLimit: 3})
+	now := warm(l, start)
+	assert.Equal(t, l.Limit(now), 3)
+	assert.Equal(t, l.Resets(), 0)
+}
+
 func TestBackToColdLimit(t *testing.T) {
 	for _, tc := range []struct {
 		name string
@@ -36,7 +70,7 @@
 	}{
 		{"restart", func(l *Limiter, now time.Time) { l.Restart(now) }},
 		{"latency jump", func(l *Limiter, now time.Time) {
-			for range defaultJumpRun {
+			for range 10 {
 				l.OnSuccess(now, 5*usual)
 			}
 		}},
