--- a/coldstart/doc.go
+++ b/coldstart/doc.go
@@ -1,8 +1,8 @@
 // Package coldstart bounds how many requests a target gets at once, by what it
 // has shown to bear.
 //
-// A target starts at its service's cold limit. Below the announced slots the
-// limit moves in rounds of answers. While the target is slower than when warm
+// A target starts at its service's cold limit and stays there for the service's
+// cold time. Below the announced slots the limit then moves in rounds of answers. While the target is slower than when warm
 // the limit stays; once a round is as fast, it rises by one for each round. A
 // new target is compared with the service's other targets. When those are not
 // known either, it is compared with itself at lower limits: a round much slower
--- a/coldstart/limiter.go
+++ b/coldstart/limiter.go
@@ -12,6 +12,9 @@
 	Slots int
 	// ColdLimit is the limit of a cold target. Default 1.
 	ColdLimit int
+	// ColdTime is how long a target stays cold at least: the limit does not
+	// rise before. Default 0.
+	ColdTime time.Duration
 	// Step is the least time between two rises of a target that serves as fast
 	// as when warm. Default 250 ms.
 	Step time.Duration
@@ -53,20 +56,21 @@
 	base   float64 // log latency at lower limits; 0 is unknown
 	stepAt time.Time
 	heldAt time.Time // since when the limit has not risen
+	coldAt time.Time // since when the target is cold
 	warm   warmth
 	sheds  int
 	shedAt time.Time
 	resets int
 }
 
-// New returns the limiter of a cold target.
-func New(opt Options) *Limiter {
+// New returns the limiter of a target that is cold from now on.
+func New(opt Options, now time.Time) *Limiter {
 	opt.Slots = max(1, opt.Slots)
 	opt.ColdLimit = min(max(1, opt.ColdLimit), opt.Slots)
 	opt.Step = cmp.Or(opt.Step, defaultStep)
 	opt.SlowStep = cmp.Or(opt.SlowStep, defaultSlowStep)
 	opt.Patience = cmp.Or(opt.Patience, defaultPatience)
-	return &Limiter{opt: opt, limit: opt.ColdLimit}
+	return &Limiter{opt: opt, limit: opt.ColdLimit, stepAt: now, heldAt: now, coldAt: now}
 }
 
 // Limit is how many requests the target may have at once now.
@@ -88,15 +92,15 @@
 // OnSuccess takes an answer and the time to its first byte.
 func (l *Limiter) OnSuccess(now time.Time, latency time.Duration) {
 	lat := math.Log(float64(max(latency, time.Microsecond)))
-	if l.heldAt.IsZero() {
-		l.heldAt = now
-	}
 	if !l.Cold() {
 		if l.warm.observe(lat) {
 			l.reset(now)
 		}
 		return
 	}
+	if now.Sub(l.coldAt) < l.opt.ColdTime {
+		return
+	}
 	l.round.add(lat)
 	if l.round.n >= max(minRound, l.limit) {
 		l.judge(now)
@@ -221,6 +225,7 @@
 	l.move(now, l.opt.ColdLimit)
 	l.base = 0
 	l.heldAt = now
+	l.coldAt = now
 	l.sheds = 0
 	l.warm.reset()
 }
--- a/coldstart/limiter_test.go
+++ b/coldstart/limiter_test.go
@@ -22,7 +22,7 @@
 }
 
 func TestGrowsToSlots(t *testing.T) {
-	l := New(Options{Slots: 7, ColdLimit: 2})
+	l := New(Options{Slots: 7, ColdLimit: 2}, start)
 	assert.Equal(t, l.Limit(start), 2)
 	now := warm(l, start)
 	assert.Equal(t, l.Limit(now), 7)
@@ -32,7 +32,7 @@
 // TestReferenceSpeedsUpAndHolds compares a new target with the others.
 func TestReferenceSpeedsUpAndHolds(t *testing.T) {
 	serve := func(latency time.Duration) int {
-		l := New(Options{Slots: 7})
+		l := New(Options{Slots: 7}, start)
 		l.SetReference(2 * usual)
 		now := start
 		for range 120 {
@@ -47,7 +47,7 @@
 
 // TestOverdueRequestsTellOfColdTarget takes no answer at all.
 func TestOverdueRequestsTellOfColdTarget(t *testing.T) {
-	l := New(Options{Slots: 7})
+	l := New(Options{Slots: 7}, start)
 	now := warm(l, start)
 	assert.Assert(t, l.SlowAfter() > usual && l.SlowAfter() < 5*usual, "%s", l.SlowAfter())
 	for range 7 {
@@ -57,7 +57,7 @@
 }
 
 func TestColdLimitOfAllSlots(t *testing.T) {
-	l := New(Options{Slots: 3, ColdLimit: 3})
+	l := New(Options{Slots: 3, ColdLimit: 3}, start)
 	now := warm(l, start)
 	assert.Equal(t, l.Limit(now), 3)
 	assert.Equal(t, l.Resets(), 0)
@@ -81,7 +81,7 @@
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			l := New(Options{Slots: 7})
+			l := New(Options{Slots: 7}, start)
 			now := warm(l, start)
 			tc.make(l, now)
 			assert.Equal(t, l.Limit(now), 1)
@@ -92,7 +92,7 @@
 }
 
 func TestSingleSlowAnswerChangesNothing(t *testing.T) {
-	l := New(Options{Slots: 7})
+	l := New(Options{Slots: 7}, start)
 	now := warm(l, start)
 	l.OnSuccess(now, 20*usual)
 	assert.Equal(t, l.Limit(now), 7)
@@ -101,7 +101,7 @@
 
 // TestRelearnsLastingSlowness takes a target that is slower for good.
 func TestRelearnsLastingSlowness(t *testing.T) {
-	l := New(Options{Slots: 7})
+	l := New(Options{Slots: 7}, start)
 	now := warm(l, start)
 	for range 1000 {
 		now = now.Add(5 * usual)
@@ -114,7 +114,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		slots := rapid.IntRange(1, 20).Draw(t, "slots")
 		cold := rapid.IntRange(1, 20).Draw(t, "cold")
-		l := New(Options{Slots: slots, ColdLimit: cold})
+		l := New(Options{Slots: slots, ColdLimit: cold}, start)
 		now := start
 		for range 100 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
@@ -136,3 +136,14 @@
 		}
 	})
 }
+
+func TestStaysColdForTheColdTime(t *testing.T) {
+	l := New(Options{Slots: 7, ColdLimit: 2, ColdTime: time.Minute}, start)
+	now := warm(l, start)
+	assert.Equal(t, l.Limit(now), 2)
+	now = warm(l, start.Add(time.Minute))
+	assert.Equal(t, l.Limit(now), 7)
+	l.Restart(now)
+	now = warm(l, now)
+	assert.Equal(t, l.Limit(now), 2)
+}
--- /dev/null
+++ b/fairqueue/fairqueue_test.go
@@ -0,0 +1,321 @@
+package fairqueue_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/fairqueue"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20260101"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+type item = fairqueue.Item[int]
+
+func entry(workspace string, weight int) *item {
+	return &item{Workspace: workspace, Weight: weight, Deadline: start.Add(time.Hour)}
+}
+
+func never(*item) {}
+
+func TestSharesFollowWeights(t *testing.T) {
+	q := fairqueue.New[int](1000)
+	for range 100 {
+		for _, it := range []*item{entry("a", 1), entry("b", 3), entry("c", 1)} {
+			res, _ := q.Push(it, start, fairqueue.Load{})
+			assert.Equal(t, res, fairqueue.Queued)
+		}
+	}
+	served := map[string]int{}
+	for range 50 {
+		it := q.Pop(start, never)
+		q.End(it.Workspace)
+		served[it.Workspace]++
+	}
+	assert.DeepEqual(t, served, map[string]int{"a": 10, "b": 30, "c": 10})
+}
+
+// TestServingSharesFollowWeights ends nothing: what is being served has the
+// proportions of the weights.
+func TestServingSharesFollowWeights(t *testing.T) {
+	q := fairqueue.New[int](1000)
+	for range 100 {
+		for _, it := range []*item{entry("a", 1), entry("b", 3), entry("c", 1)} {
+			q.Push(it, start, fairqueue.Load{})
+		}
+	}
+	q.Begin("c")
+	served := map[string]int{"c": 1}
+	for range 49 {
+		served[q.Pop(start, never).Workspace]++
+	}
+	assert.DeepEqual(t, served, map[string]int{"a": 10, "b": 30, "c": 10})
+}
+
+func TestFullQueueGivesWayToSmallShare(t *testing.T) {
+	q := fairqueue.New[int](4)
+	for i := range 4 {
+		it := entry("large", 1)
+		it.Value = i
+		q.Push(it, start, fairqueue.Load{})
+	}
+	res, _ := q.Push(entry("large", 1), start, fairqueue.Load{})
+	assert.Equal(t, res, fairqueue.Full)
+	for want := 3; want >= 2; want-- {
+		res, evicted := q.Push(entry("small", 1), start, fairqueue.Load{})
+		assert.Equal(t, res, fairqueue.Queued)
+		assert.Equal(t, evicted.Workspace, "large")
+		assert.Equal(t, evicted.Value, want, "the newest goes first")
+	}
+	res, _ = q.Push(entry("small", 1), start, fairqueue.Load{})
+	assert.Equal(t, res, fairqueue.Full)
+	assert.Equal(t, q.Len(), 4)
+}
+
+func TestEarlyRefusal(t *testing.T) {
+	q := fairqueue.New[int](100)
+	load := fairqueue.Load{Servers: 2, Service: 100 * time.Millisecond}
+	for range 10 {
+		q.Push(entry("large", 1), start, load)
+	}
+	soon := func(workspace string) *item {
+		it := entry(workspace, 1)
+		it.Deadline = start.Add(200 * time.Millisecond)
+		return it
+	}
+	res, _ := q.Push(soon("large"), start, load)
+	assert.Equal(t, res, fairqueue.TooLate)
+	res, _ = q.Push(soon("small"), start, load)
+	assert.Equal(t, res, fairqueue.Queued, "a workspace of its own waits for its turn only")
+}
+
+func TestExpiredItemsAreDropped(t *testing.T) {
+	q := fairqueue.New[int](10)
+	late := entry("a", 1)
+	late.Deadline = start.Add(time.Second)
+	q.Push(late, start, fairqueue.Load{})
+	good := entry("a", 1)
+	q.Push(good, start, fairqueue.Load{})
+	var dropped []*item
+	got := q.Pop(start.Add(time.Second), func(it *item) { dropped = append(dropped, it) })
+	assert.Equal(t, got, good)
+	assert.Equal(t, len(dropped), 1)
+	assert.Assert(t, !q.Remove(late))
+}
+
+// TestAccounting checks against a model that no item is lost, doubled or
+// invented, that the bound holds, and that each workspace keeps its order.
+func TestAccounting(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		capacity := rapid.IntRange(1, 8).Draw(rt, "capacity")
+		q := fairqueue.New[int](capacity)
+		waiting := map[*item]bool{}
+		last := map[string]int{}
+		serial := 0
+		rt.Repeat(map[string]func(*rapid.T){
+			"push": func(rt *rapid.T) {
+				serial++
+				it := entry(rapid.StringMatching("[abc]").Draw(rt, "workspace"), rapid.IntRange(0, 3).Draw(rt, "weight"))
+				it.Value = serial
+				res, evicted := q.Push(it, start, fairqueue.Load{})
+				if res == fairqueue.Queued {
+					waiting[it] = true
+				}
+				if evicted != nil {
+					assert.Assert(rt, waiting[evicted])
+					delete(waiting, evicted)
+				}
+			},
+			"pop": func(rt *rapid.T) {
+				it := q.Pop(start, never)
+				assert.Equal(rt, it != nil, len(waiting) > 0)
+				if it == nil {
+					return
+				}
+				assert.Assert(rt, waiting[it])
+				assert.Assert(rt, it.Value > last[it.Workspace])
+				last[it.Workspace] = it.Value
+				delete(waiting, it)
+			},
+			"remove": func(rt *rapid.T) {
+				for it := range waiting {
+					assert.Assert(rt, q.Remove(it))
+					assert.Assert(rt, !q.Remove(it))
+					delete(waiting, it)
+					return
+				}
+			},
+			"": func(rt *rapid.T) {
+				assert.Equal(rt, q.Len(), len(waiting))
+				assert.Assert(rt, q.Len() <= capacity)
+			},
+		})
+	})
+}
+
+// line is a waiting line under comparison.
+type line interface {
+	push(it *item)
+	pop() *item
+	end(workspace string)
+}
+
+// fifo is a baseline: one bounded line.
+type fifo struct {
+	capacity int
+	items    []*item
+}
+
+func (f *fifo) push(it *item) {
+	if len(f.items) < f.capacity {
+		f.items = append(f.items, it)
+	}
+}
+
+func (f *fifo) pop() *item {
+	if len(f.items) == 0 {
+		return nil
+	}
+	it := f.items[0]
+	f.items = f.items[1:]
+	return it
+}
+
+func (f *fifo) end(string) {}
+
+// fair is the queue under test; with roundRobin it is not told what is being
+// served for long, which leaves plain deficit round robin.
+type fair struct {
+	q          *fairqueue.Queue[int]
+	roundRobin bool
+}
+
+func (f *fair) push(it *item) { f.q.Push(it, start, fairqueue.Load{}) }
+
+func (f *fair) pop() *item {
+	it := f.q.Pop(start, never)
+	if it != nil && f.roundRobin {
+		f.q.End(it.Workspace)
+	}
+	return it
+}
+
+func (f *fair) end(workspace string) {
+	if !f.roundRobin {
+		f.q.End(workspace)
+	}
+}
+
+// load is what one workspace offers: requests per step and steps per request.
+type load struct {
+	rate float64
+	hold int
+}
+
+// worstServed lets 8 workspaces of equal weight send to a target of 7 slots
+// and returns the served part of the worst-served one among those that stay
+// within their share. The first workspace is the heavy one.
+func worstServed(l line, heavy load) float64 {
+	const workspaces, slots, steps = 8, 7, 20_000
+	light := load{rate: 0.1, hold: 8} // 0.8 slots of 7 each
+	rng := rand.New(rand.NewPCG(1, 2))
+	sent, served := make([]int, workspaces), make([]int, workspaces)
+	var busy []*item // Value counts the steps left
+	for range steps {
+		for w := range workspaces {
+			ld := light
+			if w == 0 {
+				ld = heavy
+			}
+			for n := ld.rate; n > 0; n-- {
+				if rng.Float64() < n {
+					it := entry(fmt.Sprint(w), 1)
+					it.Value = ld.hold
+					sent[w]++
+					l.push(it)
+				}
+			}
+		}
+		for len(busy) < slots {
+			it := l.pop()
+			if it == nil {
+				break
+			}
+			busy = append(busy, it)
+		}
+		kept := busy[:0]
+		for _, it := range busy {
+			it.Value--
+			if it.Value > 0 {
+				kept = append(kept, it)
+				continue
+			}
+			l.end(it.Workspace)
+			w, _ := strconv.Atoi(it.Workspace)
+			served[w]++
+		}
+		busy = kept
+	}
+	worst := 1.0
+	for w := 1; w < workspaces; w++ {
+		worst = min(worst, float64(served[w])/float64(sent[w]))
+	}
+	return worst
+}
+
+func BenchmarkWorstServedWorkspace(b *testing.B) {
+	const capacity = 32
+	lines := []struct {
+		name string
+		make func() line
+	}{
+		{"fifo", func() line { return &fifo{capacity: capacity} }},
+		{"round-robin", func() line { return &fair{q: fairqueue.New[int](capacity), roundRobin: true} }},
+		{"fair", func() line { return &fair{q: fairqueue.New[int](capacity)} }},
+	}
+	loads := []struct {
+		name string
+		load
+	}{
+		{"rate-x5", load{rate: 0.5, hold: 8}},
+		{"hold-x10", load{rate: 0.1, hold: 80}},
+		{"both", load{rate: 0.5, hold: 80}},
+	}
+	for _, ld := range loads {
+		for _, ln := range lines {
+			b.Run(ld.name+"/"+ln.name, func(b *testing.B) {
+				for b.Loop() {
+					b.ReportMetric(worstServed(ln.make(), ld.load), "worst-served")
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	q := fairqueue.New[int](32)
+	for i := range 16 {
+		q.Push(entry(fmt.Sprint(i%8), 1), start, fairqueue.Load{})
+	}
+	it := entry("x", 1)
+	for b.Loop() {
+		q.Push(it, start, fairqueue.Load{Servers: 7, Service: time.Millisecond})
+		it = q.Pop(start, never)
+		q.End(it.Workspace)
+	}
+}
--- a/internal/measure/cold.go
+++ b/internal/measure/cold.go
@@ -175,7 +175,7 @@
 
 // NewColdstart returns the limiter of the system.
 func NewColdstart(slots int) Limiter {
-	l := coldstart.New(coldstart.Options{Slots: slots, ColdLimit: 1})
+	l := coldstart.New(coldstart.Options{Slots: slots, ColdLimit: 1}, epoch)
 	l.SetReference(referenceLatency)
 	return l
 }
--- /dev/null
+++ b/limiter/service.go
@@ -0,0 +1,195 @@
+package limiter
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberryshed/gooseberryshed/limit"
+)
+
+// Decision is the answer to Take.
+type Decision struct {
+	Allowed bool
+	// RetryAfter is when to try again if not allowed.
+	RetryAfter time.Duration
+}
+
+// Service limits workspaces. Its methods may be called concurrently.
+type Service struct {
+	opts     Options
+	policy   limit.Policy
+	counters counters
+	router   *router
+	history  history
+	index    shardIndex
+
+	mu      sync.RWMutex
+	owners  map[rowID]*owner
+	watches map[rowID]*watched
+	// handed holds levels that former owners passed to this daemon.
+	handed map[rowID]handoverRequest
+	// barred holds the highest epoch of a row in which this daemon has told
+	// others that it will grant nothing.
+	barred map[rowID]uint64
+	// stopping is set by Release; no row is taken any more.
+	stopping bool
+
+	beats atomic.Uint64
+	kicks chan rowID
+	// rowWork is how many rows are worked on at once.
+	rowWork int
+
+	askersMu sync.Mutex
+	askers   map[rowID]*asker
+}
+
+// New returns a service. It owns nothing until Run.
+func New(opts Options) *Service {
+	opts = opts.withDefaults()
+	s := &Service{
+		opts:    opts,
+		policy:  opts.policy(),
+		owners:  map[rowID]*owner{},
+		watches: map[rowID]*watched{},
+		handed:  map[rowID]handoverRequest{},
+		barred:  map[rowID]uint64{},
+		rowWork: maxRowWork,
+		kicks:   make(chan rowID, maxKicks),
+		askers:  map[rowID]*asker{},
+	}
+	s.router = newRouter(opts)
+	return s
+}
+
+// Take asks for one token of the workspace. The error is an *Error or that of
+// ctx; it never means that the rate was exceeded.
+func (s *Service) Take(ctx context.Context, workspace string) (Decision, error) {
+	s.counters.asks.Add(1)
+	a, err := s.allotment(workspace)
+	if err != nil {
+		return Decision{}, err
+	}
+	if a.total.Rate <= 0 || a.total.Cap < 1 {
+		return s.decide(takeGrant{Wait: time.Minute}), nil
+	}
+	shard := limit.Shard(workspace, s.opts.Shards)
+	var last error
+	for _, dc := range s.askOrder(a, workspace) {
+		g, err := s.ask(ctx, rowID{DataCentre: dc, Shard: shard}, workspace)
+		if ctx.Err() != nil {
+			return Decision{}, errors.Wrap(ctx.Err(), "waiting for the owner of the rate")
+		}
+		if err == nil && !g.NotHolder {
+			return s.decide(g), nil
+		}
+		if err != nil {
+			last = err
+		}
+	}
+	s.counters.noOwner.Add(1)
+	return Decision{}, &Error{Kind: KindNoOwner, Workspace: workspace, Err: last}
+}
+
+// configs returns the configurations that this daemon has served by, the one
+// in force last, or nil when there is none.
+func (s *Service) configs() []Config {
+	cfg := s.opts.Config()
+	if cfg == nil {
+		return nil
+	}
+	return s.history.note(cfg)
+}
+
+func (s *Service) allotment(workspace string) (allotment, error) {
+	configs := s.configs()
+	if len(configs) == 0 {
+		return allotment{}, &Error{Kind: KindNoConfig, Workspace: workspace}
+	}
+	a, ok := newAllotment(configs, workspace)
+	if !ok {
+		return allotment{}, &Error{Kind: KindUnknownWorkspace, Workspace: workspace}
+	}
+	return a, nil
+}
+
+func newAllotment(configs []Config, workspace string) (allotment, bool) {
+	cfg := configs[len(configs)-1]
+	w, ok := cfg.Workspace(workspace)
+	if !ok {
+		return allotment{}, false
+	}
+	return allotment{
+		configs: configs,
+		total:   limit.Terms{Rate: w.Rate, Cap: float64(w.Burst)},
+		layout:  limit.NewLayout(cfg.DataCentres(), workspace, w.Burst),
+	}, true
+}
+
+// askOrder lists the holders, this data centre first, and then the data centres
+// that may still hold the workspace by an earlier configuration.
+func (s *Service) askOrder(a allotment, workspace string) []string {
+	order := a.layout.Order(s.opts.Self.DataCentre, workspace)
+	for _, dc := range dataCentres(a.configs) {
+		if !slices.Contains(order, dc) {
+			order = append(order, dc)
+		}
+	}
+	return order
+}
+
+func (s *Service) decide(g takeGrant) Decision {
+	if g.Granted > 0 {
+		s.counters.allowed.Add(1)
+		return Decision{Allowed: true}
+	}
+	s.counters.denied.Add(1)
+	return Decision{RetryAfter: g.Wait}
+}
+
+// ask asks the owner of a row for one token.
+func (s *Service) ask(ctx context.Context, row rowID, workspace string) (takeGrant, error) {
+	if o := s.ownerOf(row); o != nil {
+		start := s.opts.Clock()
+		g, ok := s.grant(ctx, o, takeItem{Workspace: workspace, N: 1})
+		if age := s.opts.Clock().Sub(start); age >= s.opts.ReplyBound {
+			s.counters.lateReplies.Add(1)
+			return takeGrant{}, errors.Errorf("own grant dropped after %s", age.Round(time.Millisecond))
+		}
+		if ok {
+			return g, nil
+		}
+	}
+	return s.askerOf(row).ask(ctx, workspace)
+}
+
+func (s *Service) ownerOf(row rowID) *owner {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.owners[row]
+}
+
+func (s *Service) owned() []*owner {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	owners := make([]*owner, 0, len(s.owners))
+	for _, o := range s.owners {
+		owners = append(owners, o)
+	}
+	return owners
+}
+
+func (s *Service) askerOf(row rowID) *asker {
+	s.askersMu.Lock()
+	defer s.askersMu.Unlock()
+	a, ok := s.askers[row]
+	if !ok {
+		a = &asker{service: s, row: row}
+		s.askers[row] = a
+	}
+	return a
+}
