--- a/internal/e2e/harness/fleet.go
+++ b/internal/e2e/harness/fleet.go
@@ -104,6 +104,7 @@
 	for i := range f.Hosts {
 		f.WaitServing(i)
 	}
+	f.waitWorkspaces()
 	f.mu.Lock()
 	f.early, f.calls = f.calls, nil
 	f.mu.Unlock()
@@ -217,6 +218,18 @@
 	}
 }
 
+// waitWorkspaces waits until each workspace is served by its own key, so that
+// its limits are known to the fleet.
+func (f *Fleet) waitWorkspaces() {
+	f.t.Helper()
+	for _, ws := range workspaces {
+		ok := Poll(readyBound, func() bool { return f.Call(Request{Workspace: ws, Method: "GET"}).Answered() })
+		if !ok {
+			f.t.Fatalf("%s is not served after %v", ws, readyBound)
+		}
+	}
+}
+
 // Poll asks until done says so and reports whether it did within bound.
 func Poll(bound time.Duration, done func() bool) bool {
 	const pause = 50 * time.Millisecond
--- a/internal/e2e/harness/operator.go
+++ b/internal/e2e/harness/operator.go
@@ -79,6 +79,14 @@
 	return b.String()
 }
 
+// NewWorkspace returns a section with one more workspace and its key k1.
+func NewWorkspace(name string) string {
+	sum := sha256.Sum256([]byte(Secret(name, "k1")))
+	return fmt.Sprintf("  - name: %s\n    team: sales\n    workspaces:\n"+
+		"      - name: %s\n        rate: 2000/s\n        burst: 2000\n"+
+		"        keys: [{id: %s-k1, sha256: %s}]\n", name, name, name, hex.EncodeToString(sum[:]))
+}
+
 // Routes returns the section of the service and its routes: /orders for all
 // workspaces, /w1 for w1 alone and /open for all callers.
 func Routes(spec ServiceSpec) string {
--- a/internal/e2e/main_test.go
+++ b/internal/e2e/main_test.go
@@ -137,3 +137,16 @@
 	allAnswered(t, calls)
 	assert.Assert(t, len(runs) >= len(calls))
 }
+
+func TestFirstRequestOfAWorkspaceIsServed(t *testing.T) {
+	t.Parallel()
+	f := harness.Start(t, harness.Options{Hosts: 3})
+	// A workspace that the fleet has not seen before.
+	f.Apply(harness.NewWorkspace("w4"))
+	pause(configBound)
+	for i := range f.Hosts {
+		c := f.Call(harness.Request{Host: i, Workspace: "w4", Method: "GET"})
+		assert.Check(t, c.Answered(), "%+v", c)
+	}
+	f.Verify()
+}
