--- a/configstore/view_test.go
+++ b/configstore/view_test.go
@@ -1,6 +1,7 @@
 package configstore
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"strings"
 	"testing"
@@ -133,20 +134,76 @@
 	assert.Assert(t, !ok)
 }
 
+// benchTeam is one of 200 sections of the size to design for.
+func benchTeam(i int) *config.Section {
+	sec := team(fmt.Sprintf("team-%03d", i), 195)
+	sec.Services = []config.Service{{Name: sec.Name}}
+	for j := range sec.Workspaces {
+		w := &sec.Workspaces[j]
+		for k := range 2 {
+			id := fmt.Sprintf("%s-%d", w.Name, k)
+			w.Keys = append(w.Keys, config.Key{ID: id, SHA256: fmt.Sprintf("%x", sha256.Sum256([]byte(id)))})
+		}
+	}
+	for j := range 90 {
+		path := fmt.Sprintf("/%s/v1/items-%03d", sec.Name, j)
+		sec.Routes = append(sec.Routes, config.Route{Path: path, Service: sec.Name})
+	}
+	return sec
+}
+
 // benchState is a document of the size to design for.
 func benchState() State {
 	st := State{Revision: 1}
 	for i := range 200 {
-		st.put(Stored{Revision: 1, Author: "bench", Section: team(fmt.Sprintf("team-%03d", i), 195).Normalize()})
+		st.put(Stored{Revision: 1, Author: "bench", Section: benchTeam(i).Normalize()})
 	}
 	return st
 }
 
+// BenchmarkApply measures the change of one workspace by an operator, who loads
+// the whole document first.
+func BenchmarkApply(b *testing.B) {
+	p := standin.New()
+	s := New(p, nil)
+	first := Change{ID: "first", Author: "bench"}
+	for i := range 200 {
+		sec := benchTeam(i)
+		first.Edits = append(first.Edits, Edit{Name: sec.Name, Section: sec})
+	}
+	mustApply(b, s, first)
+	sec := benchTeam(7)
+	before := p.Stats()
+	b.ResetTimer()
+	for i := range b.N {
+		sec.Workspaces[3].Burst = i + 6
+		mustApply(b, s, change(fmt.Sprint("c", i), uint64(i+1), sec))
+	}
+	after := p.Stats()
+	n := float64(b.N)
+	b.ReportMetric(float64(after.Reads-before.Reads)/n, "reads/op")
+	b.ReportMetric(float64(after.Writes-before.Writes)/n, "writes/op")
+	b.ReportMetric(float64(after.BytesWritten-before.BytesWritten)/n, "written-B/op")
+	b.ReportMetric(float64(after.BytesRead-before.BytesRead)/n, "read-B/op")
+}
+
+// BenchmarkSnapshotObject measures the object that spares the table at boot.
+func BenchmarkSnapshotObject(b *testing.B) {
+	data, err := encodeSnapshot(benchState())
+	assert.NilError(b, err)
+	b.ResetTimer()
+	for range b.N {
+		_, err := decodeSnapshot(data)
+		assert.NilError(b, err)
+	}
+	b.ReportMetric(float64(len(data)), "object-B")
+}
+
 // BenchmarkViewAdvance measures all that a daemon does for one changed workspace.
 func BenchmarkViewAdvance(b *testing.B) {
 	v := NewView(benchState())
 	old := v.State.Sections[7].Section
-	changed := *team(old.Name, 195)
+	changed := *benchTeam(7)
 	changed.Workspaces[3].Burst++
 	changed = changed.Normalize()
 	d := Delta{Revision: 2, ChangeID: NewChangeID(), Author: "bench", Patches: []config.Patch{config.MakePatch(&old, &changed)}}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -276,6 +276,10 @@
 	if err := v.Write(d.out); err != nil {
 		return v, err
 	}
+	fmt.Fprintln(d.out, "\nruns at each target:")
+	for _, h := range d.fleet.hosts {
+		fmt.Fprintf(d.out, "  %s  menus %d, orders %d\n", h.name, len(h.targets[serviceMenus].Runs()), len(h.targets[serviceOrders].Runs()))
+	}
 	st, err := d.fleet.store.Load(ctx)
 	if err != nil {
 		return v, err
