eject: slowness is no evidence during a cold start

An ejected target gets only trial requests and hardly warms up.

Taking the limit below the slots as the sign of a cold start was ruled out, because the limiter itself falls back when a target turns gray and slow, and such a target would never be ejected. Slowness now counts from 30 s after the start on; errors count at once.

--- a/eject/detector.go
+++ b/eject/detector.go
@@ -20,6 +20,9 @@
 	// Hold is the least time a target stays suspect; it doubles when the
 	// target is suspect again soon. Default 10 s.
 	Hold time.Duration
+	// Grace is how long after a start slowness is no evidence: a target in cold
+	// start is slow, and would not warm up without work. Default 30 s.
+	Grace time.Duration
 	// SlowFactor multiplies the other targets' latency to the bound above
 	// which a request is slow. Default 2.
 	SlowFactor float64
@@ -29,6 +32,7 @@
 	defaultThreshold  = 18.0
 	defaultConfirm    = 4 * time.Second
 	defaultHold       = 10 * time.Second
+	defaultGrace      = 30 * time.Second
 	defaultSlowFactor = 2.0
 
 	// maxHold bounds the doubling of the hold time.
@@ -62,6 +66,7 @@
 	errs     float64 // CUSUM of failures
 	slow     float64 // CUSUM of slow answers
 	good     float64 // evidence for return, while suspect
+	born     time.Time
 	window   time.Time
 	gained   float64
 	above    time.Time
@@ -72,11 +77,13 @@
 	verdicts int
 }
 
-// NewDetector returns a detector that suspects nothing.
+// NewDetector returns a detector for a target that has just started; it suspects
+// nothing.
 func NewDetector(opt Options) *Detector {
 	opt.Threshold = cmp.Or(opt.Threshold, defaultThreshold)
 	opt.Confirm = cmp.Or(opt.Confirm, defaultConfirm)
 	opt.Hold = cmp.Or(opt.Hold, defaultHold)
+	opt.Grace = cmp.Or(opt.Grace, defaultGrace)
 	opt.SlowFactor = cmp.Or(opt.SlowFactor, defaultSlowFactor)
 	return &Detector{opt: opt, hold: opt.Hold}
 }
@@ -107,6 +114,13 @@
 	d.weigh(now, false, true)
 }
 
+// Restart takes an announced restart of the target, after which it may be slow
+// for the grace time. The first sample counts as one.
+func (d *Detector) Restart(now time.Time) {
+	d.born = now
+	d.slow = 0
+}
+
 // Tick moves time on without a sample.
 func (d *Detector) Tick(now time.Time) { d.judge(now) }
 
@@ -129,13 +143,16 @@
 func (d *Detector) Summary(now time.Time) Summary { return d.stats.summary(now) }
 
 func (d *Detector) weigh(now time.Time, failed, slow bool) {
+	if d.born.IsZero() {
+		d.born = now
+	}
 	if d.suspect {
 		d.weighReturn(failed, slow)
 	}
 	m := d.model()
 	gain := d.bounded(now, m.failure.ratio(failed))
 	d.errs = clamp(d.errs+gain, 0, 2*d.opt.Threshold)
-	if d.SlowAfter() > 0 {
+	if d.SlowAfter() > 0 && now.Sub(d.born) >= d.opt.Grace {
 		gain = d.bounded(now, m.slowness.ratio(slow))
 		d.slow = clamp(d.slow+gain, 0, 2*d.opt.Threshold)
 	}
--- a/internal/measure/eject_test.go
+++ b/internal/measure/eject_test.go
@@ -69,6 +69,25 @@
 	}
 }
 
+// TestColdStartIsNoReasonToEject restarts each worker in turn.
+func TestColdStartIsNoReasonToEject(t *testing.T) {
+	cfg := karpithaz(4)
+	cfg.Duration = 8 * time.Minute
+	for w := range cfg.Workers {
+		at := time.Duration(w+1) * time.Minute
+		cfg.Restarts = append(cfg.Restarts, Restart{Worker: w, At: at, WarmUp: 25 * time.Second})
+	}
+	assert.Equal(t, Run(cfg).False, 0)
+}
+
+// TestSlowFromTheStartIsEjected has a bad worker that never was good.
+func TestSlowFromTheStartIsEjected(t *testing.T) {
+	cfg := karpithaz(5)
+	cfg.Duration = 2 * time.Minute
+	cfg.Faults = []Fault{{Worker: 2, To: time.Hour, Slow: 5}}
+	assert.Assert(t, Run(cfg).FirstEjected[2] > 0)
+}
+
 func BenchmarkDetection(b *testing.B) {
 	for _, judge := range []struct {
 		name string
--- a/internal/measure/service.go
+++ b/internal/measure/service.go
@@ -36,6 +36,8 @@
 	GossipLag time.Duration
 	Floor     float64
 	Faults    []Fault
+	// Restarts of workers, each followed by a cold start.
+	Restarts []Restart
 	// NewJudge makes the detector of each worker; nil ejects nobody.
 	NewJudge func() Judge
 	// NewChooser makes the way of choosing of each ingress.
@@ -55,6 +57,25 @@
 	Flap time.Duration
 }
 
+// Restart makes a worker start anew: it takes four times as long and warms up
+// linearly.
+type Restart struct {
+	Worker int
+	At     time.Duration
+	WarmUp time.Duration
+}
+
+const coldFactor = 4.0
+
+// slowness is the factor on the service time at a moment.
+func (r Restart) slowness(at time.Duration) float64 {
+	if at < r.At || at >= r.At+r.WarmUp {
+		return 1
+	}
+	warm := float64(at-r.At) / float64(r.WarmUp)
+	return warm + (1-warm)*coldFactor
+}
+
 func (f Fault) active(at time.Duration) bool {
 	if at < f.From || at >= f.To {
 		return false
@@ -156,6 +177,9 @@
 		s.ings = append(s.ings, ing)
 		ing.choose = cfg.NewChooser(ing)
 	}
+	for _, r := range cfg.Restarts {
+		s.loop.after(r.At, func() { s.workers[r.Worker].judge = cfg.NewJudge() })
+	}
 	s.rebuild()
 	s.loop.after(time.Second, s.second)
 	s.loop.after(0, s.arrive)
@@ -256,6 +280,11 @@
 			t *= f.Slow
 		}
 	}
+	for _, r := range s.cfg.Restarts {
+		if r.Worker == i {
+			t *= r.slowness(s.elapsed())
+		}
+	}
 	return time.Duration(t)
 }
 
