member, coldstart: a restarted daemon learns how warm its targets were

The peer that a new incarnation first meets now tells it the record of its earlier one, which holds each target's incarnation and limit. Limiter.Resume takes the limit over; the caller must check that the target's incarnation is the same. Trusting the target's own word was ruled out, as load endpoints mislead. A resumed target that then turns cold is noticed as before, which is tested, and a restarted member finds its predecessor in the gossip test.

--- a/coldstart/limiter.go
+++ b/coldstart/limiter.go
@@ -107,6 +107,14 @@
 	}
 }
 
+// Resume sets the limit at which an earlier gate last saw the same incarnation
+// of the target, so that a restart of the daemon alone does not make its warm
+// targets cold. It must not be called for another incarnation.
+func (l *Limiter) Resume(now time.Time, limit int) {
+	l.coldAt = now.Add(-l.opt.ColdTime)
+	l.move(now, min(max(limit, l.opt.ColdLimit), l.opt.Slots))
+}
+
 // SetReference takes the p90 latency of the service's other targets, which a
 // target is compared with until its own warm latency is known.
 func (l *Limiter) SetReference(p90 time.Duration) {
--- a/coldstart/limiter_test.go
+++ b/coldstart/limiter_test.go
@@ -147,3 +147,17 @@
 	now = warm(l, now)
 	assert.Equal(t, l.Limit(now), 2)
 }
+
+// TestResumedTargetIsWatched takes over a warm target, which then turns cold.
+func TestResumedTargetIsWatched(t *testing.T) {
+	l := New(Options{Slots: 7, ColdTime: time.Minute}, start)
+	l.Resume(start, 7)
+	assert.Equal(t, l.Limit(start), 7)
+	now := warm(l, start)
+	assert.Equal(t, l.Limit(now), 7)
+	for range 10 {
+		l.OnSuccess(now, 5*usual)
+	}
+	assert.Equal(t, l.Limit(now), 1)
+	assert.Equal(t, l.Limit(warm(l, now)), 1, "cold for the cold time")
+}
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -24,13 +24,21 @@
 		m.seen = max(m.seen, b.Seq)
 	}
 	news, seq := g.news(b.Host, m.acked, known)
-	return Answer{Begin: g.message(b.Host, m, news, seq), Wants: wants}
+	a := Answer{Begin: g.message(b.Host, m, news, seq), Wants: wants}
+	if e, ok := g.entries[b.Host]; ok && b.Peer == 0 && e.d.Incarnation < b.Incarnation {
+		before := e.d
+		a.Predecessor = &before
+	}
+	return a
 }
 
 // Finish replies to an Answer. It reports false when there is nothing to send
 // or to ask for; the exchange is then over.
 func (g *Gossip) Finish(now time.Time, begun Begin, a Answer) (Finish, bool) {
 	m := g.meet(now, a.Begin)
+	if a.Predecessor != nil {
+		g.mergeSelf(*a.Predecessor)
+	}
 	g.takeSuspicions(now, a.Suspicions)
 	wants, _ := g.lacking(a.News)
 	if len(wants) == 0 {
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -94,6 +94,7 @@
 	seq     uint64
 	stats   Stats
 	rival   uint64
+	before  Daemon // the record of our earlier incarnation
 
 	ring  []string // neighbours; rebuilt when the set of live members changes
 	dirty bool
@@ -196,7 +197,7 @@
 // merge takes a change and reports whether the copy is now at least as new.
 func (g *Gossip) merge(now time.Time, c Change, from string) bool {
 	if c.Host == g.self {
-		g.mergeSelf(c)
+		g.mergeSelf(c.Daemon)
 		return true
 	}
 	var old Daemon
@@ -220,9 +221,26 @@
 	return true
 }
 
-// mergeSelf only notes a rival: nobody else changes the own record.
-func (g *Gossip) mergeSelf(c Change) {
-	g.rival = max(g.rival, c.Incarnation)
+// Predecessor returns the record of the host's earlier incarnation, as far as
+// peers or the table have told it. It tells how warm the targets were.
+func (g *Gossip) Predecessor() (Daemon, bool) {
+	return g.before, g.before.Host != ""
+}
+
+// mergeSelf only notes rivals and predecessors: nobody else changes the own
+// record.
+func (g *Gossip) mergeSelf(d Daemon) {
+	own := g.entries[g.self].d.Incarnation
+	if d.Host != g.self {
+		return
+	}
+	if d.Incarnation >= own {
+		g.rival = max(g.rival, d.Incarnation)
+		return
+	}
+	if g.before.Host == "" || Newer(d, g.before) {
+		g.before = d
+	}
 }
 
 // put stores a record as a new change.
--- a/member/message.go
+++ b/member/message.go
@@ -46,6 +46,9 @@
 type Answer struct {
 	Begin
 	Wants []Want `json:"w,omitempty"`
+	// Predecessor is the record of the asker's earlier incarnation, told to a
+	// daemon that has just started.
+	Predecessor *Daemon `json:"o,omitempty"`
 }
 
 // Finish carries the records that an Answer asked for and asks in turn.
--- a/member/sim_test.go
+++ b/member/sim_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -21,6 +22,9 @@
 	down  map[string]bool
 	cut   map[[2]string]bool
 	bytes []int
+	// changes is how many targets change their figures each second; 0 stops
+	// restarts as well.
+	changes int
 }
 
 func hostName(i int) string { return fmt.Sprintf("host-%04d", i) }
@@ -91,6 +95,7 @@
 
 // second lets each node make one exchange at a moment of its own.
 func (f *fleet) second() {
+	f.churn()
 	for _, i := range f.rng.Perm(len(f.nodes)) {
 		f.now = f.now.Add(time.Second / time.Duration(len(f.nodes)))
 		if f.down[hostName(i)] {
@@ -162,6 +167,9 @@
 	f.nodes[5] = New(f.now, fresh, Options{})
 	f.nodes[5].MergeRecords(f.now, []Daemon{f.nodes[0].Self()})
 	f.run(30)
+	before, ok := f.nodes[5].Predecessor()
+	assert.Assert(t, ok)
+	assert.Equal(t, len(before.Targets), 2)
 	for _, g := range f.nodes {
 		assert.Equal(t, len(g.List()), 18)
 		assert.Equal(t, len(g.Unreachable()), 0)
@@ -200,51 +208,114 @@
 	}
 }
 
-// BenchmarkFleet measures bytes, convergence and CPU at the design size.
+// BenchmarkFleet measures bytes, convergence and CPU at the design size, at
+// several rates of changes of targets' published figures.
 func BenchmarkFleet(b *testing.B) {
-	for range b.N {
-		const n, seconds = 1200, 120
-		f := newFleet(n, 8, Options{})
-		f.run(20)
-		clear(f.bytes)
-		start := time.Now()
-		var times []float64
-		for s := range seconds {
-			f.churn()
-			if s%20 == 0 {
-				times = append(times, f.probe()...)
-				continue
+	for _, changes := range []int{1, 5, 20} {
+		b.Run(fmt.Sprintf("changes-%d", changes), func(b *testing.B) {
+			for range b.N {
+				benchFleet(b, changes)
 			}
-			f.second()
+		})
+	}
+}
+
+func benchFleet(b *testing.B, changes int) {
+	const n, probes, between = 1200, 4, 15
+	f := newFleet(n, 8, Options{})
+	f.run(20)
+	clear(f.bytes)
+	begun, start := time.Now(), f.now
+	var times []float64
+	f.changes = changes
+	for range probes {
+		f.run(between)
+		times = append(times, f.probe()...)
+	}
+	span := f.now.Sub(start).Seconds()
+	b.ReportMetric(float64(time.Since(begun).Microseconds())/span/n, "µs/node/s")
+	slices.Sort(f.bytes)
+	b.ReportMetric(float64(f.bytes[n/2])/span, "B/s-p50")
+	b.ReportMetric(float64(f.bytes[n*99/100])/span, "B/s-p99")
+	b.ReportMetric(float64(total(f.bytes))/span/n, "B/s-mean")
+	slices.Sort(times)
+	b.ReportMetric(times[len(times)/2], "s-p50")
+	b.ReportMetric(times[len(times)*99/100], "s-p99")
+	b.ReportMetric(times[len(times)-1], "s-max")
+	b.ReportMetric(f.detect(7), "s-unreachable")
+	for _, g := range f.nodes {
+		assert.Assert(b, len(g.Unreachable()) <= 1)
+	}
+}
+
+func total(list []int) int {
+	sum := 0
+	for _, v := range list {
+		sum += v
+	}
+	return sum
+}
+
+// detect kills a daemon and returns the seconds until all hold it unreachable.
+func (f *fleet) detect(i int) float64 {
+	f.down[hostName(i)] = true
+	start := f.now
+	for f.now.Sub(start) < 2*time.Minute {
+		f.second()
+		missing := 0
+		for j, g := range f.nodes {
+			if j != i && !slices.Contains(g.Unreachable(), hostName(i)) {
+				missing++
+			}
+		}
+		if missing == 0 {
+			break
 		}
-		elapsed := time.Since(start)
-		slices.Sort(f.bytes)
-		span := f.now.Sub(time.Unix(1_700_000_000, 0)).Seconds() - 20
-		b.ReportMetric(float64(f.bytes[n/2])/span, "B/s-p50")
-		b.ReportMetric(float64(f.bytes[n-1])/span, "B/s-max")
-		slices.Sort(times)
-		b.ReportMetric(times[len(times)/2], "s-p50")
-		b.ReportMetric(times[len(times)*99/100], "s-p99")
-		b.ReportMetric(times[len(times)-1], "s-max")
-		b.ReportMetric(float64(elapsed.Microseconds())/float64(span)/n, "µs/node/s")
 	}
+	return f.now.Sub(start).Seconds()
 }
 
-// statsChurn is how many targets change their published figures each second.
-const statsChurn = 5
+// BenchmarkMemory measures a table of 1,200 daemons with 8 targets each.
+func BenchmarkMemory(b *testing.B) {
+	const n = 1200
+	var records []Daemon
+	for i := range n {
+		records = append(records, newRecord(i, 8, time.Unix(1, 0)))
+	}
+	raw, err := json.Marshal(records)
+	assert.NilError(b, err)
+	for range b.N {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		var decoded []Daemon
+		assert.NilError(b, json.Unmarshal(raw, &decoded))
+		g := New(time.Unix(1, 0), newRecord(n, 8, time.Unix(1, 0)), Options{})
+		g.MergeRecords(time.Unix(1, 0), decoded)
+		decoded = nil
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "B/record")
+		runtime.KeepAlive(g)
+	}
+	b.ReportMetric(float64(len(raw))/n, "B/record-json")
+}
 
 func (f *fleet) churn() {
-	for range statsChurn {
+	for range f.changes {
 		i := f.rng.IntN(len(f.nodes))
 		f.nodes[i].Update(f.now, func(d *Daemon) { d.Targets[f.rng.IntN(len(d.Targets))].LatencyMicros += 7000 })
 	}
-	if f.rng.Float64() < 3700.0/86400 {
+	if f.changes > 0 && f.rng.Float64() < restartsPerSecond {
 		i := f.rng.IntN(len(f.nodes))
 		f.nodes[i] = New(f.now, newRecord(i, 8, f.now), Options{})
 		f.nodes[i].MergeRecords(f.now, []Daemon{f.nodes[(i+1)%len(f.nodes)].Self()})
 	}
 }
 
+// restartsPerSecond is that of 1,200 daemons.
+const restartsPerSecond = 3700.0 / 86400
+
 // probe makes a change and returns the seconds until each node has it.
 func (f *fleet) probe() []float64 {
 	i := f.rng.IntN(len(f.nodes))
