member: a newcomer takes over the age of suspicions

At 1,200 state machines with restarts, a dead daemon was unreachable everywhere only after 42 s, while 400 without restarts took 21 s: 7 s until all had heard the suspicion and 13 s for its time to run out. The cause was daemons restarted meanwhile. They learnt of the suspicion with the record and began its whole time anew.

A record now carries for how long its sender has suspected the member.

--- a/member/delta.go
+++ b/member/delta.go
@@ -1,13 +1,17 @@
 package member
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Change is a record, or the part of it that changed since version Base of the
 // same incarnation. Base 0 means that the record is whole.
 type Change struct {
 	Base uint64 `json:"b,omitempty"`
-	// Suspect tells that the sender holds a suspicion against the member.
-	Suspect bool `json:"u,omitempty"`
+	// Suspected is how long the sender has suspected the member; 0 means that
+	// it does not.
+	Suspected time.Duration `json:"u,omitempty"`
 	Daemon
 }
 
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -48,7 +48,7 @@
 		m.acked = max(m.acked, begun.Seq)
 	}
 	f := Finish{Host: g.self, Incarnation: g.incarnation(), Seq: begun.Seq, Wants: wants}
-	f.Changes, f.Complete = g.changes(a.Wants)
+	f.Changes, f.Complete = g.changes(now, a.Wants)
 	return f, len(a.Wants) > 0 || len(wants) > 0
 }
 
@@ -57,7 +57,7 @@
 	m := g.markOf(f.Host)
 	g.takeChanges(now, m, f.Host, f.Incarnation, f.Seq, f.Complete, f.Changes)
 	out := Final{Host: g.self, Incarnation: g.incarnation()}
-	out.Changes, out.Complete = g.changes(f.Wants)
+	out.Changes, out.Complete = g.changes(now, f.Wants)
 	return out
 }
 
@@ -173,7 +173,7 @@
 
 // changes collects the wanted records up to the message bound and reports
 // whether all are there.
-func (g *Gossip) changes(wants []Want) ([]Change, bool) {
+func (g *Gossip) changes(now time.Time, wants []Want) ([]Change, bool) {
 	var out []Change
 	size := 0
 	for _, w := range wants {
@@ -182,7 +182,7 @@
 			continue
 		}
 		c := changeSince(e.d, w.Incarnation, w.Version)
-		c.Suspect = e.suspectSeq > 0
+		c.Suspected = e.suspectedFor(now)
 		size += approxBytes(c)
 		if size > g.opt.MaxChangeBytes && len(out) > 0 {
 			return out, false
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -215,8 +215,8 @@
 	}
 	g.stats.Received++
 	g.put(now, next, from)
-	if c.Suspect {
-		g.suspect(now, g.entries[c.Host], suspicionOf(next))
+	if c.Suspected > 0 {
+		g.suspect(now.Add(-c.Suspected), g.entries[c.Host], suspicionOf(next))
 	}
 	return true
 }
--- a/member/sim_test.go
+++ b/member/sim_test.go
@@ -178,6 +178,18 @@
 	}
 }
 
+// TestNewcomerTakesOverSuspicions starts a daemon when another one has long
+// been dead.
+func TestNewcomerTakesOverSuspicions(t *testing.T) {
+	f := newFleet(18, 2, Options{})
+	f.down[hostName(3)] = true
+	f.run(40)
+	f.nodes[5] = New(f.now, newRecord(5, 2, f.now), Options{})
+	f.nodes[5].MergeRecords(f.now, []Daemon{f.nodes[0].Self()})
+	f.run(5)
+	assert.DeepEqual(t, f.nodes[5].Unreachable(), []string{hostName(3)})
+}
+
 func TestCutLinkMakesNobodyUnreachable(t *testing.T) {
 	f := newFleet(18, 2, Options{})
 	f.run(5)
--- a/member/suspicion.go
+++ b/member/suspicion.go
@@ -27,7 +27,15 @@
 	return Newer(d, Daemon{Incarnation: x.Incarnation, Version: x.Version})
 }
 
-func (g *Gossip) suspect(now time.Time, e *entry, x Suspicion) {
+// suspectedFor is how long the member is under suspicion; 0 when it is not.
+func (e *entry) suspectedFor(now time.Time) time.Duration {
+	if e.suspectSeq == 0 {
+		return 0
+	}
+	return max(1, now.Sub(e.suspectSince))
+}
+
+func (g *Gossip) suspect(since time.Time, e *entry, x Suspicion) {
 	if e.suspectSeq > 0 || e.d.State == StateLeft {
 		return
 	}
@@ -35,7 +43,7 @@
 	g.seq++
 	e.suspectSeq = g.seq
 	e.suspected = x
-	e.suspectSince = now
+	e.suspectSince = since
 }
 
 // clearSuspicion ends a refuted suspicion. When it was our own, the link to the
