--- a/member/exchange.go
+++ b/member/exchange.go
@@ -24,13 +24,21 @@
 		m.seen = max(m.seen, b.Seq)
 	}
 	news, seq := g.news(b.Host, m.acked, known)
-	return Answer{Begin: g.message(b.Host, m, news, seq), Wants: wants}
+	a := Answer{Begin: g.message(b.Host, m, news, seq), Wants: wants}
+	if e, ok := g.entries[b.Host]; ok && b.Peer == 0 && e.d.Incarnation < b.Incarnation {
+		before := e.d
+		a.Predecessor = &before
+	}
+	return a
 }
 
 // Finish replies to an Answer. It reports false when there is nothing to send
 // or to ask for; the exchange is then over.
 func (g *Gossip) Finish(now time.Time, begun Begin, a Answer) (Finish, bool) {
 	m := g.meet(now, a.Begin)
+	if a.Predecessor != nil {
+		g.mergeSelf(*a.Predecessor)
+	}
 	g.takeSuspicions(now, a.Suspicions)
 	wants, _ := g.lacking(a.News)
 	if len(wants) == 0 {
@@ -40,7 +48,7 @@
 		m.acked = max(m.acked, begun.Seq)
 	}
 	f := Finish{Host: g.self, Incarnation: g.incarnation(), Seq: begun.Seq, Wants: wants}
-	f.Changes, f.Complete = g.changes(a.Wants)
+	f.Changes, f.Complete = g.changes(now, a.Wants)
 	return f, len(a.Wants) > 0 || len(wants) > 0
 }
 
@@ -49,7 +57,7 @@
 	m := g.markOf(f.Host)
 	g.takeChanges(now, m, f.Host, f.Incarnation, f.Seq, f.Complete, f.Changes)
 	out := Final{Host: g.self, Incarnation: g.incarnation()}
-	out.Changes, out.Complete = g.changes(f.Wants)
+	out.Changes, out.Complete = g.changes(now, f.Wants)
 	return out
 }
 
@@ -165,7 +173,7 @@
 
 // changes collects the wanted records up to the message bound and reports
 // whether all are there.
-func (g *Gossip) changes(wants []Want) ([]Change, bool) {
+func (g *Gossip) changes(now time.Time, wants []Want) ([]Change, bool) {
 	var out []Change
 	size := 0
 	for _, w := range wants {
@@ -174,7 +182,7 @@
 			continue
 		}
 		c := changeSince(e.d, w.Incarnation, w.Version)
-		c.Suspect = e.suspectSeq > 0
+		c.Suspected = e.suspectedFor(now)
 		size += approxBytes(c)
 		if size > g.opt.MaxChangeBytes && len(out) > 0 {
 			return out, false
