--- a/configstore/apply.go
+++ b/configstore/apply.go
@@ -148,7 +148,8 @@
 		return Result{}, a.pending || !current, err
 	}
 	rev := a.state.Revision + 1
-	txn := a.store.rows(a.change, p, rev, headVersion, versions)
+	d := a.store.delta(a.change, p, rev)
+	txn := rows(a.change, p, d, headVersion, versions)
 	if err := a.trimLog(ctx, &txn, rev); err != nil {
 		return Result{}, a.pending, err
 	}
@@ -156,6 +157,7 @@
 	switch {
 	case err == nil:
 		a.pending = false
+		a.saveSnapshot(ctx, d)
 		return Result{Revision: rev}, false, nil
 	case platform.IsKind(err, platform.KindUncertain):
 		a.pending, a.sentAt = true, headVersion
@@ -166,6 +168,19 @@
 	return Result{}, a.pending, errors.WithMessage(err, "commit the change")
 }
 
+// saveSnapshot saves the document after d now and then. A failure is no failure
+// of the change: who starts from an older snapshot takes more from the log.
+func (a *applier) saveSnapshot(ctx context.Context, d Delta) {
+	if a.store.objects == nil || d.Revision%snapshotEvery != 0 {
+		return
+	}
+	next, err := a.state.Advance([]Delta{d})
+	if err != nil {
+		return
+	}
+	_ = a.store.SaveSnapshot(ctx, next)
+}
+
 // versions reads the row versions of the sections to write. current is false when
 // one of them is not as the state has it.
 func (a *applier) versions(ctx context.Context, p plan) (versions []uint64, current bool, err error) {
--- a/configstore/change.go
+++ b/configstore/change.go
@@ -180,13 +180,18 @@
 	return out
 }
 
-// rows are the writes and preconditions that accept a plan.
-func (s *Store) rows(c Change, p plan, rev, headVersion uint64, versions []uint64) platform.Txn {
+// delta is the log entry of a plan.
+func (s *Store) delta(c Change, p plan, rev uint64) Delta {
+	return Delta{Revision: rev, ChangeID: c.ID, Author: c.Author, Message: c.Message, Time: s.now().UTC(), Patches: p.patches}
+}
+
+// rows are the writes and preconditions that accept a plan, whose log entry is d.
+func rows(c Change, p plan, d Delta, headVersion uint64, versions []uint64) platform.Txn {
 	txn := platform.Txn{Require: []platform.Precondition{
 		{Key: keyHead, Version: headVersion},
 		{Key: changeKey(c.ID), Version: 0},
 	}}
-	d := Delta{Revision: rev, ChangeID: c.ID, Author: c.Author, Message: c.Message, Time: s.now().UTC(), Patches: p.patches}
+	rev := d.Revision
 	txn.Writes = []platform.Write{
 		encodeRow(keyHead, headRow{Format: rowFormat, Revision: rev}),
 		encodeRow(logKey(rev), logRow{Format: rowFormat, Delta: d}),
--- a/configstore/doc.go
+++ b/configstore/doc.go
@@ -19,6 +19,9 @@
 //	config/log/<revision>   the patches of a change; the oldest are removed
 //	config/change/<id>      the revision of a change, removed with its log row
 //
+// Every fiftieth change also saves the document to the object store, so that many
+// daemons that start at once need not read all sections from the table.
+//
 // The log holds patches and not whole sections, because every daemon receives
 // every entry: a change of one key is a few hundred bytes, its section tens of
 // thousands.
--- a/configstore/store.go
+++ b/configstore/store.go
@@ -15,6 +15,9 @@
 	// KeepLog is how many changes the log holds. Who is further behind loads
 	// the whole document.
 	KeepLog = 4000
+	// snapshotEvery is the number of changes from one saved snapshot to the
+	// next.
+	snapshotEvery = 50
 	// applyAttempts bounds the tries of one change.
 	applyAttempts = 24
 	// settleRounds bounds the rounds in which Load catches up with the head.
