configstore, cli: repeating a command by its change id finds the accepted change

For file changes that worked, but key and datacentre verbs decide on the current document first: a repeated withdrawal failed with 'no key' although it had been accepted, and a repeated grant would have printed a secret that was never stored, had its digest not been refused. Result.Repeated no longer covers a commit of the same call whose reply was lost, for which the secret is right. Tests repeat both verbs.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -157,13 +157,27 @@
 	b.fail(exitFailed, "may be withdrawn already", "key", "withdraw", "retail-1-a")
 }
 
+// TestRepeatedVerbs repeats commands whose edits no longer follow from the
+// document. A grant must not show a secret that was never stored.
+func TestRepeatedVerbs(t *testing.T) {
+	b := newBench(t)
+	b.succeed("config", "apply", b.file(document))
+	b.succeed("key", "grant", "retail-1", "--id", "a", "--change-id", "g1")
+	out := b.run("key", "grant", "retail-1", "--id", "a", "--change-id", "g1")
+	assert.Equal(t, out.code, exitFailed)
+	assert.Equal(t, out.stdout, "")
+	assert.Assert(t, strings.Contains(out.err, "its secret is lost"), out.err)
+	b.succeed("key", "withdraw", "a", "--change-id", "w1")
+	assert.Equal(t, b.succeed("key", "withdraw", "a", "--change-id", "w1").stdout, "accepted earlier, revision 3\n")
+}
+
 func TestLostGrantNamesRemedy(t *testing.T) {
 	b := newBench(t)
 	b.succeed("config", "apply", b.file(document))
 	b.platform.SetFault(standin.Fault{Mode: standin.ModeLoseReplies})
 	b.fail(exitUnavailable, "platform", "--timeout", "300ms", "key", "grant", "retail-1", "--id", "a")
 	uncertain := &configstore.UncertainError{ChangeID: "c"}
-	assert.ErrorContains(t, explainGrant(uncertain, "a"), "key withdraw a and grant anew")
+	assert.ErrorContains(t, explainGrant(uncertain, "a"), "key withdraw a, and grant anew")
 	assert.Equal(t, ExitCode(failure{explainGrant(uncertain, "a")}), exitUnavailable)
 }
 
--- a/cli/key.go
+++ b/cli/key.go
@@ -60,6 +60,9 @@
 			if err != nil {
 				return explainGrant(err, id)
 			}
+			if res.Repeated {
+				return lostSecret(id)
+			}
 			fmt.Fprintln(cmd.OutOrStdout(), secret)
 			fmt.Fprintf(cmd.ErrOrStderr(), "key %s granted at revision %d; the secret above is not shown again\n", id, res.Revision)
 			return flags.wait.run(cmd, res.Revision)
@@ -79,12 +82,16 @@
 	var uncertain *configstore.UncertainError
 	var reused *configstore.ReusedIDError
 	if errors.As(err, &uncertain) || errors.As(err, &reused) {
-		return errors.WithMessagef(err, "key %s may have been granted and its secret is lost; "+
-			"when the platform answers again, run gooseberryshed key withdraw %s and grant anew", id, id)
+		return errors.WithMessage(err, lostSecret(id).Error())
 	}
 	return err
 }
 
+func lostSecret(id string) error {
+	return errors.Errorf("key %s may have been granted and its secret is lost; "+
+		"run gooseberryshed key withdraw %s, and grant anew", id, id)
+}
+
 func newSecret() (secret, digest string) {
 	var b [secretBytes]byte
 	rand.Read(b[:]) //nolint:errcheck // crypto/rand.Read never fails
--- a/configstore/apply.go
+++ b/configstore/apply.go
@@ -60,6 +60,8 @@
 	// While the head keeps it, that commit may still take effect.
 	sentAt  uint64
 	pending bool
+	// sent is set once this call has sent a commit.
+	sent bool
 }
 
 // explain turns the error of a call with a pending commit into an UncertainError.
@@ -100,22 +102,15 @@
 
 // applied looks the change id up. done is set when the matter is closed.
 func (a *applier) applied(ctx context.Context) (done bool, res Result, err error) {
-	row, err := a.store.table.Get(ctx, changeKey(a.change.ID))
-	if platform.IsKind(err, platform.KindNotFound) {
-		return false, Result{}, nil
-	}
-	if err != nil {
-		return false, Result{}, errors.WithMessage(err, "look up the change id")
-	}
-	var r changeRow
-	if err := decodeRow(row, &r.Format, &r); err != nil {
-		return true, Result{}, err
+	r, err := a.store.change(ctx, a.change.ID)
+	if r == nil || err != nil {
+		return false, Result{}, err
 	}
 	a.pending = false
 	if r.Digest != a.change.digest() {
 		return true, Result{}, &ReusedIDError{ChangeID: a.change.ID, Revision: r.Revision}
 	}
-	return true, Result{Revision: r.Revision, Repeated: true}, nil
+	return true, Result{Revision: r.Revision, Repeated: !a.sent}, nil
 }
 
 // catchUp brings the state to the head.
@@ -153,6 +148,7 @@
 	if err := a.trimLog(ctx, &txn, rev); err != nil {
 		return Result{}, a.pending, err
 	}
+	a.sent = true
 	err = a.store.table.Commit(ctx, txn)
 	switch {
 	case err == nil:
--- a/configstore/store_test.go
+++ b/configstore/store_test.go
@@ -253,7 +253,7 @@
 			p := standin.New()
 			s := New(&flaky{Table: p, script: script}, nil)
 			res := mustApply(t, s, change("c1", 0, team("a", 1)))
-			assert.Equal(t, res.Revision, uint64(1))
+			assert.Equal(t, res, Result{Revision: 1})
 			assertHistory(t, New(p, nil), 1)
 		})
 	}
