--- a/configstore/apply.go
+++ b/configstore/apply.go
@@ -60,6 +60,8 @@
 	// While the head keeps it, that commit may still take effect.
 	sentAt  uint64
 	pending bool
+	// sent is set once this call has sent a commit.
+	sent bool
 }
 
 // explain turns the error of a call with a pending commit into an UncertainError.
@@ -100,22 +102,15 @@
 
 // applied looks the change id up. done is set when the matter is closed.
 func (a *applier) applied(ctx context.Context) (done bool, res Result, err error) {
-	row, err := a.store.table.Get(ctx, changeKey(a.change.ID))
-	if platform.IsKind(err, platform.KindNotFound) {
-		return false, Result{}, nil
-	}
-	if err != nil {
-		return false, Result{}, errors.WithMessage(err, "look up the change id")
-	}
-	var r changeRow
-	if err := decodeRow(row, &r.Format, &r); err != nil {
-		return true, Result{}, err
+	r, err := a.store.change(ctx, a.change.ID)
+	if r == nil || err != nil {
+		return false, Result{}, err
 	}
 	a.pending = false
 	if r.Digest != a.change.digest() {
 		return true, Result{}, &ReusedIDError{ChangeID: a.change.ID, Revision: r.Revision}
 	}
-	return true, Result{Revision: r.Revision, Repeated: true}, nil
+	return true, Result{Revision: r.Revision, Repeated: !a.sent}, nil
 }
 
 // catchUp brings the state to the head.
@@ -148,14 +143,17 @@
 		return Result{}, a.pending || !current, err
 	}
 	rev := a.state.Revision + 1
-	txn := a.store.rows(a.change, p, rev, headVersion, versions)
+	d := a.store.delta(a.change, p, rev)
+	txn := rows(a.change, p, d, headVersion, versions)
 	if err := a.trimLog(ctx, &txn, rev); err != nil {
 		return Result{}, a.pending, err
 	}
+	a.sent = true
 	err = a.store.table.Commit(ctx, txn)
 	switch {
 	case err == nil:
 		a.pending = false
+		a.saveSnapshot(ctx, d)
 		return Result{Revision: rev}, false, nil
 	case platform.IsKind(err, platform.KindUncertain):
 		a.pending, a.sentAt = true, headVersion
@@ -166,6 +164,19 @@
 	return Result{}, a.pending, errors.WithMessage(err, "commit the change")
 }
 
+// saveSnapshot saves the document after d now and then. A failure is no failure
+// of the change: who starts from an older snapshot takes more from the log.
+func (a *applier) saveSnapshot(ctx context.Context, d Delta) {
+	if a.store.objects == nil || d.Revision%snapshotEvery != 0 {
+		return
+	}
+	next, err := a.state.Advance([]Delta{d})
+	if err != nil {
+		return
+	}
+	_ = a.store.SaveSnapshot(ctx, next)
+}
+
 // versions reads the row versions of the sections to write. current is false when
 // one of them is not as the state has it.
 func (a *applier) versions(ctx context.Context, p plan) (versions []uint64, current bool, err error) {
