--- a/limit/record.go
+++ b/limit/record.go
@@ -32,6 +32,9 @@
 	Fraction float64 `json:"fraction"`
 	// Released reports that the owner gave the row up and grants nothing more.
 	Released bool `json:"released,omitempty"`
+	// Retired reports that the data centre was removed from the configuration
+	// and that the row has no owner until it is configured again.
+	Retired bool `json:"retired,omitempty"`
 	// Heir names the host that has the levels of a released row and should
 	// take it before others.
 	Heir     string        `json:"heir,omitempty"`
@@ -138,3 +141,15 @@
 	next.Heir = heir
 	return next
 }
+
+// Retire returns the record with which the owner gives up the row of a removed
+// data centre. It may not while former owners hold reservations.
+func (r Record) Retire(revision uint64) (Record, bool) {
+	if len(r.Standing) > 0 {
+		return Record{}, false
+	}
+	next := r.Release("")
+	next.Retired = true
+	next.Revision = revision
+	return next, true
+}
--- a/limiter/chaos_test.go
+++ b/limiter/chaos_test.go
@@ -131,6 +131,46 @@
 	}
 }
 
+func (c *chaos) stepAll() {
+	for _, h := range c.hosts {
+		c.step(h)
+	}
+}
+
+// rounds lets all hosts work at their usual interval.
+func (c *chaos) rounds(n int) {
+	for range n {
+		c.clock.Advance(3 * time.Second)
+		c.stepAll()
+		c.advanceReference()
+	}
+}
+
+// drain asks everywhere for more than there is.
+func (c *chaos) drain() {
+	for _, h := range c.hosts {
+		for _, w := range chaosWorkspaces {
+			if !h.stopped {
+				c.takeSome(h, w, 13)
+			}
+		}
+	}
+}
+
+// ownerAmong returns an owner of some row, or any host if there is none.
+func (c *chaos) ownerAmong(n int) *chaosHost {
+	var owners []*chaosHost
+	for _, h := range c.hosts {
+		if len(h.service.owned()) > 0 {
+			owners = append(owners, h)
+		}
+	}
+	if len(owners) == 0 {
+		owners = c.hosts
+	}
+	return owners[n%len(owners)]
+}
+
 // takeSome asks n times at a host and holds the grants against the reference.
 func (c *chaos) takeSome(h *chaosHost, workspace string, n int) int {
 	got := 0
@@ -277,11 +317,6 @@
 	rapid.Check(t, func(t *rapid.T) {
 		c := newChaos(t)
 		host := func() *chaosHost { return c.hosts[rapid.IntRange(0, len(c.hosts)-1).Draw(t, "host")] }
-		stepAll := func() {
-			for _, h := range c.hosts {
-				c.step(h)
-			}
-		}
 		take := func(t *rapid.T) {
 			w := rapid.SampledFrom(chaosWorkspaces).Draw(t, "workspace")
 			h := host()
@@ -291,22 +326,18 @@
 		}
 		round := func(t *rapid.T) {
 			c.clock.Advance(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
-			stepAll()
+			c.stepAll()
 			c.advanceReference()
 		}
 		round(t)
-		stepAll()
+		c.stepAll()
 		t.Repeat(map[string]func(*rapid.T){
 			"take":   take,
 			"take2":  take,
 			"round":  round,
 			"round2": round,
 			"long": func(t *rapid.T) {
-				for range rapid.IntRange(3, 30).Draw(t, "rounds") {
-					c.clock.Advance(3 * time.Second)
-					stepAll()
-				}
-				c.advanceReference()
+				c.rounds(rapid.IntRange(3, 30).Draw(t, "rounds"))
 			},
 			"fault": func(t *rapid.T) {
 				c.tableFault = rapid.SampledFrom([]string{"", "pause-before", "pause-after", "delay", "swallow", "lose-reply"}).Draw(t, "table")
@@ -324,6 +355,22 @@
 				h.cutOut = rapid.Bool().Draw(t, "out")
 				h.cutTable = rapid.Bool().Draw(t, "table")
 			},
+			"isolate": func(t *rapid.T) {
+				h := c.ownerAmong(rapid.IntRange(0, 5).Draw(t, "owner"))
+				h.cutTable = true
+				h.cutIn = rapid.Bool().Draw(t, "in")
+				h.cutOut = rapid.Bool().Draw(t, "out")
+				c.rounds(rapid.IntRange(2, 8).Draw(t, "rounds"))
+				c.drain()
+			},
+			"join": func(t *rapid.T) {
+				for _, h := range c.hosts {
+					h.cutIn, h.cutOut, h.cutTable = false, false, false
+				}
+				c.rounds(rapid.IntRange(0, 3).Draw(t, "rounds"))
+				c.drain()
+			},
+			"drain":  func(t *rapid.T) { c.drain() },
 			"outage": func(t *rapid.T) { c.table.down = !c.table.down },
 			"restart": func(t *rapid.T) {
 				h := host()
@@ -354,12 +401,12 @@
 			},
 			"": func(t *rapid.T) {},
 		})
-		c.heal(t, stepAll)
+		c.heal(t)
 	})
 }
 
 // heal ends all faults and checks that the whole burst can be had again.
-func (c *chaos) heal(t *rapid.T, stepAll func()) {
+func (c *chaos) heal(t *rapid.T) {
 	c.table.down, c.tableFault, c.replyFault, c.delayed = false, "", "", nil
 	for _, h := range c.hosts {
 		h.cutIn, h.cutOut, h.cutTable = false, false, false
@@ -371,17 +418,11 @@
 			c.boot(h)
 		}
 	}
-	rounds := func(n int) {
-		for range n {
-			c.clock.Advance(3 * time.Second)
-			stepAll()
-		}
-	}
-	rounds(60)
+	c.rounds(60)
 	for _, w := range chaosWorkspaces {
 		c.takeSome(c.hosts[0], w, 1)
 	}
-	rounds(40)
+	c.rounds(40)
 	for _, w := range chaosWorkspaces {
 		burst := c.newest.limits[w].Burst
 		got := c.takeSome(c.hosts[0], w, burst)
--- a/limiter/lease.go
+++ b/limiter/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/gooseberryshed/gooseberryshed/limit"
@@ -30,6 +31,9 @@
 		s.drop(o)
 		return
 	}
+	if s.retire(ctx, o) {
+		return
+	}
 	rec, version, elapsed := o.forRenewal(start)
 	next := rec.Renew(elapsed, s.goneCheck(ctx, o.row), s.revision())
 	newVersion, err := s.writeRow(ctx, o.row, version, next)
@@ -44,6 +48,23 @@
 	}
 }
 
+// retire gives up the row of a data centre that is no longer configured. The
+// session ends first, so that a lost reply leaves a row that lapses.
+func (s *Service) retire(ctx context.Context, o *owner) bool {
+	cfg := s.opts.Config()
+	if cfg == nil || slices.Contains(cfg.DataCentres(), o.row.DataCentre) {
+		return false
+	}
+	rec, version, _ := o.forRenewal(s.opts.Clock())
+	next, ok := rec.Retire(s.revision())
+	if !ok {
+		return false
+	}
+	s.drop(o)
+	s.writeRow(ctx, o.row, version, next) //nolint:errcheck // taken and retired later
+	return true
+}
+
 // resolve finds out whether this daemon still owns a row after a conflict.
 func (s *Service) resolve(ctx context.Context, o *owner) {
 	found, version, err := s.readRow(ctx, o.row)
--- a/limiter/rows.go
+++ b/limiter/rows.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -97,13 +99,11 @@
 	if len(configs) == 0 {
 		return nil
 	}
-	present := configs[len(configs)-1].DataCentres()
-	var rows []rowID
-	for _, dc := range dataCentres(configs) {
+	rows := s.removedRows()
+	for _, dc := range configs[len(configs)-1].DataCentres() {
 		for shard := range s.opts.Shards {
 			row := rowID{DataCentre: dc, Shard: shard}
-			removed := !slices.Contains(present, dc)
-			if s.ownerOf(row) != nil || s.isCandidate(row) || (removed && s.ownsShard(shard)) {
+			if s.ownerOf(row) != nil || s.isCandidate(row) {
 				rows = append(rows, row)
 			}
 		}
@@ -111,20 +111,27 @@
 	return rows
 }
 
-// ownsShard reports whether this daemon owns some row of a shard. Such a daemon
-// takes the lapsed rows of removed data centres, whose own daemons may not know
-// of them any more: the shares of the others can't grow before.
-func (s *Service) ownsShard(shard int) bool {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	for row := range s.owners {
-		if row.Shard == shard {
-			return true
+// removedRows lists the rows of removed data centres that this daemon owns, or
+// that keep the shares of a shard of its own from growing: the daemons of a
+// removed data centre may not know of its rows any more.
+func (s *Service) removedRows() []rowID {
+	present := s.opts.Config().DataCentres()
+	rows := map[rowID]bool{}
+	for _, o := range s.owned() {
+		if !slices.Contains(present, o.row.DataCentre) {
+			rows[o.row] = true
+		}
+		for _, dc := range o.agreement().removed {
+			if !slices.Contains(present, dc) {
+				rows[rowID{DataCentre: dc, Shard: o.row.Shard}] = true
+			}
 		}
 	}
-	return false
+	return slices.SortedFunc(maps.Keys(rows), compareRows)
 }
 
+func compareRows(a, b rowID) int { return strings.Compare(a.key(), b.key()) }
+
 func (s *Service) isCandidate(row rowID) bool {
 	for _, d := range candidates(s.opts, row) {
 		if d.Host == s.opts.Self.Host {
--- a/limiter/shares.go
+++ b/limiter/shares.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
+	"strings"
 	"sync"
 
 	"github.com/gooseberryshed/gooseberryshed/limit"
@@ -57,6 +59,9 @@
 	all uint64
 	// newest is the highest revision of all rows.
 	newest uint64
+	// removed lists the data centres that are no longer configured but whose
+	// rows have not been retired.
+	removed []string
 	// stale is the sum of all reserved fractions.
 	stale float64
 }
@@ -118,37 +123,50 @@
 	if err != nil {
 		return agreement{}, err
 	}
-	return agree(rows, shard, dataCentres(configs)), nil
+	return agree(rows, shard, configs), nil
 }
 
-func agree(rows []platform.Row, shard int, dcs []string) agreement {
-	byKey := map[string]limit.Record{}
+// agree derives the agreement from the rows of a shard: those of the data
+// centres known to this daemon, and all others that have not been retired.
+func agree(rows []platform.Row, shard int, configs []Config) agreement {
+	since := configs[len(configs)-1].DataCentresSince()
+	present := configs[len(configs)-1].DataCentres()
+	found := map[string]limit.Record{}
 	for _, row := range rows {
 		var rec limit.Record
 		if json.Unmarshal(row.Value, &rec) == nil {
-			byKey[row.Key] = rec
+			found[strings.TrimPrefix(row.Key, shardPrefix(shard))] = rec
 		}
 	}
-	var a agreement
-	for i, dc := range dcs {
-		rec := byKey[rowID{DataCentre: dc, Shard: shard}.key()]
-		if i == 0 || rec.Revision < a.rows {
-			a.rows = rec.Revision
-		}
-		a.newest = max(a.newest, rec.Revision)
-		for _, r := range rec.Standing {
-			a.stale += r.Fraction
-			if r.Revision < a.all || a.all == 0 {
-				a.all = r.Revision
-			}
+	for _, dc := range present {
+		if _, ok := found[dc]; !ok {
+			return agreement{}
 		}
 	}
-	if a.all == 0 || a.rows < a.all {
-		a.all = a.rows
+	a := agreement{rows: math.MaxUint64, all: math.MaxUint64}
+	for dc, rec := range found {
+		removed := !slices.Contains(present, dc)
+		if removed && rec.Retired && rec.Revision >= since {
+			continue
+		}
+		if removed {
+			a.removed = append(a.removed, dc)
+		}
+		a.count(rec)
 	}
 	return a
 }
 
+func (a *agreement) count(rec limit.Record) {
+	a.newest = max(a.newest, rec.Revision)
+	a.rows = min(a.rows, rec.Revision)
+	a.all = min(a.all, rec.Revision)
+	for _, r := range rec.Standing {
+		a.stale += r.Fraction
+		a.all = min(a.all, r.Revision)
+	}
+}
+
 // refreshAgreement reads the shard's rows while some owner may not yet serve by
 // the newest configuration. While another owner serves by a newer one than this
 // daemon knows, its rows say nothing about the layouts in between, and the
