--- /dev/null
+++ b/coldstart/limiter.go
@@ -0,0 +1,231 @@
+package coldstart
+
+import (
+	"cmp"
+	"math"
+	"time"
+)
+
+// Options tune a Limiter. Zero fields take the defaults given.
+type Options struct {
+	// Slots is the upper bound. Default 1.
+	Slots int
+	// ColdLimit is the limit of a cold target. Default 1.
+	ColdLimit int
+	// ColdTime is how long a target stays cold at least: the limit does not
+	// rise before. Default 0.
+	ColdTime time.Duration
+	// Step is the least time between two rises of a target that serves as fast
+	// as when warm. Default 250 ms.
+	Step time.Duration
+	// SlowStep is that of a slower one. Default 2 s.
+	SlowStep time.Duration
+	// Patience is how long a target is held below its slots before its warm
+	// latency is taken as outdated. Default 60 s.
+	Patience time.Duration
+}
+
+const (
+	defaultStep     = 250 * time.Millisecond
+	defaultSlowStep = 2 * time.Second
+	defaultPatience = time.Minute
+
+	// minRound is the least number of answers in a round.
+	minRound = 8
+	// minSlowRound is that of a round slower than when warm.
+	minSlowRound = 16
+	// asWarm is how many times the warm latency still counts as warm.
+	asWarm = 1.4
+	// overload is how many times the latency at lower limits means that the
+	// limit is above what the target bears.
+	overload = 1.6
+	// baseWeight is the weight of a faster round in the base.
+	baseWeight = 0.4
+	// shedRun is how many sheds within shedWindow mean a cold target.
+	shedRun    = 2
+	shedWindow = time.Second
+	// shedMemory is how long after a shed the slow step applies.
+	shedMemory = 10 * time.Second
+)
+
+// Limiter is the limit of one target. It is not safe for concurrent use.
+type Limiter struct {
+	opt    Options
+	limit  int
+	round  mean
+	base   float64 // log latency at lower limits; 0 is unknown
+	stepAt time.Time
+	heldAt time.Time // since when the limit has not risen
+	coldAt time.Time // since when the target is cold
+	warm   warmth
+	sheds  int
+	shedAt time.Time
+	resets int
+}
+
+// New returns the limiter of a target that is cold from now on.
+func New(opt Options, now time.Time) *Limiter {
+	opt.Slots = max(1, opt.Slots)
+	opt.ColdLimit = min(max(1, opt.ColdLimit), opt.Slots)
+	opt.Step = cmp.Or(opt.Step, defaultStep)
+	opt.SlowStep = cmp.Or(opt.SlowStep, defaultSlowStep)
+	opt.Patience = cmp.Or(opt.Patience, defaultPatience)
+	return &Limiter{opt: opt, limit: opt.ColdLimit, stepAt: now, heldAt: now, coldAt: now}
+}
+
+// Limit is how many requests the target may have at once now.
+func (l *Limiter) Limit(_ time.Time) int { return l.limit }
+
+// Cold reports whether the limit is below the slots.
+func (l *Limiter) Cold() bool { return l.limit < l.opt.Slots }
+
+// Resets counts how often the target was found cold again.
+func (l *Limiter) Resets() int { return l.resets }
+
+// Resize takes changed slots or a changed cold limit.
+func (l *Limiter) Resize(slots, coldLimit int) {
+	l.opt.Slots = max(1, slots)
+	l.opt.ColdLimit = min(max(1, coldLimit), l.opt.Slots)
+	l.limit = min(max(l.limit, l.opt.ColdLimit), l.opt.Slots)
+}
+
+// OnSuccess takes an answer and the time to its first byte.
+func (l *Limiter) OnSuccess(now time.Time, latency time.Duration) {
+	lat := math.Log(float64(max(latency, time.Microsecond)))
+	if !l.Cold() {
+		if l.warm.observe(lat) {
+			l.reset(now)
+		}
+		return
+	}
+	if now.Sub(l.coldAt) < l.opt.ColdTime {
+		return
+	}
+	l.round.add(lat)
+	if l.round.n >= max(minRound, l.limit) {
+		l.judge(now)
+	}
+}
+
+// SetReference takes the p90 latency of the service's other targets, which a
+// target is compared with until its own warm latency is known.
+func (l *Limiter) SetReference(p90 time.Duration) {
+	if p90 > 0 {
+		l.warm.refer(math.Log(float64(p90)))
+	}
+}
+
+// SlowAfter is the time in flight after which a request is to be reported by
+// OnOverdue; 0 when there is nothing to compare with.
+func (l *Limiter) SlowAfter() time.Duration {
+	if l.Cold() || !l.warm.known() {
+		return 0
+	}
+	return time.Duration(math.Exp(l.warm.high) * slowFactor)
+}
+
+// OnOverdue takes a request that is in flight for longer than SlowAfter, so
+// that a target turned cold is noticed before its slow answers arrive. It is
+// called at most once for each request; the answer is taken as well.
+func (l *Limiter) OnOverdue(now time.Time) {
+	if !l.Cold() && l.warm.overdue() {
+		l.reset(now)
+	}
+}
+
+// OnShed takes a request that the target refused for overload.
+func (l *Limiter) OnShed(now time.Time) {
+	if now.Sub(l.shedAt) > shedWindow {
+		l.sheds = 0
+	}
+	l.sheds++
+	l.shedAt = now
+	if l.sheds >= shedRun {
+		l.reset(now)
+		return
+	}
+	l.move(now, max(l.opt.ColdLimit, l.limit/2))
+}
+
+// OnFailure takes a request that the target failed. A failure says nothing of
+// capacity, but the limit does not rise on it.
+func (l *Limiter) OnFailure(now time.Time) {
+	l.round = mean{}
+	l.stepAt = now
+}
+
+// Restart takes an announced restart or a new incarnation. The warm latency is
+// kept, as the new process is compared with it.
+func (l *Limiter) Restart(now time.Time) { l.reset(now) }
+
+// judge ends a round when the step is over.
+func (l *Limiter) judge(now time.Time) {
+	got := l.round.value()
+	since := now.Sub(l.stepAt)
+	fast := l.warm.known() && got <= l.warm.mean+math.Log(asWarm)
+	if fast && !l.shedLately(now) {
+		if since >= l.opt.Step {
+			l.rise(now, got)
+		}
+		return
+	}
+	if l.round.n < max(minSlowRound, l.limit) || since < l.opt.SlowStep {
+		return
+	}
+	switch {
+	case fast, l.bearsMore(got):
+		l.rise(now, got)
+	case now.Sub(l.heldAt) >= l.opt.Patience:
+		l.base = got
+		l.warm.forget()
+		l.rise(now, got)
+	default:
+		l.move(now, max(l.opt.ColdLimit, l.limit-1))
+	}
+}
+
+// bearsMore compares a target whose warm latency is not known with itself at
+// lower limits.
+func (l *Limiter) bearsMore(got float64) bool {
+	if l.warm.known() {
+		return false
+	}
+	return l.base == 0 || got <= l.base+math.Log(overload)
+}
+
+func (l *Limiter) shedLately(now time.Time) bool {
+	return !l.shedAt.IsZero() && now.Sub(l.shedAt) < shedMemory
+}
+
+func (l *Limiter) rise(now time.Time, got float64) {
+	switch {
+	case l.base == 0:
+		l.base = got
+	case got < l.base:
+		l.base += baseWeight * (got - l.base)
+	}
+	l.heldAt = now
+	l.move(now, min(l.limit+1, l.opt.Slots))
+	if !l.Cold() {
+		l.warm.start(got)
+	}
+}
+
+// move sets the limit and begins a round.
+func (l *Limiter) move(now time.Time, limit int) {
+	l.limit = limit
+	l.round = mean{}
+	l.stepAt = now
+}
+
+func (l *Limiter) reset(now time.Time) {
+	if l.limit > l.opt.ColdLimit {
+		l.resets++
+	}
+	l.move(now, l.opt.ColdLimit)
+	l.base = 0
+	l.heldAt = now
+	l.coldAt = now
+	l.sheds = 0
+	l.warm.reset()
+}
