limiter: rows go to the candidates of their data centre; steps don't drift

The first daemon of a fleet knows no other, takes the rows of all data centres and kept them for good, so that all asks crossed to one host and its loss cost every workspace its owners. Steps were counted from the end of the former one, so a slow table stretched the interval towards the lease; they are counted from its start, and all rows of a daemon are worked on at once. Both were found by reading the logs of the whole fleet and the code.

--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -235,3 +235,35 @@
 	_, err = f.table.Get(context.Background(), row.key())
 	assert.Assert(t, !platform.IsKind(err, platform.KindNotFound))
 }
+
+func TestRowsGoToTheCandidatesOfTheirDataCentre(t *testing.T) {
+	f := newFleet(threeCentres(), 3)
+	all := f.peers
+	f.peers = all[:1]
+	f.step()
+	assert.Equal(t, f.services["a-0"].Stats().RowsOwned, int64(6))
+	f.peers = all
+	for range 4 {
+		f.clock.Advance(testStep)
+		f.step()
+	}
+	for _, p := range all {
+		for _, o := range f.services[p.Host].owned() {
+			assert.Equal(t, o.row.DataCentre, p.DataCentre)
+		}
+	}
+	assert.Assert(t, ownerHost(f, "b", "large") != "")
+}
+
+func TestFirstRequestOfAnIdleWorkspaceIsServed(t *testing.T) {
+	f := newFleet(threeCentres(), 3)
+	f.step()
+	for range 3 {
+		f.clock.Advance(testStep)
+		f.step()
+	}
+	for _, w := range []string{"large", "small"} {
+		allowed, _, _ := takeAll(t, f, "b-1", w, 1)
+		assert.Equal(t, allowed, 1, w)
+	}
+}
--- a/limiter/rows.go
+++ b/limiter/rows.go
@@ -16,7 +16,7 @@
 )
 
 // maxRowWork is how many rows are read or written at the same time.
-const maxRowWork = 8
+const maxRowWork = 32
 
 // maxKicks bounds the rows waiting to be looked at ahead of their time.
 const maxKicks = 64
@@ -42,8 +42,9 @@
 		case row := <-s.kicks:
 			s.stepRow(ctx, row)
 		case <-timer.C:
+			start := time.Now()
 			s.Step(ctx)
-			timer.Reset(s.interval())
+			timer.Reset(max(0, s.interval()-time.Since(start)))
 		}
 	}
 }
