forward: one envelope and one reply field between daemons

Profiling BenchmarkPath/remote showed thirteen internal fields per request, one string each to remove them again, and a new HMAC state per signature. The attempt now travels as URL-encoded parameters in one field (fasthttp's Args as the codec), the gate's reply likewise, and HMAC states are pooled. JSON was ruled out as it allocates more than the fields it would replace.

For requests that may not be repeated the profile shows 56% of the time in connect(2), with 17,000 connections a second through one address pair. A new connection each stays, since silence on a reused one would leave the outcome unknown.

--- a/forward/client.go
+++ b/forward/client.go
@@ -18,6 +18,7 @@
 	DefaultSilence     = 1500 * time.Millisecond
 	DefaultIdleTimeout = 10 * time.Second
 	DefaultGrace       = 100 * time.Millisecond
+	maxReplyBytes      = 4 << 10
 )
 
 // ClientOptions configures a Client. Zero fields take the documented defaults.
@@ -28,7 +29,8 @@
 	// Secrets are the cluster secrets; the first one signs. At least one must
 	// be given.
 	Secrets []string
-	// Links configures the connections.
+	// Links configures the connections. Its MaxHeader defaults to what a gate
+	// takes from a target, and room for the gate's reply.
 	Links link.Options
 	// Silence is how long a server may send nothing at all while an attempt
 	// runs. It must exceed the interval of its interim answers. Default 1.5 s.
@@ -50,6 +52,9 @@
 	if o.Grace <= 0 {
 		o.Grace = DefaultGrace
 	}
+	if o.Links.MaxHeader <= 0 {
+		o.Links.MaxHeader = link.DefaultMaxHeader + maxReplyBytes
+	}
 	return o
 }
 
@@ -57,7 +62,7 @@
 // concurrent use.
 type Client struct {
 	opts   ClientOptions
-	secret []byte
+	signer *signer
 	links  *link.Pool
 	resent atomic.Int64
 }
@@ -71,11 +76,11 @@
 // NewClient returns a client.
 func NewClient(opts ClientOptions) *Client {
 	opts = opts.withDefaults()
-	c := &Client{opts: opts, links: link.New(opts.Links)}
+	var first string
 	if len(opts.Secrets) > 0 {
-		c.secret = []byte(opts.Secrets[0])
+		first = opts.Secrets[0]
 	}
-	return c
+	return &Client{opts: opts, signer: newSigner(first), links: link.New(opts.Links)}
 }
 
 // Sweep closes connections that are idle for too long; call it about once a
@@ -168,7 +173,7 @@
 	defer fasthttp.ReleaseRequest(out)
 	req.Header.CopyTo(&out.Header)
 	headers.CleanRequest(&out.Header)
-	writeAttempt(&out.Header, att, c.secret)
+	writeAttempt(&out.Header, att, c.signer)
 	out.SetBodyRaw(req.Body())
 	x := c.bounds(att)
 	x.Fresh = fresh
@@ -220,32 +225,27 @@
 }
 
 func (c *Client) answer(host string, att wire.Attempt, resp *link.Response) (answer *wire.Answer, ref *wire.Refusal, broken bool) {
-	h := &resp.Header
-	if string(h.Peek(fieldAttempt)) != att.ID.String() {
+	r, err := readReply(&resp.Header, att.ID)
+	if err != nil {
 		resp.Body.Close()
-		return nil, wire.RefuseUnknown(wire.ReasonUnreachable, "host %s: %s", host, errOtherAttempt), true
+		return nil, wire.RefuseUnknown(wire.ReasonUnreachable, "host %s: %s", host, err), true
 	}
-	if ref := readRefusal(h); ref != nil {
+	if r.refusal != nil {
 		drain(resp)
-		return nil, ref, false
+		return nil, r.refusal, false
 	}
-	p := parser{h: h}
+	headers.CleanResponse(&resp.Header)
 	answer = &wire.Answer{
-		Header: h,
+		Header: &resp.Header,
 		Length: resp.Length,
 		Body:   resp.Body,
-		Epoch:  readEpoch(&p),
-		Load:   readLoad(&p),
-	}
-	if p.err != nil {
-		resp.Body.Close()
-		return nil, wire.RefuseUnknown(wire.ReasonUnreachable, "host %s: %s", host, p.err), true
+		Epoch:  r.epoch,
+		Load:   r.load,
 	}
-	if length, ok := readLength(h); ok {
-		answer.Length = length
-		answer.Body = &countedBody{ReadCloser: resp.Body, left: length}
+	if r.length >= 0 {
+		answer.Length = r.length
+		answer.Body = &countedBody{ReadCloser: resp.Body, left: r.length}
 	}
-	headers.CleanResponse(h)
 	if err := buffer(answer, att); err != nil {
 		return nil, wire.RefuseUnknown(wire.ReasonUnreachable, "host %s: answer cut short: %s", host, err), true
 	}
--- a/forward/codec.go
+++ b/forward/codec.go
@@ -7,145 +7,165 @@
 	"encoding/hex"
 	"hash"
 	"strconv"
+	"sync"
 	"time"
 
-	"github.com/gooseberryshed/gooseberryshed/headers"
-	"github.com/gooseberryshed/gooseberryshed/wire"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/gooseberryshed/gooseberryshed/headers"
+	"github.com/gooseberryshed/gooseberryshed/wire"
+)
+
+// The internal fields of messages between daemons. Envelope and reply are
+// URL-encoded parameters.
+const (
+	fieldAttempt  = headers.Attempt
+	fieldEnvelope = headers.Prefix + "Envelope"
+	fieldMAC      = headers.Prefix + "Mac"
+	fieldReply    = headers.Prefix + "Reply"
 )
 
-// The internal fields of requests between daemons.
+// The parameters of an envelope; some are used in replies too.
 const (
-	fieldAttempt     = headers.Attempt
-	fieldWorkspace   = headers.Workspace
-	fieldIncarnation = headers.Prefix + "Incarnation"
-	fieldGeneration  = headers.Prefix + "Generation"
-	fieldService     = headers.Prefix + "Service"
-	fieldTarget      = headers.Prefix + "Target"
-	fieldKeyID       = headers.Prefix + "Key-Id"
-	fieldRoute       = headers.Prefix + "Route"
-	fieldRevision    = headers.Prefix + "Revision"
-	fieldRemaining   = headers.Prefix + "Remaining-Us"
-	fieldIdempotent  = headers.Prefix + "Idempotent"
-	fieldFingerprint = headers.Prefix + "Fingerprint"
-	fieldMAC         = headers.Prefix + "Mac"
+	paramIncarnation = "incarnation"
+	paramGeneration  = "generation"
+	paramService     = "service"
+	paramTarget      = "target"
+	paramWorkspace   = "workspace"
+	paramKeyID       = "key"
+	paramRoute       = "route"
+	paramRevision    = "revision"
+	paramRemaining   = "remaining-us"
+	paramIdempotent  = "idempotent"
+	paramFingerprint = "fingerprint"
 )
 
 const (
-	decimal    = 10
-	bits64     = 64
-	idempotent = "1"
+	decimal = 10
+	bits64  = 64
 )
 
-var errMalformed = errors.New("malformed attempt")
+var errMalformed = errors.New("malformed message between daemons; run the same version everywhere")
 
 // writeAttempt puts an attempt into the header and signs it.
-func writeAttempt(h *fasthttp.RequestHeader, att wire.Attempt, secret []byte) {
+func writeAttempt(h *fasthttp.RequestHeader, att wire.Attempt, s *signer) {
+	args := fasthttp.AcquireArgs()
+	defer fasthttp.ReleaseArgs(args)
+	setEpoch(args, att.Epoch)
+	args.Set(paramService, att.Service)
+	args.Set(paramTarget, att.Target)
+	args.Set(paramWorkspace, att.Workspace)
+	args.Set(paramKeyID, att.KeyID)
+	args.Set(paramRoute, att.Route)
+	setUint(args, paramRevision, att.Revision)
+	setUint(args, paramRemaining, uint64(max(att.Remaining.Microseconds(), 0)))
+	args.Set(paramIdempotent, strconv.FormatBool(att.Idempotent))
+	setUint(args, paramFingerprint, att.Fingerprint)
 	h.Set(fieldAttempt, att.ID.String())
-	setUint(h.Set, fieldIncarnation, att.Epoch.Incarnation)
-	setUint(h.Set, fieldGeneration, att.Epoch.Generation)
-	setText(h.Set, fieldService, att.Service)
-	setText(h.Set, fieldTarget, att.Target)
-	setText(h.Set, fieldWorkspace, att.Workspace)
-	setText(h.Set, fieldKeyID, att.KeyID)
-	setText(h.Set, fieldRoute, att.Route)
-	setUint(h.Set, fieldRevision, att.Revision)
-	setUint(h.Set, fieldRemaining, uint64(max(att.Remaining.Microseconds(), 0)))
-	if att.Idempotent {
-		h.Set(fieldIdempotent, idempotent)
+	h.SetBytesV(fieldEnvelope, args.QueryString())
+	h.Set(fieldMAC, hex.EncodeToString(s.sign(h)))
+}
+
+// readAttempt parses the attempt of an authenticated header.
+func readAttempt(h *fasthttp.RequestHeader) (wire.Attempt, error) {
+	id, ok := wire.ParseID(string(h.Peek(fieldAttempt)))
+	if !ok {
+		return wire.Attempt{}, errors.Wrap(errMalformed, fieldAttempt)
 	}
-	setUint(h.Set, fieldFingerprint, att.Fingerprint)
-	h.Set(fieldMAC, hex.EncodeToString(sign(h, secret)))
+	p := parseParams(h.Peek(fieldEnvelope))
+	defer p.release()
+	att := wire.Attempt{
+		ID:          id,
+		Epoch:       p.epoch(),
+		Service:     p.text(paramService),
+		Target:      p.text(paramTarget),
+		Workspace:   p.text(paramWorkspace),
+		KeyID:       p.text(paramKeyID),
+		Route:       p.text(paramRoute),
+		Revision:    p.uint(paramRevision),
+		Remaining:   p.micros(paramRemaining),
+		Idempotent:  p.text(paramIdempotent) == strconv.FormatBool(true),
+		Fingerprint: p.uint(paramFingerprint),
+	}
+	return att, p.err
 }
 
-func setUint(set func(k, v string), name string, v uint64) {
-	set(name, strconv.FormatUint(v, decimal))
+func setUint(args *fasthttp.Args, name string, v uint64) {
+	var buf [20]byte
+	args.SetBytesV(name, strconv.AppendUint(buf[:0], v, decimal))
 }
 
-func setText(set func(k, v string), name, v string) {
-	if v != "" {
-		set(name, v)
-	}
+func setEpoch(args *fasthttp.Args, e wire.Epoch) {
+	setUint(args, paramIncarnation, e.Incarnation)
+	setUint(args, paramGeneration, e.Generation)
 }
 
-// signed lists the fields that the MAC covers, in order.
-var signed = []string{
-	fieldAttempt, fieldIncarnation, fieldGeneration, fieldService, fieldTarget,
-	fieldWorkspace, fieldKeyID, fieldRoute, fieldRevision, fieldRemaining,
-	fieldIdempotent, fieldFingerprint,
+// params reads URL-encoded parameters and keeps the first error.
+type params struct {
+	args *fasthttp.Args
+	err  error
 }
 
-// sign computes the MAC over the signed fields, method and URI. Each part is
-// preceded by its length, so that parts cannot be shifted.
-func sign(h *fasthttp.RequestHeader, secret []byte) []byte {
-	mac := hmac.New(sha256.New, secret)
-	for _, name := range signed {
-		writePart(mac, h.Peek(name))
+func parseParams(encoded []byte) *params {
+	p := &params{args: fasthttp.AcquireArgs()}
+	p.args.ParseBytes(encoded)
+	return p
+}
+
+func (p *params) release() { fasthttp.ReleaseArgs(p.args) }
+
+func (p *params) text(name string) string { return string(p.args.Peek(name)) }
+
+func (p *params) uint(name string) uint64 {
+	v, err := strconv.ParseUint(p.text(name), decimal, bits64)
+	if err != nil && p.err == nil {
+		p.err = errors.Wrap(errMalformed, name)
 	}
-	writePart(mac, h.Method())
-	writePart(mac, h.RequestURI())
-	return mac.Sum(nil)
+	return v
 }
 
-func writePart(mac hash.Hash, part []byte) {
-	var size [4]byte
-	binary.BigEndian.PutUint32(size[:], uint32(len(part)))
-	mac.Write(size[:])
-	mac.Write(part)
+func (p *params) micros(name string) time.Duration {
+	return time.Duration(p.uint(name)) * time.Microsecond
 }
 
-// verify reports whether the header was signed with one of the secrets.
-func verify(h *fasthttp.RequestHeader, secrets [][]byte) bool {
-	got, err := hex.DecodeString(string(h.Peek(fieldMAC)))
-	if err != nil {
-		return false
-	}
-	valid := false
-	for _, secret := range secrets {
-		if hmac.Equal(got, sign(h, secret)) {
-			valid = true
-		}
-	}
-	return valid
+func (p *params) epoch() wire.Epoch {
+	return wire.Epoch{Incarnation: p.uint(paramIncarnation), Generation: p.uint(paramGeneration)}
 }
 
-// readAttempt parses the attempt of an authenticated header.
-func readAttempt(h *fasthttp.RequestHeader) (wire.Attempt, error) {
-	var att wire.Attempt
-	id, ok := wire.ParseID(string(h.Peek(fieldAttempt)))
-	if !ok {
-		return att, errors.Wrap(errMalformed, fieldAttempt)
-	}
-	p := parser{h: h}
-	att = wire.Attempt{
-		ID:          id,
-		Epoch:       wire.Epoch{Incarnation: p.uint(fieldIncarnation), Generation: p.uint(fieldGeneration)},
-		Service:     string(h.Peek(fieldService)),
-		Target:      string(h.Peek(fieldTarget)),
-		Workspace:   string(h.Peek(fieldWorkspace)),
-		KeyID:       string(h.Peek(fieldKeyID)),
-		Route:       string(h.Peek(fieldRoute)),
-		Revision:    p.uint(fieldRevision),
-		Remaining:   time.Duration(p.uint(fieldRemaining)) * time.Microsecond,
-		Idempotent:  string(h.Peek(fieldIdempotent)) == idempotent,
-		Fingerprint: p.uint(fieldFingerprint),
-	}
-	return att, p.err
+// signer computes MACs with one secret.
+type signer struct{ pool sync.Pool }
+
+func newSigner(secret string) *signer {
+	key := []byte(secret)
+	return &signer{pool: sync.Pool{New: func() any { return hmac.New(sha256.New, key) }}}
 }
 
-// parser reads numbers and keeps the first error.
-type parser struct {
-	h interface {
-		Peek(key string) []byte
+// sign computes the MAC over id, envelope, method and URI. Each part is
+// preceded by its length, so that parts cannot be shifted.
+func (s *signer) sign(h *fasthttp.RequestHeader) []byte {
+	mac := s.pool.Get().(hash.Hash)
+	defer s.pool.Put(mac)
+	mac.Reset()
+	for _, part := range [][]byte{h.Peek(fieldAttempt), h.Peek(fieldEnvelope), h.Method(), h.RequestURI()} {
+		var size [4]byte
+		binary.BigEndian.PutUint32(size[:], uint32(len(part)))
+		mac.Write(size[:])
+		mac.Write(part)
 	}
-	err error
+	return mac.Sum(nil)
 }
 
-func (p *parser) uint(name string) uint64 {
-	v, err := strconv.ParseUint(string(p.h.Peek(name)), decimal, bits64)
-	if err != nil && p.err == nil {
-		p.err = errors.Wrap(errMalformed, name)
+// verify reports whether the header was signed with one of the secrets.
+func verify(h *fasthttp.RequestHeader, signers []*signer) bool {
+	got, err := hex.DecodeString(string(h.Peek(fieldMAC)))
+	if err != nil {
+		return false
 	}
-	return v
+	for _, s := range signers {
+		if hmac.Equal(got, s.sign(h)) {
+			return true
+		}
+	}
+	return false
 }
--- a/forward/reply.go
+++ b/forward/reply.go
@@ -2,108 +2,120 @@
 
 import (
 	"io"
-	"net/url"
-	"strconv"
-	"time"
 
-	"github.com/gooseberryshed/gooseberryshed/headers"
-	"github.com/gooseberryshed/gooseberryshed/wire"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/gooseberryshed/gooseberryshed/wire"
 )
 
-// The internal fields of answers between daemons, besides the attempt's.
+// The parameters of a reply, besides the epoch.
 const (
-	fieldReason     = headers.Prefix + "Reason"
-	fieldRun        = headers.Prefix + "Run"
-	fieldDetail     = headers.Prefix + "Detail"
-	fieldRetryAfter = headers.Prefix + "Retry-After-Us"
-	fieldInFlight   = headers.Prefix + "In-Flight"
-	fieldLimit      = headers.Prefix + "Limit"
-	fieldGateRev    = headers.Prefix + "Gate-Revision"
-	fieldLength     = headers.Prefix + "Length"
-	maxDetail       = 512 // bytes
+	paramReason       = "reason"
+	paramRun          = "run"
+	paramDetail       = "detail"
+	paramRetryAfter   = "retry-after-us"
+	paramInFlight     = "in-flight"
+	paramLimit        = "limit"
+	paramGateRevision = "gate-revision"
+	paramLength       = "length"
+
+	maxDetail = 512 // bytes
 )
 
-var errOtherAttempt = errors.New("the answer is to another attempt")
+var (
+	errOtherAttempt = errors.New("the answer is to another attempt")
+	errLength       = errors.New("the body's length is not the one told")
+)
 
-func writeEpoch(h *fasthttp.ResponseHeader, e wire.Epoch) {
-	setUint(h.Set, fieldIncarnation, e.Incarnation)
-	setUint(h.Set, fieldGeneration, e.Generation)
+// reply is what a gate says besides the target's answer.
+type reply struct {
+	epoch wire.Epoch
+	load  wire.Load
+	// length is that of a body sent in chunks; a negative one is not known.
+	length int
+	// refusal is set when there is no answer.
+	refusal *wire.Refusal
 }
 
-func writeLoad(h *fasthttp.ResponseHeader, l wire.Load) {
-	setUint(h.Set, fieldInFlight, uint64(max(l.InFlight, 0)))
-	setUint(h.Set, fieldLimit, uint64(max(l.Limit, 0)))
-	setUint(h.Set, fieldGateRev, l.Revision)
+// write puts the reply to an attempt into a header.
+func (r reply) write(h *fasthttp.ResponseHeader, id string) {
+	args := fasthttp.AcquireArgs()
+	defer fasthttp.ReleaseArgs(args)
+	setEpoch(args, r.epoch)
+	setUint(args, paramInFlight, uint64(max(r.load.InFlight, 0)))
+	setUint(args, paramLimit, uint64(max(r.load.Limit, 0)))
+	setUint(args, paramGateRevision, r.load.Revision)
+	if r.length >= 0 {
+		setUint(args, paramLength, uint64(r.length))
+	}
+	if r.refusal != nil {
+		setRefusal(args, r.refusal)
+	}
+	h.Set(fieldAttempt, id)
+	h.SetBytesV(fieldReply, args.QueryString())
 }
 
-// writeRefusal makes resp carry a refusal.
-func writeRefusal(resp *fasthttp.Response, id string, ref *wire.Refusal) {
-	resp.Reset()
-	resp.SetStatusCode(ref.Reason.Status())
-	resp.Header.SetNoDefaultContentType(true)
-	h := &resp.Header
-	h.Set(fieldAttempt, id)
-	h.Set(fieldReason, string(ref.Reason))
-	h.Set(fieldRun, string(ref.Run))
+func setRefusal(args *fasthttp.Args, ref *wire.Refusal) {
 	detail := ref.Detail
 	if len(detail) > maxDetail {
 		detail = detail[:maxDetail]
 	}
-	h.Set(fieldDetail, url.QueryEscape(detail))
-	setUint(h.Set, fieldRetryAfter, uint64(max(ref.RetryAfter.Microseconds(), 0)))
-	writeEpoch(h, ref.Epoch)
-	setUint(h.Set, fieldRevision, ref.Revision)
-	writeLoad(h, ref.Load)
+	args.Set(paramReason, string(ref.Reason))
+	args.Set(paramRun, string(ref.Run))
+	args.Set(paramDetail, detail)
+	setUint(args, paramRetryAfter, uint64(max(ref.RetryAfter.Microseconds(), 0)))
+	setUint(args, paramRevision, ref.Revision)
 }
 
-// readRefusal returns the refusal that an answer carries, or nil.
-func readRefusal(h *fasthttp.ResponseHeader) *wire.Refusal {
-	reason := h.Peek(fieldReason)
-	if len(reason) == 0 {
-		return nil
+// readReply parses the reply to an attempt.
+func readReply(h *fasthttp.ResponseHeader, id wire.ID) (reply, error) {
+	if string(h.Peek(fieldAttempt)) != id.String() {
+		return reply{}, errOtherAttempt
 	}
-	p := parser{h: h}
-	ref := &wire.Refusal{
-		Reason:     wire.Reason(reason),
-		Run:        wire.Unknown,
-		RetryAfter: time.Duration(p.uint(fieldRetryAfter)) * time.Microsecond,
-		Epoch:      readEpoch(&p),
-		Revision:   p.uint(fieldRevision),
-		Load:       readLoad(&p),
+	p := parseParams(h.Peek(fieldReply))
+	defer p.release()
+	r := reply{
+		epoch: p.epoch(),
+		load: wire.Load{
+			InFlight: int(p.uint(paramInFlight)),
+			Limit:    int(p.uint(paramLimit)),
+			Revision: p.uint(paramGateRevision),
+		},
+		length: -1,
 	}
-	ref.Detail, _ = url.QueryUnescape(string(h.Peek(fieldDetail)))
-	if run := wire.RunState(h.Peek(fieldRun)); run == wire.NotRun {
-		ref.Run = wire.NotRun
+	if p.args.Has(paramLength) {
+		r.length = int(p.uint(paramLength))
 	}
-	return ref
-}
-
-func readEpoch(p *parser) wire.Epoch {
-	return wire.Epoch{Incarnation: p.uint(fieldIncarnation), Generation: p.uint(fieldGeneration)}
-}
-
-func readLoad(p *parser) wire.Load {
-	return wire.Load{
-		InFlight: int(p.uint(fieldInFlight)),
-		Limit:    int(p.uint(fieldLimit)),
-		Revision: p.uint(fieldGateRev),
+	if p.args.Has(paramReason) {
+		r.refusal = p.refusal(r)
 	}
+	return r, p.err
 }
 
-// setLength tells the length of a body that is sent in chunks; a negative one
-// is not known.
-func setLength(h *fasthttp.ResponseHeader, length int) {
-	if length >= 0 {
-		setUint(h.Set, fieldLength, uint64(length))
+// refusal reads a refusal; any run state but "not run" counts as unknown.
+func (p *params) refusal(r reply) *wire.Refusal {
+	ref := &wire.Refusal{
+		Reason:     wire.Reason(p.text(paramReason)),
+		Run:        wire.Unknown,
+		Detail:     p.text(paramDetail),
+		RetryAfter: p.micros(paramRetryAfter),
+		Epoch:      r.epoch,
+		Revision:   p.uint(paramRevision),
+		Load:       r.load,
+	}
+	if wire.RunState(p.text(paramRun)) == wire.NotRun {
+		ref.Run = wire.NotRun
 	}
+	return ref
 }
 
-// readLength returns the length that setLength told.
-func readLength(h *fasthttp.ResponseHeader) (int, bool) {
-	length, err := strconv.Atoi(string(h.Peek(fieldLength)))
-	return length, err == nil && length >= 0
+// writeRefusal makes resp carry a refusal.
+func writeRefusal(resp *fasthttp.Response, id string, ref *wire.Refusal) {
+	resp.Reset()
+	resp.SetStatusCode(ref.Reason.Status())
+	resp.Header.SetNoDefaultContentType(true)
+	reply{epoch: ref.Epoch, load: ref.Load, length: -1, refusal: ref}.write(&resp.Header, id)
 }
 
 // countedBody checks that a chunked body has the length that was told.
@@ -112,8 +124,6 @@
 	left int
 }
 
-var errLength = errors.New("the body's length is not the one told")
-
 // Read implements io.Reader.
 func (b *countedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
--- a/forward/server.go
+++ b/forward/server.go
@@ -59,7 +59,7 @@
 // Server takes attempts from other daemons.
 type Server struct {
 	opts    ServerOptions
-	secrets [][]byte
+	signers []*signer
 	count   struct {
 		attempts, unauthentic, malformed, interim, abandoned, errors atomic.Int64
 	}
@@ -78,7 +78,7 @@
 	}
 	s := &Server{opts: opts}
 	for _, secret := range opts.Secrets {
-		s.secrets = append(s.secrets, []byte(secret))
+		s.signers = append(s.signers, newSigner(secret))
 	}
 	return s
 }
@@ -126,7 +126,7 @@
 	s.count.attempts.Add(1)
 	h := &rc.Request.Header
 	id := string(h.Peek(fieldAttempt))
-	if !verify(h, s.secrets) {
+	if !verify(h, s.signers) {
 		s.count.unauthentic.Add(1)
 		writeRefusal(&rc.Response, id, wire.Refuse(wire.ReasonUnauthentic, "the sender did not prove that it belongs to the cluster"))
 		return
@@ -171,9 +171,7 @@
 		}
 	}
 	answer.Header.CopyTo(&resp.Header)
-	resp.Header.Set(fieldAttempt, id)
-	writeEpoch(&resp.Header, answer.Epoch)
-	writeLoad(&resp.Header, answer.Load)
+	told := reply{epoch: answer.Epoch, load: answer.Load, length: -1}
 	switch {
 	case small:
 		resp.SetBodyRaw(data)
@@ -181,9 +179,10 @@
 		w.headerReady()
 		resp.SetBodyStream(body, answer.Length)
 	default:
-		setLength(&resp.Header, answer.Length)
+		told.length = answer.Length
 		resp.SetBodyStream(body, chunked)
 	}
+	told.write(&resp.Header, id)
 }
 
 // chunked makes the HTTP server send chunks and flush each, so that the client
--- a/headers/headers.go
+++ b/headers/headers.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"iter"
 
 	"github.com/valyala/fasthttp"
 )
@@ -52,7 +53,7 @@
 	h.Del("Expect")
 	h.ResetConnectionClose()
 	h.SetProtocol("HTTP/1.1")
-	for _, name := range internalNames(h.PeekKeys()) {
+	for _, name := range internalNames(h.All()) {
 		h.Del(name)
 	}
 }
@@ -71,7 +72,7 @@
 	}
 	h.ResetConnectionClose()
 	h.SetNoDefaultContentType(true)
-	for _, name := range internalNames(h.PeekKeys()) {
+	for _, name := range internalNames(h.All()) {
 		h.Del(name)
 	}
 }
@@ -88,9 +89,9 @@
 	}
 }
 
-func internalNames(names [][]byte) []string {
+func internalNames(fields iter.Seq2[[]byte, []byte]) []string {
 	var internal []string
-	for _, name := range names {
+	for name := range fields {
 		if IsInternal(name) {
 			internal = append(internal, string(name))
 		}
