forward: release buffers of idle peers; measure memory per connection

At the design size a gate may hold a connection of each of 1,199 peers. Smaller buffers were ruled out, since a whole header has to fit and must not leave before the body's first part.

--- a/forward/server.go
+++ b/forward/server.go
@@ -110,6 +110,7 @@
 		NoDefaultDate:         true,
 		NoDefaultContentType:  true,
 		CloseOnShutdown:       true,
+		ReduceMemoryUsage:     true, // many peers, each seldom
 		MaxRequestBodySize:    s.opts.MaxBody,
 		ReadBufferSize:        serverHeaderBytes,
 		WriteBufferSize:       serverHeaderBytes,
--- /dev/null
+++ b/link/memory_test.go
@@ -0,0 +1,85 @@
+package link_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"runtime"
+	"sync"
+	"testing"
+
+	"github.com/gooseberryshed/gooseberryshed/link"
+	"gotest.tools/v3/assert"
+)
+
+// BenchmarkIdleConnection reports the memory of an idle connection in the pool.
+// The other end, in the same process, is a bare net.Conn that counts as well.
+func BenchmarkIdleConnection(b *testing.B) {
+	const conns = 2000
+	for b.Loop() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(b, err)
+		pool := link.New(link.Options{IdlePerAddr: conns})
+		before := memory()
+		ends := make(chan net.Conn, conns)
+		go answerOnce(ln, ends)
+		holdAll(b, pool, ln.Addr().String(), conns)
+		b.ReportMetric(float64(memory()-before)/conns, "B/conn")
+		pool.Close()
+		ln.Close()
+		for range conns {
+			(<-ends).Close()
+		}
+	}
+}
+
+// answerOnce answers one request on each connection without keeping buffers.
+func answerOnce(ln net.Listener, ends chan<- net.Conn) {
+	buf := make([]byte, 1<<10)
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := c.Read(buf); err == nil {
+			io.WriteString(c, whole) //nolint:errcheck
+		}
+		ends <- c
+	}
+}
+
+// holdAll brings all answers' headers in before it reads a body, so that each
+// exchange needs a connection of its own.
+func holdAll(b *testing.B, pool *link.Pool, addr string, n int) {
+	b.Helper()
+	bodies := make([]io.ReadCloser, n)
+	var wg sync.WaitGroup
+	limit := make(chan struct{}, 64)
+	for i := range n {
+		limit <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-limit }()
+			resp, err := pool.Do(context.Background(), addr, request("GET"), link.Exchange{})
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			bodies[i] = resp.Body
+		})
+	}
+	wg.Wait()
+	for _, body := range bodies {
+		if body != nil {
+			io.Copy(io.Discard, body) //nolint:errcheck
+		}
+	}
+}
+
+// memory is the live heap and the stacks.
+func memory() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
