--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -212,6 +212,40 @@
 	<-ended
 }
 
+// TestStalledClientIsGivenUp streams to a client that takes nothing: the
+// answer's body is closed, which frees the target, though the client's end of
+// the connection stays open.
+func TestStalledClientIsGivenUp(t *testing.T) {
+	closed := make(chan struct{})
+	addr, s := serve(t, forward.ServerOptions{
+		Stall: 100 * time.Millisecond,
+		Watch: 10 * time.Millisecond,
+		Next: forwarderFunc(func(context.Context, wire.Attempt, *fasthttp.Request) (*wire.Answer, error) {
+			answer := answerWith(endless{}, -1)
+			answer.Body = closing{endless{}, closed}
+			return answer, nil
+		})})
+	answer, err := client(t, addr, "new").Forward(context.Background(), "h", attempt(), request())
+	assert.NilError(t, err)
+	defer answer.Body.Close()
+	<-closed
+	assert.Equal(t, s.Stats().Abandoned, int64(1))
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+type closing struct {
+	io.Reader
+	closed chan struct{}
+}
+
+func (c closing) Close() error {
+	close(c.closed)
+	return nil
+}
+
 func TestOutcomeOfBrokenPaths(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/forward/server.go
+++ b/forward/server.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"io"
-	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/gooseberryshed/gooseberryshed/headers"
-	"github.com/gooseberryshed/gooseberryshed/link"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -19,6 +16,7 @@
 const (
 	DefaultInterim     = 400 * time.Millisecond
 	DefaultWatch       = 100 * time.Millisecond
+	DefaultStall       = 40 * time.Second
 	DefaultMaxBody     = 16 << 20 // bytes
 	serverIdleTimeout  = 90 * time.Second
 	serverReadTimeout  = 30 * time.Second
@@ -42,6 +40,9 @@
 	// Watch is how often the client's end of the connection is looked at.
 	// Default 100 ms.
 	Watch time.Duration
+	// Stall is how long a client may take none of a streamed answer. It must
+	// exceed what ingresses allow their callers. Default 40 s.
+	Stall time.Duration
 	// MaxBody bounds a request body in bytes. Default 16 MiB.
 	MaxBody int
 }
@@ -73,6 +74,9 @@
 	if opts.Watch <= 0 {
 		opts.Watch = DefaultWatch
 	}
+	if opts.Stall <= 0 {
+		opts.Stall = DefaultStall
+	}
 	if opts.MaxBody <= 0 {
 		opts.MaxBody = DefaultMaxBody
 	}
@@ -221,8 +225,10 @@
 // Read implements io.Reader. The HTTP server holds the header back until the
 // first read returns; interim answers go on until then.
 func (b *watchedBody) Read(p []byte) (int, error) {
+	b.w.waiting.Store(false)
 	n, err := b.ReadCloser.Read(p)
 	b.w.headerReady()
+	b.w.written(n)
 	return n, err
 }
 
@@ -233,70 +239,3 @@
 	b.cancel()
 	return err
 }
-
-// watch looks after the client's connection while an attempt runs: it sends
-// interim answers until the header is ready, and cancels the attempt when the
-// client closes the connection.
-type watch struct {
-	s        *Server
-	conn     net.Conn
-	cancel   context.CancelFunc
-	done     chan struct{}
-	stopOnce sync.Once
-
-	mu    sync.Mutex // held while writing an interim answer
-	ready bool
-}
-
-var interimAnswer = []byte("HTTP/1.1 102 Processing\r\n\r\n")
-
-func (s *Server) watch(conn net.Conn, cancel context.CancelFunc) *watch {
-	w := &watch{s: s, conn: conn, cancel: cancel, done: make(chan struct{})}
-	go w.loop()
-	return w
-}
-
-func (w *watch) loop() {
-	ticker := time.NewTicker(w.s.opts.Watch)
-	defer ticker.Stop()
-	nextInterim := time.Now().Add(w.s.opts.Interim)
-	for {
-		select {
-		case <-w.done:
-			return
-		case now := <-ticker.C:
-			if link.Peek(w.conn) != link.PeerQuiet {
-				w.s.count.abandoned.Add(1)
-				w.cancel()
-				return
-			}
-			if !now.Before(nextInterim) {
-				w.sendInterim()
-				nextInterim = now.Add(w.s.opts.Interim)
-			}
-		}
-	}
-}
-
-func (w *watch) sendInterim() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.ready {
-		return
-	}
-	w.s.count.interim.Add(1)
-	w.conn.Write(interimAnswer) //nolint:errcheck // the next look finds a broken connection
-}
-
-// headerReady ends the interim answers; none is being written afterwards.
-func (w *watch) headerReady() {
-	w.mu.Lock()
-	w.ready = true
-	w.mu.Unlock()
-}
-
-// stop ends the watch; no interim answer is being written afterwards.
-func (w *watch) stop() {
-	w.headerReady()
-	w.stopOnce.Do(func() { close(w.done) })
-}
--- a/link/pool.go
+++ b/link/pool.go
@@ -15,7 +15,7 @@
 	DefaultMaxAge        = 60 * time.Second
 	DefaultMaxIdle       = 15 * time.Second
 	DefaultFirstByte     = 2 * time.Second
-	DefaultUserTimeout   = 2 * time.Second
+	DefaultUserTimeout   = 5 * time.Second
 	DefaultMaxHeader     = 16 << 10 // bytes
 	DefaultIdlePerAddr   = 32       // connections
 	keepAliveIdle        = 5 * time.Second
@@ -38,8 +38,9 @@
 	// FirstByte bounds the wait for the first byte of an answer on a reused
 	// connection. Default 2 s.
 	FirstByte time.Duration
-	// UserTimeout closes connections whose sent bytes stay unacknowledged.
-	// Default 2 s.
+	// UserTimeout closes connections whose sent bytes stay unacknowledged. It
+	// also bounds how long a peer may refuse to take more of a request's body,
+	// so it must not be short. Default 5 s.
 	UserTimeout time.Duration
 	// MaxHeader bounds an answer's header in bytes. Default 16 KiB.
 	MaxHeader int
