fairqueue: count the time that workspaces used, for targets with few slots

Counting what is being served shares a target's time only where several requests are served at once. At a cold target with one slot nothing is being served when the slot falls free, so the turns decided and a workspace with long answers got one long turn for each short one of the others. TestPlannedStop of the end-to-end tests showed the effect as refusals "queue is full" at cold targets with a second workspace streaming for about a second each.

Using the time alone was ruled out: it is known only after it was spent, so at seven slots a workspace could take all of them first.

--- a/fairqueue/fairqueue.go
+++ b/fairqueue/fairqueue.go
@@ -55,8 +55,7 @@
 	size     int
 	lanes    map[string]*lane[T]
 	turns    list.List // of *lane[T], next first
-	// serving counts the requests of each workspace that are being served.
-	serving map[string]int
+	accounts accounts
 }
 
 // New returns an empty queue of the given capacity, at least 1.
@@ -64,7 +63,7 @@
 	return &Queue[T]{
 		capacity: max(capacity, 1),
 		lanes:    map[string]*lane[T]{},
-		serving:  map[string]int{},
+		accounts: accounts{},
 	}
 }
 
@@ -97,23 +96,23 @@
 
 // Begin records that a request of the workspace is being served. Pop does so
 // by itself; call it for requests that did not have to wait.
-func (q *Queue[T]) Begin(workspace string) { q.serving[workspace]++ }
+func (q *Queue[T]) Begin(workspace string, now time.Time) {
+	q.accounts.of(workspace, now).serving++
+}
 
-// End records that a request of the workspace is no longer being served.
-func (q *Queue[T]) End(workspace string) {
-	q.serving[workspace]--
-	if q.serving[workspace] <= 0 {
-		delete(q.serving, workspace)
-	}
+// End records that a request of the workspace is no longer being served, and
+// for how long it was.
+func (q *Queue[T]) End(workspace string, now time.Time, held time.Duration) {
+	q.accounts.of(workspace, now).end(now, held)
 }
 
 // Pop returns the next item whose deadline has not passed, or nil. Items past
 // their deadline are dropped and reported to expired.
 func (q *Queue[T]) Pop(now time.Time, expired func(*Item[T])) *Item[T] {
 	for q.size > 0 {
-		it := q.next()
+		it := q.next(now)
 		if now.Before(it.Deadline) {
-			q.Begin(it.Workspace)
+			q.Begin(it.Workspace, now)
 			return it
 		}
 		expired(it)
@@ -141,14 +140,18 @@
 func (q *Queue[T]) Flush() []*Item[T] {
 	items := make([]*Item[T], 0, q.size)
 	for q.size > 0 {
-		items = append(items, q.next())
+		items = append(items, q.take(q.turns.Front().Value.(*lane[T])))
 	}
 	return items
 }
 
 // next takes the item whose turn it is. The queue is not empty.
-func (q *Queue[T]) next() *Item[T] {
-	l := q.nextLane()
+func (q *Queue[T]) next(now time.Time) *Item[T] {
+	return q.take(q.nextLane(now))
+}
+
+// take takes a lane's oldest item.
+func (q *Queue[T]) take(l *lane[T]) *Item[T] {
 	if l.deficit < 1 {
 		l.deficit += l.weight
 	}
@@ -162,20 +165,31 @@
 }
 
 // nextLane returns the lane with the fewest requests being served for its
-// weight; among equals, the one whose turn comes first.
-func (q *Queue[T]) nextLane() *lane[T] {
+// weight; among equals, the one that used the least time for its weight, and
+// then the one whose turn comes first.
+func (q *Queue[T]) nextLane(now time.Time) *lane[T] {
 	var best *lane[T]
-	var bestShare float64
+	var bestServing, bestUsed float64
 	for e := q.turns.Front(); e != nil; e = e.Next() {
 		l := e.Value.(*lane[T])
-		share := float64(q.serving[l.workspace]) / float64(l.weight)
-		if best == nil || share < bestShare {
-			best, bestShare = l, share
+		serving, used := q.share(l, now)
+		if best == nil || serving < bestServing || (serving == bestServing && used < bestUsed) {
+			best, bestServing, bestUsed = l, serving, used
 		}
 	}
 	return best
 }
 
+// share is what a lane's workspace has for its weight.
+func (q *Queue[T]) share(l *lane[T], now time.Time) (serving, used float64) {
+	a := q.accounts[l.workspace]
+	if a == nil {
+		return 0, 0
+	}
+	weight := float64(l.weight)
+	return float64(a.serving) / weight, a.usedBy(now) / weight
+}
+
 func (q *Queue[T]) laneOf(it *Item[T]) *lane[T] {
 	l := q.lanes[it.Workspace]
 	if l == nil {
--- a/fairqueue/fairqueue_test.go
+++ b/fairqueue/fairqueue_test.go
@@ -44,7 +44,7 @@
 	served := map[string]int{}
 	for range 50 {
 		it := q.Pop(start, never)
-		q.End(it.Workspace)
+		q.End(it.Workspace, start, 0)
 		served[it.Workspace]++
 	}
 	assert.DeepEqual(t, served, map[string]int{"a": 10, "b": 30, "c": 10})
@@ -59,7 +59,7 @@
 			q.Push(it, start, fairqueue.Load{})
 		}
 	}
-	q.Begin("c")
+	q.Begin("c", start)
 	served := map[string]int{"c": 1}
 	for range 49 {
 		served[q.Pop(start, never).Workspace]++
@@ -170,9 +170,9 @@
 
 // line is a waiting line under comparison.
 type line interface {
-	push(it *item)
-	pop() *item
-	end(workspace string)
+	push(it *item, now time.Time)
+	pop(now time.Time) *item
+	end(workspace string, now time.Time, held time.Duration)
 }
 
 // fifo is a baseline: one bounded line.
@@ -181,13 +181,13 @@
 	items    []*item
 }
 
-func (f *fifo) push(it *item) {
+func (f *fifo) push(it *item, _ time.Time) {
 	if len(f.items) < f.capacity {
 		f.items = append(f.items, it)
 	}
 }
 
-func (f *fifo) pop() *item {
+func (f *fifo) pop(time.Time) *item {
 	if len(f.items) == 0 {
 		return nil
 	}
@@ -196,28 +196,28 @@
 	return it
 }
 
-func (f *fifo) end(string) {}
+func (f *fifo) end(string, time.Time, time.Duration) {}
 
-// fair is the queue under test; with roundRobin it is not told what is being
-// served for long, which leaves plain deficit round robin.
+// fair is the queue under test; with roundRobin it is told that all requests
+// end at once, which leaves plain deficit round robin.
 type fair struct {
 	q          *fairqueue.Queue[int]
 	roundRobin bool
 }
 
-func (f *fair) push(it *item) { f.q.Push(it, start, fairqueue.Load{}) }
+func (f *fair) push(it *item, now time.Time) { f.q.Push(it, now, fairqueue.Load{}) }
 
-func (f *fair) pop() *item {
-	it := f.q.Pop(start, never)
+func (f *fair) pop(now time.Time) *item {
+	it := f.q.Pop(now, never)
 	if it != nil && f.roundRobin {
-		f.q.End(it.Workspace)
+		f.q.End(it.Workspace, now, 0)
 	}
 	return it
 }
 
-func (f *fair) end(workspace string) {
+func (f *fair) end(workspace string, now time.Time, held time.Duration) {
 	if !f.roundRobin {
-		f.q.End(workspace)
+		f.q.End(workspace, now, held)
 	}
 }
 
@@ -227,16 +227,19 @@
 	hold int
 }
 
-// worstServed lets 8 workspaces of equal weight send to a target of 7 slots
-// and returns the served part of the worst-served one among those that stay
+// worstServed lets 8 workspaces of equal weight send to a target, seven of them
+// at 0.8 of their share, and returns the served part of the worst-served one among those that stay
 // within their share. The first workspace is the heavy one.
-func worstServed(l line, heavy load) float64 {
-	const workspaces, slots, steps = 8, 7, 20_000
-	light := load{rate: 0.1, hold: 8} // 0.8 slots of 7 each
+func worstServed(l line, slots int, heavy load) float64 {
+	const workspaces, steps, step = 8, 20_000, 10 * time.Millisecond
+	light := load{rate: 0.1 * float64(slots) / 8, hold: 8}
+	heavy.rate *= float64(slots) / 8
+	now := start
 	rng := rand.New(rand.NewPCG(1, 2))
 	sent, served := make([]int, workspaces), make([]int, workspaces)
 	var busy []*item // Value counts the steps left
 	for range steps {
+		now = now.Add(step)
 		for w := range workspaces {
 			ld := light
 			if w == 0 {
@@ -247,12 +250,12 @@
 					it := entry(fmt.Sprint(w), 1)
 					it.Value = ld.hold
 					sent[w]++
-					l.push(it)
+					l.push(it, now)
 				}
 			}
 		}
 		for len(busy) < slots {
-			it := l.pop()
+			it := l.pop(now)
 			if it == nil {
 				break
 			}
@@ -265,8 +268,12 @@
 				kept = append(kept, it)
 				continue
 			}
-			l.end(it.Workspace)
 			w, _ := strconv.Atoi(it.Workspace)
+			hold := light.hold
+			if w == 0 {
+				hold = heavy.hold
+			}
+			l.end(it.Workspace, now, time.Duration(hold)*step)
 			served[w]++
 		}
 		busy = kept
@@ -296,13 +303,15 @@
 		{"hold-x10", load{rate: 0.1, hold: 80}},
 		{"both", load{rate: 0.5, hold: 80}},
 	}
-	for _, ld := range loads {
-		for _, ln := range lines {
-			b.Run(ld.name+"/"+ln.name, func(b *testing.B) {
-				for b.Loop() {
-					b.ReportMetric(worstServed(ln.make(), ld.load), "worst-served")
-				}
-			})
+	for _, slots := range []int{1, 7} {
+		for _, ld := range loads {
+			for _, ln := range lines {
+				b.Run(fmt.Sprintf("slots-%d/%s/%s", slots, ld.name, ln.name), func(b *testing.B) {
+					for b.Loop() {
+						b.ReportMetric(worstServed(ln.make(), slots, ld.load), "worst-served")
+					}
+				})
+			}
 		}
 	}
 }
@@ -316,6 +325,6 @@
 	for b.Loop() {
 		q.Push(it, start, fairqueue.Load{Servers: 7, Service: time.Millisecond})
 		it = q.Pop(start, never)
-		q.End(it.Workspace)
+		q.End(it.Workspace, start, time.Millisecond)
 	}
 }
--- a/gate/admit.go
+++ b/gate/admit.go
@@ -64,7 +64,7 @@
 	}
 	tk.t = t
 	tk.svc = t.svc
-	if g.takeSlot(tk) {
+	if g.takeSlot(tk, now) {
 		g.active++
 		return nil, nil
 	}
@@ -113,7 +113,7 @@
 		Workspace: tk.att.Workspace,
 		Weight:    g.opts.Weight(tk.att.Workspace),
 		Deadline:  tk.deadline,
-		Value:     &waiter{granted: make(chan *wire.Refusal, 1)},
+		Value:     &waiter{tk: tk, granted: make(chan *wire.Refusal, 1)},
 	}
 	load := fairqueue.Load{Servers: tk.t.limiter.Limit(), Service: tk.t.meanHold}
 	result, evicted := tk.t.queue.Push(it, now, load)
@@ -173,12 +173,13 @@
 }
 
 // takeSlot takes a free slot that nobody waits for; the lock is held.
-func (g *Gate) takeSlot(tk *ticket) bool {
+func (g *Gate) takeSlot(tk *ticket, now time.Time) bool {
 	if tk.t.queue.Len() > 0 || tk.t.inFlight >= tk.t.limiter.Limit() {
 		return false
 	}
 	tk.t.inFlight++
-	tk.t.queue.Begin(tk.att.Workspace)
+	tk.slotSince = now
+	tk.t.queue.Begin(tk.att.Workspace, now)
 	tk.held = true
 	return true
 }
@@ -186,7 +187,7 @@
 // freeSlot returns a slot and passes it on; the lock is held.
 func (g *Gate) freeSlot(tk *ticket, now time.Time) {
 	tk.t.inFlight--
-	tk.t.queue.End(tk.att.Workspace)
+	tk.t.queue.End(tk.att.Workspace, now, now.Sub(tk.slotSince))
 	g.pump(tk.t, now)
 }
 
@@ -201,6 +202,7 @@
 			return
 		}
 		t.inFlight++
+		it.Value.tk.slotSince = now
 		it.Value.granted <- nil
 	}
 }
--- a/gate/forward.go
+++ b/gate/forward.go
@@ -125,9 +125,10 @@
 	if le == nil || !le.Reused || le.Stage != link.StageSent || !tk.att.Idempotent || ctx.Err() != nil {
 		return resp, err
 	}
+	now := g.opts.Clock()
 	g.mu.Lock()
 	g.stats.ReuseFailed++
-	again := tk.held || g.takeSlot(tk)
+	again := tk.held || g.takeSlot(tk, now)
 	g.mu.Unlock()
 	if !again {
 		return nil, err
--- a/gate/target.go
+++ b/gate/target.go
@@ -56,6 +56,7 @@
 
 // waiter is an attempt in the queue. It receives nil with a slot, or why not.
 type waiter struct {
+	tk      *ticket
 	granted chan *wire.Refusal
 }
 
--- a/gate/ticket.go
+++ b/gate/ticket.go
@@ -25,6 +25,8 @@
 	dispatched bool
 	// held is set while a slot is held that no exchange uses.
 	held bool
+	// slotSince is when the last slot was taken.
+	slotSince time.Time
 }
 
 // try is one exchange with the target. It takes over the ticket's slot when it
