balance: cheaper views, and refusals count as load

A refusal for want of room carried no report, so an ingress kept sending to a full gate until an answer came back. Loads.Refused makes the target count as full, with the half-life of any report.

NewView used two maps for each host and a set that grew by doubling. It should still not run for each change of a record: at the design size records change 1 to 20 times a second, so views are to be built at most once a second when only members changed.

--- a/balance/loads.go
+++ b/balance/loads.go
@@ -52,6 +52,16 @@
 	ld.reportedAt.Store(now.UnixNano())
 }
 
+// Refused takes a refusal for want of room that came without a report: the
+// target counts as full until the news is stale.
+func (l *Loads) Refused(now time.Time, id string, limit int) {
+	ld := l.Of(id)
+	limit = max(limit, int(ld.limit.Load()), 1)
+	ld.others.Store(max(0, int64(limit)-ld.own.Load()+1))
+	ld.limit.Store(int64(limit))
+	ld.reportedAt.Store(now.UnixNano())
+}
+
 // Retain drops the loads of targets that are not in the view and have no
 // attempt in flight.
 func (l *Loads) Retain(v *View) {
--- a/balance/pick_test.go
+++ b/balance/pick_test.go
@@ -144,6 +144,20 @@
 	assert.Equal(t, ld.limitOr(start.Add(time.Minute), 3), 3)
 }
 
+func TestRefusalMakesTargetFullForAWhile(t *testing.T) {
+	in := today()
+	for range 6 {
+		in.Loads.Begin("h1/w")
+	}
+	in.Loads.Begin("h0/w")
+	in.Loads.Refused(start, "h0/w", 7)
+	in.Loads.End("h0/w")
+	got := spread(start, in, nil, Request{Service: "orders"})
+	assert.Equal(t, got["h0"], 0)
+	got = spread(start.Add(4*reportHalfLife), in, nil, Request{Service: "orders"})
+	assert.Equal(t, got["h0"], 1000)
+}
+
 // TestSubsetBoundsHosts builds the design size: 1,200 daemons, 200 services.
 func TestSubsetBoundsHosts(t *testing.T) {
 	in := designSize()
--- a/balance/view.go
+++ b/balance/view.go
@@ -87,9 +87,13 @@
 // NewView builds a view.
 func NewView(in Input) *View {
 	in = withDefaults(in)
+	targets := 0
+	for _, d := range in.Daemons {
+		targets += len(d.Targets)
+	}
 	b := builder{
 		in:          in,
-		view:        &View{services: map[string]*service{}, ids: map[string]struct{}{}, ramp: in.Ramp},
+		view:        &View{services: map[string]*service{}, ids: make(map[string]struct{}, targets), ramp: in.Ramp},
 		ejected:     toSet(in.Ejected),
 		unreachable: toSet(in.Unreachable),
 		dcs:         map[string]DataCentre{},
@@ -208,10 +212,9 @@
 	if name == b.in.DataCentre {
 		bound = b.in.LocalSubset
 	}
-	found := map[string]*zone{}
-	hosts := map[string]int{}
+	found := map[string]*subset{}
 	for _, r := range daemons {
-		b.addHost(r.d, found, hosts, bound)
+		b.addHost(r.d, found, bound)
 	}
 	services := make([]string, 0, len(found))
 	for svc := range found {
@@ -219,37 +222,60 @@
 	}
 	slices.Sort(services)
 	for _, svc := range services {
-		b.place(svc, name, *found[svc])
+		b.place(svc, name, found[svc].zone)
+	}
+}
+
+// subset is what is chosen of a service in a data centre.
+type subset struct {
+	zone
+	// hosts counts those chosen; last is the latest of them.
+	hosts int
+	last  *member.Daemon
+}
+
+// take reports whether the subset has room for a target of host d.
+func (s *subset) take(d *member.Daemon, bound int) bool {
+	if s.last == d {
+		return true
+	}
+	if s.hosts >= bound {
+		return false
 	}
+	s.hosts++
+	s.last = d
+	return true
 }
 
-// addHost adds the targets of a host to the zones of services whose subset is
-// not yet full.
-func (b *builder) addHost(d *member.Daemon, found map[string]*zone, hosts map[string]int, bound int) {
-	counted := map[string]bool{}
+// addHost adds the targets of a host to the subsets that have room.
+func (b *builder) addHost(d *member.Daemon, found map[string]*subset, bound int) {
 	for _, t := range d.Targets {
 		if t.State != member.TargetReady {
 			continue
 		}
-		if hosts[t.Service] >= bound && !counted[t.Service] {
-			continue
-		}
-		c := candidate{id: t.ID, host: d.Host, limit: capacity(t), load: b.in.Loads.Of(t.ID), troubled: t.Score > 0}
-		if _, out := b.ejected[t.ID]; out {
-			s := b.service(t.Service)
-			s.ejected = append(s.ejected, c)
-			continue
-		}
-		if !counted[t.Service] {
-			counted[t.Service] = true
-			hosts[t.Service]++
-		}
 		z := found[t.Service]
 		if z == nil {
-			z = &zone{since: b.dcs[d.DataCentre].Since}
+			z = &subset{zone: zone{since: b.dcs[d.DataCentre].Since}}
 			found[t.Service] = z
 		}
-		z.cands = append(z.cands, c)
+		_, out := b.ejected[t.ID]
+		if out && z.hosts < bound {
+			s := b.service(t.Service)
+			s.ejected = append(s.ejected, b.candidate(d, t))
+		}
+		if !out && z.take(d, bound) {
+			z.cands = append(z.cands, b.candidate(d, t))
+		}
+	}
+}
+
+func (b *builder) candidate(d *member.Daemon, t member.Target) candidate {
+	return candidate{
+		id:       t.ID,
+		host:     d.Host,
+		limit:    capacity(t),
+		load:     b.in.Loads.Of(t.ID),
+		troubled: t.Score > 0,
 	}
 }
 
