--- /dev/null
+++ b/internal/measure/fleet.go
@@ -0,0 +1,203 @@
+package measure
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/member"
+)
+
+// Fleet runs many state machines against a simulated clock, one exchange a
+// second each. Links can be cut one way.
+type Fleet struct {
+	Now   time.Time
+	rng   *rand.Rand
+	Nodes []*member.Gossip
+	index map[string]int
+	// Down holds the hosts that are dead, Cut the links that do not pass, by
+	// the hosts from and to.
+	Down map[string]bool
+	Cut  map[[2]string]bool
+	// Bytes counts what each daemon has sent.
+	Bytes []int
+	// Changes is how many targets change their figures each second; 0 stops
+	// restarts as well.
+	Changes int
+}
+
+// HostName is the name of the daemon of index i.
+func HostName(i int) string { return fmt.Sprintf("host-%04d", i) }
+
+// NewRecord is the record of the daemon of index i, started now.
+func NewRecord(i, targets int, now time.Time) member.Daemon {
+	d := member.Daemon{
+		Host: HostName(i), DataCentre: fmt.Sprintf("dc-%d", i%9),
+		Incarnation: uint64(now.UnixNano()), State: member.StateServing,
+		ForwardAddr: "10.0.0.1:4001", RPCAddr: "10.0.0.1:4002", CallerAddr: "10.0.0.1:4000",
+	}
+	for t := range targets {
+		d.Targets = append(d.Targets, member.Target{
+			ID: fmt.Sprintf("%s/w%d", d.Host, t), Service: fmt.Sprintf("service-%d", (i*targets+t)%200),
+			Incarnation: d.Incarnation, State: member.TargetReady, Slots: 7, Limit: 7, ErrorPermille: 20, LatencyMicros: 25000,
+		})
+	}
+	return d
+}
+
+// NewFleet returns n daemons that know each other.
+func NewFleet(n, targets int, opt member.Options) *Fleet {
+	f := &Fleet{
+		Now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(1, 2)),
+		index: map[string]int{}, Down: map[string]bool{}, Cut: map[[2]string]bool{}, Bytes: make([]int, n),
+	}
+	var all []member.Daemon
+	for i := range n {
+		all = append(all, NewRecord(i, targets, f.Now))
+	}
+	for i := range n {
+		f.index[all[i].Host] = i
+		f.Nodes = append(f.Nodes, member.New(f.Now, all[i], opt))
+		f.Nodes[i].MergeRecords(f.Now, all)
+	}
+	return f
+}
+
+func (f *Fleet) send(from int, msg any) {
+	raw, err := json.Marshal(msg)
+	if err != nil {
+		panic(err)
+	}
+	f.Bytes[from] += len(raw)
+}
+
+func (f *Fleet) passes(a, b int) bool {
+	x, y := HostName(a), HostName(b)
+	return !f.Down[x] && !f.Down[y] && !f.Cut[[2]string{x, y}] && !f.Cut[[2]string{y, x}]
+}
+
+func (f *Fleet) exchange(a, b int) bool {
+	if !f.passes(a, b) {
+		f.Nodes[a].Failed(f.Now, HostName(b))
+		return false
+	}
+	begin := f.Nodes[a].Begin(HostName(b))
+	f.send(a, begin)
+	answer := f.Nodes[b].Answer(f.Now, begin)
+	f.send(b, answer)
+	finish, needed := f.Nodes[a].Finish(f.Now, begin, answer)
+	if !needed {
+		return false
+	}
+	f.send(a, finish)
+	final := f.Nodes[b].Final(f.Now, finish)
+	f.send(b, final)
+	return f.Nodes[a].Merge(f.Now, answer, final)
+}
+
+// Second lets each node make one exchange at a moment of its own.
+func (f *Fleet) Second() {
+	f.churn()
+	for _, i := range f.rng.Perm(len(f.Nodes)) {
+		f.Now = f.Now.Add(time.Second / time.Duration(len(f.Nodes)))
+		if f.Down[HostName(i)] {
+			continue
+		}
+		f.Nodes[i].Tick(f.Now)
+		peer, ok := f.Nodes[i].Pick(f.Now, f.rng)
+		if !ok {
+			continue
+		}
+		for range 40 {
+			if !f.exchange(i, f.index[peer.Host]) {
+				break
+			}
+		}
+	}
+}
+
+// Run lets seconds pass.
+func (f *Fleet) Run(seconds int) {
+	for range seconds {
+		f.Second()
+	}
+}
+
+// Seeing counts the nodes that hold the record of host in a way that ok likes.
+func (f *Fleet) Seeing(host string, ok func(member.Daemon, bool) bool) int {
+	n := 0
+	for i, g := range f.Nodes {
+		d, found := g.Find(host)
+		if !f.Down[HostName(i)] && ok(d, found) {
+			n++
+		}
+	}
+	return n
+}
+
+func total(list []int) int {
+	sum := 0
+	for _, v := range list {
+		sum += v
+	}
+	return sum
+}
+
+// Detect kills a daemon and returns the seconds until all hold it unreachable.
+func (f *Fleet) Detect(i int) float64 {
+	f.Down[HostName(i)] = true
+	start := f.Now
+	for f.Now.Sub(start) < 2*time.Minute {
+		f.Second()
+		missing := 0
+		for j, g := range f.Nodes {
+			if j != i && !slices.Contains(g.Unreachable(), HostName(i)) {
+				missing++
+			}
+		}
+		if missing == 0 {
+			break
+		}
+	}
+	return f.Now.Sub(start).Seconds()
+}
+
+func (f *Fleet) churn() {
+	for range f.Changes {
+		i := f.rng.IntN(len(f.Nodes))
+		f.Nodes[i].Update(f.Now, func(d *member.Daemon) { d.Targets[f.rng.IntN(len(d.Targets))].LatencyMicros += 7000 })
+	}
+	if f.Changes > 0 && f.rng.Float64() < restartsPerSecond {
+		i := f.rng.IntN(len(f.Nodes))
+		f.Nodes[i] = member.New(f.Now, NewRecord(i, 8, f.Now), member.Options{})
+		f.Nodes[i].MergeRecords(f.Now, []member.Daemon{f.Nodes[(i+1)%len(f.Nodes)].Self()})
+	}
+}
+
+// restartsPerSecond is that of 1,200 daemons.
+const restartsPerSecond = 3700.0 / 86400
+
+// Probe makes a change and returns the seconds until each node has it.
+func (f *Fleet) Probe() []float64 {
+	i := f.rng.IntN(len(f.Nodes))
+	f.Nodes[i].Update(f.Now, func(d *member.Daemon) { d.State = member.StateLeaving })
+	version := f.Nodes[i].Self().Version
+	start := f.Now
+	done := make([]float64, len(f.Nodes))
+	for left := len(f.Nodes); left > 0; {
+		f.Second()
+		for j, g := range f.Nodes {
+			d, _ := g.Find(HostName(i))
+			if done[j] == 0 && (d.Version >= version || d.Incarnation != f.Nodes[i].Self().Incarnation) {
+				done[j] = f.Now.Sub(start).Seconds()
+				left--
+			}
+		}
+		if f.Now.Sub(start) > time.Minute {
+			break
+		}
+	}
+	return done
+}
--- /dev/null
+++ b/internal/measure/fleet_test.go
@@ -0,0 +1,80 @@
+package measure
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gooseberryshed/gooseberryshed/member"
+)
+
+// BenchmarkFleet measures bytes, convergence and CPU at the design size, at
+// several rates of changes of targets' published figures.
+func BenchmarkFleet(b *testing.B) {
+	for _, changes := range []int{1, 5, 20} {
+		b.Run(fmt.Sprintf("changes-%d", changes), func(b *testing.B) {
+			for range b.N {
+				benchFleet(b, changes)
+			}
+		})
+	}
+}
+
+func benchFleet(b *testing.B, changes int) {
+	const n, probes, between = 1200, 4, 15
+	f := NewFleet(n, 8, member.Options{})
+	f.Run(20)
+	clear(f.Bytes)
+	begun, start := time.Now(), f.Now
+	var times []float64
+	f.Changes = changes
+	for range probes {
+		f.Run(between)
+		times = append(times, f.Probe()...)
+	}
+	span := f.Now.Sub(start).Seconds()
+	b.ReportMetric(float64(time.Since(begun).Microseconds())/span/n, "µs/node/s")
+	slices.Sort(f.Bytes)
+	b.ReportMetric(float64(f.Bytes[n/2])/span, "B/s-p50")
+	b.ReportMetric(float64(f.Bytes[n*99/100])/span, "B/s-p99")
+	b.ReportMetric(float64(total(f.Bytes))/span/n, "B/s-mean")
+	slices.Sort(times)
+	b.ReportMetric(times[len(times)/2], "s-p50")
+	b.ReportMetric(times[len(times)*99/100], "s-p99")
+	b.ReportMetric(times[len(times)-1], "s-max")
+	b.ReportMetric(f.Detect(7), "s-unreachable")
+	for _, g := range f.Nodes {
+		assert.Assert(b, len(g.Unreachable()) <= 1)
+	}
+}
+
+// BenchmarkMemory measures a table of 1,200 daemons with 8 targets each.
+func BenchmarkMemory(b *testing.B) {
+	const n = 1200
+	var records []member.Daemon
+	for i := range n {
+		records = append(records, NewRecord(i, 8, time.Unix(1, 0)))
+	}
+	raw, err := json.Marshal(records)
+	assert.NilError(b, err)
+	for range b.N {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		var decoded []member.Daemon
+		assert.NilError(b, json.Unmarshal(raw, &decoded))
+		g := member.New(time.Unix(1, 0), NewRecord(n, 8, time.Unix(1, 0)), member.Options{})
+		g.MergeRecords(time.Unix(1, 0), decoded)
+		decoded = nil
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "B/record")
+		runtime.KeepAlive(g)
+	}
+	b.ReportMetric(float64(len(raw))/n, "B/record-json")
+}
