rpc: callers wait for a dial under their own deadlines

Cause: with one host cut off, 90 of 90 requests at the others ended as limiter-unavailable. Callers of an address held a lock while one of them dialled until its time-out, so they failed one after another instead of together.

Conclusion: one dial serves all waiting callers, and a peer that has just failed is refused at once for 200 ms.

--- a/rpc/client.go
+++ b/rpc/client.go
@@ -14,7 +14,7 @@
 
 // Times of a client.
 const (
-	handshakeTimeout = 2 * time.Second
+	handshakeTimeout = time.Second
 	// defaultCallTimeout applies to calls whose context has no deadline.
 	defaultCallTimeout = 2 * time.Second
 	// idleTimeout closes connections that carry no calls.
@@ -33,14 +33,30 @@
 	failed atomic.Int64
 }
 
+// redialPause is how long after a failed dial the next one is refused at once,
+// so that callers of a dead peer do not queue up behind its time-outs.
+const redialPause = 200 * time.Millisecond
+
+// errRecentlyFailed reports a peer that could not be reached a moment ago.
+var errRecentlyFailed = errors.New("the peer could not be reached a moment ago; try another or wait")
+
 // peer is the connection to one address.
 type peer struct {
 	mu        sync.Mutex
 	conn      *jsonrpc2.Conn
+	dialing   *dial
+	failedAt  time.Time
 	lastUsed  time.Time
 	lastReply time.Time
 }
 
+// dial is an attempt to connect that several callers wait for.
+type dial struct {
+	done chan struct{}
+	conn *jsonrpc2.Conn
+	err  error
+}
+
 // NewClient returns a client. source is the local IP of its connections; nil
 // leaves the choice to the system.
 func NewClient(cfg *tls.Config, source net.IP) *Client {
@@ -97,19 +113,71 @@
 	return p
 }
 
+// connect returns the open connection or waits for a new one. Only the wait is
+// bounded by ctx; the dial goes on for the callers that come after.
 func (p *peer) connect(ctx context.Context, c *Client, addr string) (*jsonrpc2.Conn, error) {
+	conn, d, err := p.current(c, addr)
+	if conn != nil || err != nil {
+		return conn, err
+	}
+	select {
+	case <-d.done:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// current returns the open connection, or the dial under way or begun now.
+func (p *peer) current(c *Client, addr string) (*jsonrpc2.Conn, *dial, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastUsed = time.Now()
-	if p.conn != nil {
-		select {
-		case <-p.conn.DisconnectNotify():
-			p.conn = nil
-		default:
-			return p.conn, nil
-		}
+	now := time.Now()
+	p.lastUsed = now
+	if p.isOpen() {
+		return p.conn, nil, nil
+	}
+	if p.dialing != nil {
+		return nil, p.dialing, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	if now.Sub(p.failedAt) < redialPause {
+		return nil, nil, errRecentlyFailed
+	}
+	p.dialing = &dial{done: make(chan struct{})}
+	go p.dial(c, addr, p.dialing)
+	return nil, p.dialing, nil
+}
+
+func (p *peer) isOpen() bool {
+	if p.conn == nil {
+		return false
+	}
+	select {
+	case <-p.conn.DisconnectNotify():
+		p.conn = nil
+		return false
+	default:
+		return true
+	}
+}
+
+func (p *peer) dial(c *Client, addr string, d *dial) {
+	d.conn, d.err = c.open(addr)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialing = nil
+	if d.err != nil {
+		p.failedAt = time.Now()
+	} else {
+		p.conn = d.conn
+		p.lastReply = time.Now()
+	}
+	close(d.done)
+}
+
+// open connects and shakes hands.
+func (c *Client) open(addr string) (*jsonrpc2.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
 	raw, err := c.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -120,9 +188,7 @@
 		raw.Close()
 		return nil, err
 	}
-	p.conn = jsonrpc2.NewConn(context.Background(), newStream(secure), noCalls{}, quiet())
-	p.lastReply = time.Now()
-	return p.conn, nil
+	return jsonrpc2.NewConn(context.Background(), newStream(secure), noCalls{}, quiet()), nil
 }
 
 // finish notes a reply, or drops a connection that gave none.
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -89,6 +90,29 @@
 	assert.Assert(t, c.peer(addr).conn != first)
 }
 
+// TestCallersDoNotQueueBehindASilentPeer proves that many callers of a peer that
+// accepts but never answers all fail by their own deadlines.
+func TestCallersDoNotQueueBehindASilentPeer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	c := client(t, secretA)
+	const callers = 50
+	const patience = 100 * time.Millisecond
+	started := time.Now()
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			c.Call(ctx, l.Addr().String(), "echo", echo{}, nil)
+		})
+	}
+	wg.Wait()
+	// One after another they would take callers*patience.
+	assert.Assert(t, time.Since(started) < callers*patience/2)
+}
+
 func FuzzReadObject(f *testing.F) {
 	f.Add([]byte{2, '{', '}'})
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x0f})
