--- a/limiter/rows.go
+++ b/limiter/rows.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,7 +16,7 @@
 )
 
 // maxRowWork is how many rows are read or written at the same time.
-const maxRowWork = 8
+const maxRowWork = 32
 
 // maxKicks bounds the rows waiting to be looked at ahead of their time.
 const maxKicks = 64
@@ -31,6 +33,7 @@
 // Run renews this daemon's rows and takes over those of lost owners until ctx
 // ends.
 func (s *Service) Run(ctx context.Context) error {
+	s.startedAt = s.opts.Clock()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -40,8 +43,9 @@
 		case row := <-s.kicks:
 			s.stepRow(ctx, row)
 		case <-timer.C:
+			start := time.Now()
 			s.Step(ctx)
-			timer.Reset(s.interval())
+			timer.Reset(max(0, s.interval()-time.Since(start)))
 		}
 	}
 }
@@ -97,13 +101,11 @@
 	if len(configs) == 0 {
 		return nil
 	}
-	present := configs[len(configs)-1].DataCentres()
-	var rows []rowID
-	for _, dc := range dataCentres(configs) {
+	rows := s.removedRows()
+	for _, dc := range configs[len(configs)-1].DataCentres() {
 		for shard := range s.opts.Shards {
 			row := rowID{DataCentre: dc, Shard: shard}
-			removed := !slices.Contains(present, dc)
-			if s.ownerOf(row) != nil || s.isCandidate(row) || (removed && s.ownsShard(shard)) {
+			if s.ownerOf(row) != nil || s.isCandidate(row) {
 				rows = append(rows, row)
 			}
 		}
@@ -111,20 +113,27 @@
 	return rows
 }
 
-// ownsShard reports whether this daemon owns some row of a shard. Such a daemon
-// takes the lapsed rows of removed data centres, whose own daemons may not know
-// of them any more: the shares of the others can't grow before.
-func (s *Service) ownsShard(shard int) bool {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	for row := range s.owners {
-		if row.Shard == shard {
-			return true
+// removedRows lists the rows of removed data centres that this daemon owns, or
+// that keep the shares of a shard of its own from growing: the daemons of a
+// removed data centre may not know of its rows any more.
+func (s *Service) removedRows() []rowID {
+	present := s.opts.Config().DataCentres()
+	rows := map[rowID]bool{}
+	for _, o := range s.owned() {
+		if !slices.Contains(present, o.row.DataCentre) {
+			rows[o.row] = true
+		}
+		for _, dc := range o.agreement().removed {
+			if !slices.Contains(present, dc) {
+				rows[rowID{DataCentre: dc, Shard: o.row.Shard}] = true
+			}
 		}
 	}
-	return false
+	return slices.SortedFunc(maps.Keys(rows), compareRows)
 }
 
+func compareRows(a, b rowID) int { return strings.Compare(a.key(), b.key()) }
+
 func (s *Service) isCandidate(row rowID) bool {
 	for _, d := range candidates(s.opts, row) {
 		if d.Host == s.opts.Self.Host {
@@ -142,6 +151,9 @@
 	} else {
 		s.renew(ctx, o)
 	}
+	if o != nil && s.displace(ctx, o) {
+		return
+	}
 	if o != nil {
 		s.refreshAgreement(ctx, o)
 		s.touch(o)
