--- a/control/doc.go
+++ b/control/doc.go
@@ -12,8 +12,9 @@
 // missing changes at once, from the peer that is ahead or else from the table. A
 // revision is adopted only if it is higher than the present one, so a daemon
 // never goes back. A daemon that starts takes the highest of what the table and
-// its peers offer. One that knows of a higher revision and cannot get it for
-// some seconds stops serving.
+// its peers offer. What a read of the table or a peer's word proves about the
+// present counts only when the revision that goes with it is in force here, so a
+// daemon that cannot get a higher revision loses touch and stops serving.
 //
 // # Being in touch
 //
--- a/control/documents.go
+++ b/control/documents.go
@@ -9,74 +9,98 @@
 	"github.com/gooseberryshed/gooseberryshed/configstore"
 )
 
-// methodSince fetches the changes after a revision from a peer.
-const methodSince = "config.since"
+// Methods that fetch configuration from a peer.
+const (
+	methodSince = "config.since"
+	methodPage  = "config.page"
+)
 
-// maxDeltas bounds the changes in one message.
+// maxDeltas bounds the changes read from the table at once.
 const maxDeltas = 200
 
+// maxConfigBytes bounds the configuration in one message.
+const maxConfigBytes = 1 << 20
+
+// maxPages bounds the pages of one document.
+const maxPages = 1024
+
 // sinceRequest asks for what follows a revision.
 type sinceRequest struct {
 	Revision uint64 `json:"revision"`
 }
 
-// sinceReply is the peer's whole state: a peer keeps no log.
+// sinceReply holds the next changes. Whole tells that the peer does not keep
+// them any more, so that pages of the whole document are to be asked for.
 type sinceReply struct {
-	State configstore.State `json:"state"`
+	Deltas   []configstore.Delta `json:"deltas,omitempty"`
+	Whole    bool                `json:"whole,omitempty"`
+	Revision uint64              `json:"revision"`
+}
+
+// pageRequest asks for the sections after one.
+type pageRequest struct {
+	After string `json:"after"`
 }
 
 func (c *Control) onSince(ctx context.Context, req sinceRequest) (sinceReply, error) {
 	var reply sinceReply
 	err := c.do(ctx, func(_ time.Time, s *state) {
-		if s.doc.Revision > req.Revision {
-			reply.State = s.doc
-		}
+		deltas, ok := s.view.Since(req.Revision, maxConfigBytes)
+		reply = sinceReply{Deltas: deltas, Whole: !ok, Revision: s.revision()}
 	})
 	return reply, err
 }
 
-// RunConfig keeps the configuration up to date.
+func (c *Control) onPage(ctx context.Context, req pageRequest) (configstore.Page, error) {
+	var st configstore.State
+	if err := c.do(ctx, func(_ time.Time, s *state) { st = s.view.State }); err != nil {
+		return configstore.Page{}, err
+	}
+	return st.Page(req.After, maxConfigBytes), nil
+}
+
+// RunConfig reads the table's head about every two seconds and what follows the
+// own revision.
 func (c *Control) RunConfig(ctx context.Context) error {
 	c.readTable(ctx)
+	for sleep(ctx, headInterval) {
+		c.readTable(ctx)
+	}
+	return nil
+}
+
+// RunCatchUp fetches from peers that are ahead, without waiting for the table.
+func (c *Control) RunCatchUp(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case a := <-c.behind:
 			c.catchUp(ctx, a)
-		case <-after(ctx, headInterval):
-			c.readTable(ctx)
 		}
 	}
 }
 
-func after(ctx context.Context, d time.Duration) <-chan struct{} {
-	ch := make(chan struct{})
-	go func() {
-		defer close(ch)
-		sleep(ctx, d)
-	}()
-	return ch
-}
-
-// readTable reads the head and what follows the own revision.
+// readTable reads the head. The daemon's knowledge is as old as the start of a
+// read whose head is in force here.
 func (c *Control) readTable(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	started := time.Now()
+	begun := time.Now()
 	c.stats.HeadReads.Add(1)
 	head, err := c.opts.Store.Head(ctx)
 	if err != nil {
 		c.stats.HeadFailures.Add(1)
 		return
 	}
-	c.do(ctx, func(now time.Time, s *state) { //nolint:errcheck // a stopped loop needs no news
-		s.touch.read(started)
-		s.noteAhead(now, head)
-	})
 	if head > c.revision() {
 		c.fetchTable(ctx)
 	}
+	c.do(ctx, func(_ time.Time, s *state) { //nolint:errcheck // a stopped loop needs no news
+		if s.revision() >= head {
+			s.touch.read(begun)
+		}
+	})
 }
 
 func (c *Control) revision() uint64 {
@@ -89,27 +113,41 @@
 
 // fetchTable brings the document up to the table's head.
 func (c *Control) fetchTable(ctx context.Context) {
-	doc, err := c.document(ctx)
+	view, err := c.view(ctx)
 	if err != nil {
 		return
 	}
-	deltas, err := c.opts.Store.Since(ctx, doc.Revision, maxDeltas)
-	next, advanceErr := doc.Advance(deltas)
-	if doc.Revision == 0 || err != nil || advanceErr != nil {
-		next, err = c.loadWhole(ctx)
-	}
+	next, err := c.nextFromTable(ctx, view)
 	if err != nil {
-		c.opts.Logger.Warn("cannot load the document; serving goes on with the present one", "err", err)
+		c.opts.Logger.Debug("cannot load the document from the table", "err", err)
 		return
 	}
 	c.stats.FromTable.Add(1)
-	c.adopt(ctx, next)
+	c.adopt(ctx, next) //nolint:errcheck // a stopped loop needs no news
+}
+
+func (c *Control) nextFromTable(ctx context.Context, view configstore.View) (configstore.View, error) {
+	if view.Snapshot == nil {
+		st, err := c.loadWhole(ctx)
+		return configstore.NewView(st), err
+	}
+	deltas, err := c.opts.Store.Since(ctx, view.State.Revision, maxDeltas)
+	if err == nil {
+		if next, err := view.Advance(deltas); err == nil {
+			return next, nil
+		}
+	}
+	st, err := c.opts.Store.Load(ctx)
+	if err != nil {
+		return view, err
+	}
+	return view.Replace(st), nil
 }
 
 // loadWhole prefers the saved snapshot and the changes since, which spare the
 // table when many daemons start.
 func (c *Control) loadWhole(ctx context.Context) (configstore.State, error) {
-	saved, err := c.opts.Store.LoadSnapshot(ctx, 0)
+	saved, err := c.opts.Store.LoadSnapshot(ctx, 1)
 	if err != nil {
 		return c.opts.Store.Load(ctx)
 	}
@@ -124,10 +162,10 @@
 	return next, nil
 }
 
-func (c *Control) document(ctx context.Context) (configstore.State, error) {
-	var doc configstore.State
-	err := c.do(ctx, func(_ time.Time, s *state) { doc = s.doc })
-	return doc, err
+func (c *Control) view(ctx context.Context) (configstore.View, error) {
+	var view configstore.View
+	err := c.do(ctx, func(_ time.Time, s *state) { view = s.view })
+	return view, err
 }
 
 // catchUp fetches from the peer that is ahead, or else from the table.
@@ -135,7 +173,6 @@
 	if a.revision <= c.revision() {
 		return
 	}
-	c.do(ctx, func(now time.Time, s *state) { s.noteAhead(now, a.revision) }) //nolint:errcheck // a stopped loop needs no news
 	if err := c.fetchPeer(ctx, a.host); err == nil && c.revision() >= a.revision {
 		return
 	}
@@ -147,52 +184,96 @@
 // errNoAddress reports a peer whose address is not known yet.
 var errNoAddress = errors.New("no address of that host is known yet; membership will bring it")
 
+// errNoEnd reports a peer whose document has too many pages.
+var errNoEnd = errors.Errorf("the peer's document has more than %d pages; upgrade the daemons", maxPages)
+
 func (c *Control) fetchPeer(ctx context.Context, host string) error {
 	d, ok := c.current.Load().Find(host)
 	if !ok {
 		return errNoAddress
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
+	view, err := c.view(ctx)
+	if err != nil {
+		return err
+	}
 	var reply sinceReply
-	if err := c.opts.RPC.Call(ctx, d.RPCAddr, methodSince, sinceRequest{c.revision()}, &reply); err != nil {
+	if err := c.callPeer(ctx, d.RPCAddr, methodSince, sinceRequest{view.State.Revision}, &reply); err != nil {
 		return err
 	}
-	if reply.State.Revision <= c.revision() {
-		return nil
+	next, err := c.nextFromPeer(ctx, d.RPCAddr, view, reply)
+	if err != nil {
+		return err
 	}
 	c.stats.FromPeers.Add(1)
-	return c.adopt(ctx, reply.State)
+	return c.adopt(ctx, next)
 }
 
-// adopt puts a document in force if it is newer. Building happens outside the
-// loop.
-func (c *Control) adopt(ctx context.Context, doc configstore.State) error {
-	next, err := doc.Snapshot()
+func (c *Control) nextFromPeer(ctx context.Context, addr string, view configstore.View, reply sinceReply) (configstore.View, error) {
+	if !reply.Whole && view.Snapshot != nil {
+		if next, err := view.Advance(reply.Deltas); err == nil {
+			return next, nil
+		}
+	}
+	st, err := c.wholeFromPeer(ctx, addr)
 	if err != nil {
-		c.opts.Logger.Error("a document that was accepted cannot be built; upgrade this daemon", "revision", doc.Revision, "err", err)
-		return err
+		return view, err
+	}
+	if view.Snapshot == nil {
+		return configstore.NewView(st), nil
+	}
+	return view.Replace(st), nil
+}
+
+// wholeFromPeer puts a peer's document together from pages and from the changes
+// that it accepted meanwhile.
+func (c *Control) wholeFromPeer(ctx context.Context, addr string) (configstore.State, error) {
+	var assembly configstore.Assembly
+	after := ""
+	for range maxPages {
+		var page configstore.Page
+		if err := c.callPeer(ctx, addr, methodPage, pageRequest{after}, &page); err != nil {
+			return configstore.State{}, err
+		}
+		assembly.Add(page)
+		if page.Next == "" {
+			return c.finish(ctx, addr, &assembly)
+		}
+		after = page.Next
 	}
+	return configstore.State{}, errNoEnd
+}
+
+func (c *Control) finish(ctx context.Context, addr string, assembly *configstore.Assembly) (configstore.State, error) {
+	from, to := assembly.Missing()
+	if from >= to {
+		return assembly.Finish(nil)
+	}
+	var reply sinceReply
+	if err := c.callPeer(ctx, addr, methodSince, sinceRequest{from}, &reply); err != nil {
+		return configstore.State{}, err
+	}
+	return assembly.Finish(reply.Deltas)
+}
+
+func (c *Control) callPeer(ctx context.Context, addr, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	return c.opts.RPC.Call(ctx, addr, method, params, result)
+}
+
+// adopt puts a document in force if it is newer. It was prepared outside the
+// loop.
+func (c *Control) adopt(ctx context.Context, next configstore.View) error {
 	return c.do(ctx, func(now time.Time, s *state) {
-		if doc.Revision <= s.doc.Revision && s.config != nil {
+		if next.Snapshot == nil || next.State.Revision <= s.revision() {
 			return
 		}
-		noteReturns(now, s, next)
-		s.doc = doc
-		s.config = next
-		s.noteAhead(now, doc.Revision)
+		noteReturns(now, s, next.Snapshot)
+		s.view = next
 		c.stats.Adopted.Add(1)
-		c.opts.Logger.Info("configuration in force", "revision", doc.Revision)
+		c.opts.Logger.Info("configuration in force", "revision", next.State.Revision)
 	})
 }
 
-// noteAhead keeps track of the highest revision heard of.
-func (s *state) noteAhead(now time.Time, revision uint64) {
-	s.ahead = max(s.ahead, revision)
-	switch {
-	case s.config != nil && s.doc.Revision >= s.ahead:
-		s.behindSince = time.Time{}
-	case s.behindSince.IsZero():
-		s.behindSince = now
-	}
-}
+// revision is that of the document in force, 0 for none.
+func (s *state) revision() uint64 { return s.view.State.Revision }
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -24,6 +24,7 @@
 	r.Handle(member.MethodFinish, rpc.Typed(c.onFinish))
 	r.Handle(methodTouch, rpc.Typed(c.onTouch))
 	r.Handle(methodSince, rpc.Typed(c.onSince))
+	r.Handle(methodPage, rpc.Typed(c.onPage))
 }
 
 func (c *Control) onExchange(ctx context.Context, b member.Begin) (member.Answer, error) {
--- a/control/loop.go
+++ b/control/loop.go
@@ -8,7 +8,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/gooseberryshed/gooseberryshed/config"
 	"github.com/gooseberryshed/gooseberryshed/configstore"
 	"github.com/gooseberryshed/gooseberryshed/member"
 )
@@ -41,17 +40,16 @@
 // state is owned by the loop's goroutine.
 type state struct {
 	gossip *member.Gossip
-	doc    configstore.State
-	config *config.Snapshot
+	view   configstore.View
 	touch  touchState
 	// returned holds when data centres came back.
-	returned map[string]time.Time
-	// ahead is the highest revision heard of, behindSince when it exceeded
+	returned   map[string]time.Time
+	leaving    bool
+	superseded bool
+	// ahead is the highest revision heard of, aheadSince when it rose above
 	// the own one.
-	ahead       uint64
-	behindSince time.Time
-	leaving     bool
-	superseded  bool
+	ahead      uint64
+	aheadSince time.Time
 	// introduced is set once other members are known, or that there are none.
 	introduced bool
 	// published identifies what the current view was built from.
@@ -105,7 +103,7 @@
 	targets := c.opts.Targets()
 	s.gossip.Update(now, func(d *member.Daemon) {
 		d.Targets = targets
-		d.Revision = s.doc.Revision
+		d.Revision = s.revision()
 		d.TableOK = s.touch.ownFresh(now)
 		if s.leaving && d.State == member.StateServing {
 			d.State = member.StateLeaving
--- a/control/options.go
+++ b/control/options.go
@@ -28,7 +28,7 @@
 	peerTimeout = 1500 * time.Millisecond
 	// behindBound is how long a daemon may serve although it knows of a
 	// higher revision.
-	behindBound = 4 * time.Second
+	behindBound = 1500 * time.Millisecond
 	// rowInterval is the time between two writes of the member row.
 	rowInterval = 5 * time.Minute
 	// scanInterval is the mean time between two scans of the member rows.
--- a/control/publish.go
+++ b/control/publish.go
@@ -27,7 +27,7 @@
 	next.TableOutage = s.touch.decision.Mode == freshness.TableOut
 	next.Leaving = s.leaving
 	next.Introduced = s.introduced
-	key := viewKey{revision: s.doc.Revision, members: membersKey(s.gossip), built: true}
+	key := viewKey{revision: s.revision(), members: membersKey(s.gossip), built: true}
 	if key == s.published {
 		if flags(&next) != flags(old) {
 			c.logTouch(old, &next)
@@ -78,14 +78,14 @@
 	next.Self = s.gossip.Self()
 	next.Daemons = s.gossip.List()
 	next.Unreachable = s.gossip.Unreachable()
-	next.Config = s.config
-	next.Document = s.doc
-	if s.config == nil {
+	next.Config = s.view.Snapshot
+	next.Document = s.view.State
+	if s.view.Snapshot == nil {
 		return
 	}
-	dc, ok := s.config.DataCentre(next.Self.DataCentre)
+	dc, ok := s.view.Snapshot.DataCentre(next.Self.DataCentre)
 	next.DataCentreOut = !ok || dc.State == config.DataCentreOut
-	next.Ejected = ejected(s.config, next)
+	next.Ejected = ejected(s.view.Snapshot, next)
 	next.View = balance.NewView(balance.Input{
 		Host:        next.Self.Host,
 		DataCentre:  next.Self.DataCentre,
@@ -99,7 +99,7 @@
 
 func dataCentres(s *state) []balance.DataCentre {
 	var out []balance.DataCentre
-	for _, dc := range s.config.DataCentres() {
+	for _, dc := range s.view.Snapshot.DataCentres() {
 		out = append(out, balance.DataCentre{
 			Name:   dc.Name,
 			Region: dc.Region,
@@ -117,11 +117,11 @@
 			delete(s.returned, name)
 		}
 	}
-	if s.config == nil {
+	if s.view.Snapshot == nil {
 		return
 	}
 	for _, dc := range next.DataCentres() {
-		before, ok := s.config.DataCentre(dc.Name)
+		before, ok := s.view.Snapshot.DataCentre(dc.Name)
 		if ok && before.State == config.DataCentreOut && dc.State == config.DataCentreIn {
 			s.returned[dc.Name] = now
 		}
--- a/control/touch.go
+++ b/control/touch.go
@@ -41,7 +41,7 @@
 // ownTouch is what other daemons are told.
 func (s *state) ownTouch(now time.Time) member.Touch {
 	age, known := s.touch.knowledge.Age(now)
-	touch := member.Touch{Revision: s.doc.Revision, TableKnown: known}
+	touch := member.Touch{Revision: s.revision(), TableKnown: known}
 	if known {
 		touch.TableAge = age
 	}
@@ -49,9 +49,10 @@
 }
 
 // answered takes the touch of a peer from an exchange that this daemon began.
-// Messages that merely arrived may be old, so their ages are not used.
+// Messages that merely arrived may be old, so their ages are not used. Neither
+// is that of a peer with a higher revision: what it knows is not in force here.
 func (c *Control) answered(begun, now time.Time, s *state, host string, t member.Touch) {
-	if t.TableKnown {
+	if t.TableKnown && t.Revision <= s.revision() {
 		s.touch.knowledge.Heard(begun, t.TableAge)
 	}
 	c.told(now, s, host, t.Revision)
@@ -59,23 +60,25 @@
 
 // told takes the revision of a peer.
 func (c *Control) told(now time.Time, s *state, host string, revision uint64) {
-	if revision <= s.doc.Revision {
+	if revision <= s.revision() {
 		return
 	}
-	s.noteAhead(now, revision)
+	if s.ahead <= s.revision() {
+		s.aheadSince = now
+	}
+	s.ahead = max(s.ahead, revision)
 	c.Behind(host, revision)
 }
 
+// isBehind reports whether a higher revision is known for too long.
+func (s *state) isBehind(now time.Time) bool {
+	return s.ahead > s.revision() && now.Sub(s.aheadSince) > behindBound
+}
+
 // inTouch decides whether the daemon may serve.
 func (c *Control) inTouch(now time.Time, s *state) bool {
 	s.touch.decision = freshness.Decide(now, s.touch.knowledge, s.touch.sample)
-	if s.config == nil {
-		return false
-	}
-	if !s.behindSince.IsZero() && now.Sub(s.behindSince) > behindBound {
-		return false
-	}
-	return s.touch.decision.Serve()
+	return s.view.Snapshot != nil && !s.isBehind(now) && s.touch.decision.Serve()
 }
 
 func (c *Control) onTouch(ctx context.Context, _ struct{}) (member.Touch, error) {
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -47,6 +47,7 @@
 		supervise.Child{Name: "rpc", Run: func(ctx context.Context) error { return d.rpcServer.Serve(ctx, d.listen.rpc) }},
 		supervise.Child{Name: "admin", Run: serveUntil(d.listen.admin, a.serve)},
 		supervise.Child{Name: "config", Run: d.control.RunConfig},
+		supervise.Child{Name: "catch-up", Run: d.control.RunCatchUp},
 		supervise.Child{Name: "gossip", Run: d.control.RunGossip},
 		supervise.Child{Name: "sampling", Run: d.control.RunSampling},
 		supervise.Child{Name: "rows", Run: d.control.RunRows},
@@ -78,10 +79,11 @@
 		stop := context.AfterFunc(ctx, func() { l.Close() })
 		defer stop()
 		err := serve(l)
-		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-			return nil
+		if ctx.Err() == nil && err != nil && !errors.Is(err, net.ErrClosed) {
+			return err
 		}
-		return err
+		<-ctx.Done()
+		return nil
 	}
 }
 
