--- a/limit/layout.go
+++ b/limit/layout.go
@@ -7,9 +7,13 @@
 )
 
 // MinSplitBurst is the least burst per data centre at which a workspace is
-// split. Below it the whole workspace is kept in one data centre, because a
-// bucket that holds less than two tokens refuses at small jitter.
-const MinSplitBurst = 2.0
+// split. Below it the whole workspace is kept in one data centre, because up to
+// one token in each bucket is a fraction that can't be granted.
+const MinSplitBurst = 4.0
+
+// MinDividedBurst is the least part of a share, in tokens, that a former owner
+// and a taker are given at the same time.
+const MinDividedBurst = 2.0
 
 // Shard returns the shard of a workspace.
 func Shard(workspace string, shards int) int {
@@ -46,10 +50,10 @@
 }
 
 // Divisible reports whether a former owner and a taker can both serve with
-// their part of a share. Where one part is less than a token, the owner that
-// holds the row undivided keeps all of it.
+// their part of a share. Where one part is less than MinDividedBurst, the owner
+// that holds the row undivided keeps all of it.
 func (p Policy) Divisible(shareOfBurst float64) bool {
-	return shareOfBurst*min(p.Standing, 1-p.Standing) >= 1
+	return shareOfBurst*min(p.Standing, 1-p.Standing) >= MinDividedBurst
 }
 
 // Order returns the holders with the given data centre first, if it is one,
--- /dev/null
+++ b/limit/property_test.go
@@ -0,0 +1,77 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// message is tokens under way from one owner to another.
+type message struct {
+	to, reserved, tokens int
+}
+
+// TestTransfersNeverExceedTheBurst lets owners grant and pass tokens to each
+// other while messages are lost, late or dropped, and holds all grants against
+// one exact bucket.
+func TestTransfersNeverExceedTheBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 5).Draw(t, "owners")
+		total := Terms{Rate: 3, Cap: float64(4 * n)}
+		part := total.Scale(1 / float64(n))
+		now := t0
+		level := total.Cap
+		owners := make([]Bucket, n)
+		for i := range owners {
+			owners[i] = NewBucket(now, part, 0)
+		}
+		var underWay []message
+		owner := func() int { return rapid.IntRange(0, n-1).Draw(t, "owner") }
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				d := time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond
+				now = now.Add(d)
+				level = min(total.Cap, level+total.Rate*d.Seconds())
+			},
+			"take": func(t *rapid.T) {
+				level -= float64(owners[owner()].Take(now, part, rapid.IntRange(1, 9).Draw(t, "n")))
+				if level < -tokenEpsilon {
+					t.Fatalf("%v tokens more than rate and burst allow", -level)
+				}
+			},
+			"fill-and-drain": func(t *rapid.T) {
+				now = now.Add(time.Minute)
+				level = total.Cap
+				for i := range owners {
+					level -= float64(owners[i].Take(now, part, 99))
+				}
+				if level < -tokenEpsilon {
+					t.Fatalf("%v tokens more than rate and burst allow", -level)
+				}
+			},
+			"ask": func(t *rapid.T) {
+				to, from := owner(), owner()
+				if to == from {
+					return
+				}
+				reserved := owners[to].Reserve(now, part, rapid.IntRange(1, 9).Draw(t, "want"))
+				tokens := owners[from].Give(now, part, reserved)
+				underWay = append(underWay, message{to: to, reserved: reserved, tokens: tokens})
+			},
+			"arrive": func(t *rapid.T) {
+				if len(underWay) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(underWay)-1).Draw(t, "message")
+				m := underWay[i]
+				underWay = append(underWay[:i], underWay[i+1:]...)
+				if rapid.Bool().Draw(t, "lost") {
+					owners[m.to].Release(m.reserved)
+					return
+				}
+				owners[m.to].Deposit(now, part, m.reserved, m.tokens)
+			},
+		})
+	})
+}
--- /dev/null
+++ b/limiter/bench_test.go
@@ -0,0 +1,252 @@
+package limiter
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/limit"
+	"github.com/gooseberryshed/gooseberryshed/member"
+)
+
+// The simulated workspaces: one large, one split with a small burst, and one
+// that is kept whole.
+var benchLimits = map[string]Limits{
+	"large":  {Rate: 20, Burst: 20, Since: 1},
+	"medium": {Rate: 2, Burst: 6, Since: 1},
+	"small":  {Rate: 0.5, Burst: 3, Since: 1},
+}
+
+const (
+	benchSeed     = 20261204
+	benchDuration = 10 * time.Minute
+)
+
+// exact is the central bucket that decides which requests are within the rate.
+type exact struct {
+	limit.Bucket
+	terms limit.Terms
+}
+
+// offer drives one workspace's demand for the duration at a fraction of its rate
+// and returns how many requests were within the rate and how many of these were
+// refused. skew is the part that comes from the first data centre.
+func offer(f *fleet, workspace string, load, skew float64, take func(dc int, now time.Time) bool) (within, refused int) {
+	rng := rand.New(rand.NewPCG(benchSeed, 1))
+	l := benchLimits[workspace]
+	ref := exact{terms: limit.Terms{Rate: l.Rate, Cap: float64(l.Burst)}}
+	ref.Bucket = limit.NewBucket(f.clock.Now(), ref.terms, ref.terms.Cap)
+	end := f.clock.Now().Add(benchDuration)
+	step := f.clock.Now()
+	for f.clock.Now().Before(end) {
+		f.clock.Advance(time.Duration(rng.ExpFloat64() / (l.Rate * load) * float64(time.Second)))
+		for ; step.Before(f.clock.Now()); step = step.Add(testStep) {
+			f.step()
+		}
+		dc := rng.IntN(3)
+		if rng.Float64() < skew {
+			dc = 0
+		}
+		if ref.Take(f.clock.Now(), ref.terms, 1) == 0 {
+			continue
+		}
+		within++
+		if !take(dc, f.clock.Now()) {
+			refused++
+		}
+	}
+	return within, refused
+}
+
+type benchScenario struct {
+	name  string
+	spoil func(f *fleet, workspace string)
+}
+
+var benchScenarios = []benchScenario{
+	{"healthy", func(*fleet, string) {}},
+	{"owner-lost", func(f *fleet, w string) {
+		dc := limit.NewLayout(f.config.dataCentres, w, benchLimits[w].Burst).Order("a", w)[0]
+		lost := ownerHost(f, dc, w)
+		f.mesh.setCut(lost+":1", true)
+		f.peers = slices.DeleteFunc(slices.Clone(f.peers), func(d member.Daemon) bool {
+			return d.Host == lost
+		})
+	}},
+	{"table-out", func(f *fleet, _ string) {
+		f.table.down = true
+		for range 20 {
+			f.clock.Advance(testStep)
+			f.step()
+		}
+	}},
+}
+
+func newBenchFleet(standing float64) *fleet {
+	f := newFleetWith(&fakeConfig{
+		revision: 1, since: 1, dataCentres: []string{"a", "b", "c"}, limits: benchLimits,
+	}, 3, standing)
+	for range 60 {
+		f.step()
+		f.clock.Advance(testStep)
+	}
+	f.step()
+	return f
+}
+
+// BenchmarkWrongfulRefusals measures requests within the rate that are refused,
+// in permille, for each standing fraction.
+func BenchmarkWrongfulRefusals(b *testing.B) {
+	b.Logf("seed %d", benchSeed)
+	for _, sc := range benchScenarios {
+		for _, standing := range []float64{0.5, 0.6, 0.75} {
+			for _, load := range []float64{0.4, 0.9} {
+				for _, skew := range []float64{0, 0.8} {
+					for _, w := range []string{"large", "medium", "small"} {
+						name := fmt.Sprintf("%s/f=%v/load=%v/skew=%v/%s", sc.name, standing, load, skew, w)
+						b.Run(name, func(b *testing.B) {
+							for range b.N {
+								benchRefusals(b, sc, standing, load, skew, w)
+							}
+						})
+					}
+				}
+			}
+		}
+	}
+}
+
+func benchRefusals(b *testing.B, sc benchScenario, standing, load, skew float64, workspace string) {
+	f := newBenchFleet(standing)
+	sc.spoil(f, workspace)
+	within, refused := offer(f, workspace, load, skew, func(dc int, _ time.Time) bool {
+		s := f.services[f.hostIn(f.config.dataCentres[dc])]
+		d, err := s.Take(context.Background(), workspace)
+		return err == nil && d.Allowed
+	})
+	b.ReportMetric(1000*float64(refused)/float64(within), "refused-permille")
+	b.ReportMetric(0, "ns/op")
+}
+
+// hostIn returns a host of a data centre that is a peer.
+func (f *fleet) hostIn(dc string) string {
+	for _, p := range f.peers {
+		if p.DataCentre == dc {
+			return p.Host
+		}
+	}
+	return f.peers[0].Host
+}
+
+// BenchmarkStaticSplit is the alternative without transfers.
+func BenchmarkStaticSplit(b *testing.B) {
+	for _, load := range []float64{0.4, 0.9} {
+		for _, skew := range []float64{0, 0.8} {
+			for _, w := range []string{"large", "medium", "small"} {
+				b.Run(fmt.Sprintf("load=%v/skew=%v/%s", load, skew, w), func(b *testing.B) {
+					for range b.N {
+						benchStatic(b, load, skew, w)
+					}
+				})
+			}
+		}
+	}
+}
+
+func benchStatic(b *testing.B, load, skew float64, workspace string) {
+	f := &fleet{clock: newFakeClock()}
+	l := benchLimits[workspace]
+	t := limit.Terms{Rate: l.Rate / 3, Cap: float64(l.Burst) / 3}
+	var buckets [3]limit.Bucket
+	for i := range buckets {
+		buckets[i] = limit.NewBucket(f.clock.Now(), t, t.Cap)
+	}
+	within, refused := offer(f, workspace, load, skew, func(dc int, now time.Time) bool {
+		return buckets[dc].Take(now, t, 1) == 1
+	})
+	b.ReportMetric(1000*float64(refused)/float64(within), "refused-permille")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkOwnerTake measures the owner's work for one ask without the message.
+func BenchmarkOwnerTake(b *testing.B) {
+	f := newFleet(&fakeConfig{revision: 1, since: 1, dataCentres: []string{"a"}, limits: map[string]Limits{
+		"fast": {Rate: 1e9, Burst: 1e9, Since: 1},
+	}}, 1)
+	f.step()
+	f.step()
+	owner := f.services["a-0"]
+	req := takeRequest{
+		Row:   rowID{DataCentre: "a", Shard: limit.Shard("fast", 2)},
+		Items: []takeItem{{Workspace: "fast", N: 1}},
+	}
+	b.ResetTimer()
+	for range b.N {
+		f.clock.Advance(time.Microsecond)
+		reply, _ := owner.serveTake(context.Background(), req) //nolint:errcheck // it never fails
+		if len(reply.Grants) != 1 || reply.Grants[0].Granted != 1 {
+			b.Fatalf("not granted: %+v", reply)
+		}
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "asks/s")
+}
+
+// BenchmarkBucketMemory measures the memory of one workspace at an owner.
+func BenchmarkBucketMemory(b *testing.B) {
+	const workspaces = 20000
+	limits := make(map[string]Limits, workspaces)
+	for i := range workspaces {
+		limits[fmt.Sprintf("workspace-%d", i)] = Limits{Rate: 1, Burst: 30, Since: 1}
+	}
+	cfg := &fakeConfig{revision: 1, since: 1, dataCentres: []string{"a"}, limits: limits}
+	for range b.N {
+		f := newFleet(cfg, 1)
+		before := heapBytes()
+		f.step()
+		b.ReportMetric(float64(heapBytes()-before)/workspaces, "bytes/bucket")
+		runtime.KeepAlive(f)
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkTableWrites counts the writes and reads of the rows in steady state,
+// with 16 shards in 9 data centres and 5 hosts in each.
+func BenchmarkTableWrites(b *testing.B) {
+	cfg := &fakeConfig{revision: 1, since: 1, limits: benchLimits}
+	for i := range 9 {
+		cfg.dataCentres = append(cfg.dataCentres, fmt.Sprintf("dc%d", i))
+	}
+	for range b.N {
+		f := newFleetShards(cfg, 5, 0.5, 16)
+		f.step()
+		f.step()
+		var writes, reads int64
+		count := func() (w, r int64) {
+			for _, s := range f.services {
+				w += s.Stats().TableWrites
+				r += s.Stats().TableReads
+			}
+			return w, r
+		}
+		w0, r0 := count()
+		const steps = 20
+		for range steps {
+			f.clock.Advance(testStep)
+			f.step()
+		}
+		writes, reads = count()
+		seconds := steps * testStep.Seconds()
+		b.ReportMetric(float64(writes-w0)/seconds, "writes/s")
+		b.ReportMetric(float64(reads-r0)/seconds, "reads/s")
+	}
+}
--- a/limiter/fake_test.go
+++ b/limiter/fake_test.go
@@ -189,10 +189,22 @@
 	config   *fakeConfig
 	peers    []member.Daemon
 	services map[string]*Service
+	standing float64
+	shards   int
 }
 
 func newFleet(cfg *fakeConfig, hostsPerDC int) *fleet {
+	return newFleetWith(cfg, hostsPerDC, DefaultStanding)
+}
+
+func newFleetWith(cfg *fakeConfig, hostsPerDC int, standing float64) *fleet {
+	return newFleetShards(cfg, hostsPerDC, standing, 2)
+}
+
+func newFleetShards(cfg *fakeConfig, hostsPerDC int, standing float64, shards int) *fleet {
 	f := &fleet{
+		standing: standing,
+		shards:   shards,
 		clock:    newFakeClock(),
 		table:    newFakeTable(),
 		mesh:     newFakeMesh(),
@@ -221,7 +233,9 @@
 		Config: func() Config { return f.config },
 		Peers:  func() []member.Daemon { return f.peers },
 		Clock:  f.clock.Now,
-		Shards: 2,
+		Shards: f.shards,
+
+		Standing: f.standing,
 	})
 	s.Register(meshRegistrar{mesh: f.mesh, addr: self.RPCAddr})
 	f.services[self.Host] = s
--- a/limiter/options.go
+++ b/limiter/options.go
@@ -17,7 +17,7 @@
 const (
 	DefaultShards       = 4
 	DefaultLease        = 9 * time.Second
-	DefaultStanding     = 0.5
+	DefaultStanding     = 0.6
 	DefaultStandingTerm = 6 * time.Hour
 	DefaultReplyBound   = 250 * time.Millisecond
 	DefaultTableTimeout = 2 * time.Second
