--- a/internal/e2e/leave_test.go
+++ b/internal/e2e/leave_test.go
@@ -11,6 +11,25 @@
 	"gotest.tools/v3/assert"
 )
 
+// heldBack is how long a new daemon keeps its target out of use, with a margin.
+const heldBack = 3 * time.Second
+
+func TestRestartedTargetIsUsedAgain(t *testing.T) {
+	t.Parallel()
+	f := harness.Start(t, harness.Options{})
+	stop := f.StartLoad(harness.Load{Rate: 80, Request: get()})
+	pause(2 * time.Second)
+	h := f.Hosts[0]
+	h.Daemon.Stop(t)
+	f.StartDaemon(h)
+	started := time.Now()
+	used := harness.Poll(15*time.Second, func() bool { return ranAny(f.Runs(), started, at(h)) })
+	t.Logf("used %v after the restart: %v", time.Since(started).Round(time.Millisecond), used)
+	stop()
+	f.Verify()
+	assert.Assert(t, used)
+}
+
 func TestPlannedStopCutsNoRequest(t *testing.T) {
 	t.Parallel()
 	f := harness.Start(t, harness.Options{})
@@ -22,16 +41,20 @@
 			Workspace: "w2", Method: "GET", Query: "size=200000&chunk_ms=100"}}),
 	}
 	pause(time.Second)
-	for _, h := range f.Hosts {
+	for i, h := range f.Hosts {
 		h.Daemon.Stop(t)
 		pause(300 * time.Millisecond)
 		f.StartDaemon(h)
-		pause(time.Second)
+		f.WaitServing(i)
+		pause(heldBack)
 	}
 	for _, stop := range stops {
 		stop()
 	}
 	calls, _ := f.Verify()
+	for _, c := range calls {
+		assert.Check(t, c.Err == "" && c.Run != "unknown", "cut: %+v", c)
+	}
 	allAnswered(t, calls)
 	t.Log(summary(calls))
 }
