balance: a cold target gets its share of choices; measure a returning data centre

When a data centre returns, its targets are cold.

The cause of the long tail with a cold limit is the queue: each ingress sees the one free place of a cold target as its own, all send at once, and what does not fit waits at the cold target while others are idle. The gate should therefore refuse with target-cold what a target below its slots cannot take at once; the ingress tries elsewhere. That is for the gate to take in; here the choice leaves a cold target out by the share of its slots that it lacks.

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -108,8 +108,9 @@
 			continue
 		}
 		for j := range z.cands {
-			if p.allowed(&z.cands[j]) {
-				cands = append(cands, &z.cands[j])
+			c := &z.cands[j]
+			if p.allowed(c) && (!ramped || p.warmEnough(c)) {
+				cands = append(cands, c)
 			}
 		}
 	}
@@ -128,6 +129,14 @@
 	return min(1, max(0, float64(p.now.Sub(z.since))/float64(p.ramp)))
 }
 
+// warmEnough leaves a cold target out of most choices, by the share of its slots
+// that it bears. Each of many ingresses may think that the one free place of a
+// cold target is its own.
+func (p *picker) warmEnough(c *candidate) bool {
+	limit := c.load.limitOr(p.now, c.limit)
+	return limit >= c.slots || p.rng.Float64()*float64(c.slots) < float64(limit)
+}
+
 func (p *picker) allowed(c *candidate) bool {
 	if slices.Contains(p.req.Tried, c.id) {
 		return false
@@ -170,12 +179,12 @@
 }
 
 func (p *picker) occupancy(c *candidate) float64 {
-	limit := c.load.limitOr(p.now, c.limit)
-	occ := (c.load.inFlight(p.now) + 1) / float64(limit)
+	limit := float64(c.load.limitOr(p.now, c.limit))
+	inFlight := c.load.inFlight(p.now)
 	if c.troubled {
-		return occ * troubledFactor
+		return troubledFactor * (inFlight + 1) / limit
 	}
-	return occ
+	return inFlight / limit
 }
 
 // hasRoom reports whether one more request fits; with Alone, whether the
--- a/internal/measure/control.go
+++ b/internal/measure/control.go
@@ -105,12 +105,32 @@
 	}
 	var dcs []balance.DataCentre
 	for i := range s.cfg.DataCentres {
-		dcs = append(dcs, balance.DataCentre{Name: s.dcOf(i), Region: "r"})
+		dcs = append(dcs, s.dataCentre(s.dcOf(i)))
 	}
 	for _, ing := range s.ings {
 		ing.View = balance.NewView(balance.Input{
 			Host: ing.host, DataCentre: ing.dc, Daemons: s.records,
-			Ejected: ejected, DataCentres: dcs, Loads: ing.Loads,
+			Ejected: ejected, DataCentres: dcs, Loads: ing.Loads, Ramp: s.ramp(),
 		})
 	}
 }
+
+func (s *Sim) ramp() time.Duration {
+	if s.cfg.Outage == nil {
+		return 0
+	}
+	return s.cfg.Outage.Ramp
+}
+
+func (s *Sim) dataCentre(name string) balance.DataCentre {
+	dc := balance.DataCentre{Name: name, Region: "r"}
+	o := s.cfg.Outage
+	if o == nil || o.DataCentre != name {
+		return dc
+	}
+	dc.Out = s.elapsed() >= o.From && s.elapsed() < o.To
+	if s.elapsed() >= o.To {
+		dc.Since = epoch.Add(o.To)
+	}
+	return dc
+}
--- a/internal/measure/rules.go
+++ b/internal/measure/rules.go
@@ -73,8 +73,12 @@
 type TwoChoices struct{ Ing *Ingress }
 
 // Choose picks by the ingress's view.
-func (c TwoChoices) Choose(now time.Time) int {
-	choice, ok := balance.Pick(now, c.Ing.View, nil, balance.Request{Service: "s", Idempotent: true}, c.Ing.sim.rng)
+func (c TwoChoices) Choose(now time.Time, tried []int) int {
+	req := balance.Request{Service: "s", Idempotent: true}
+	for _, i := range tried {
+		req.Tried = append(req.Tried, c.Ing.sim.workers[i].id)
+	}
+	choice, ok := balance.Pick(now, c.Ing.View, nil, req, c.Ing.sim.rng)
 	if !ok {
 		return -1
 	}
@@ -96,7 +100,7 @@
 type Random struct{ Ing *Ingress }
 
 // Choose picks uniformly.
-func (c Random) Choose(time.Time) int {
+func (c Random) Choose(time.Time, []int) int {
 	usable := c.Ing.usable()
 	return usable[c.Ing.sim.rng.IntN(len(usable))]
 }
@@ -115,7 +119,7 @@
 func NewLeastOfAll(ing *Ingress) Chooser { return &LeastOfAll{Ing: ing, seen: map[int]int{}} }
 
 // Choose compares all.
-func (c *LeastOfAll) Choose(time.Time) int {
+func (c *LeastOfAll) Choose(time.Time, []int) int {
 	return c.Ing.minimum(func(i int) float64 { return float64(c.seen[i]) })
 }
 
@@ -141,7 +145,7 @@
 }
 
 // Choose compares two random workers.
-func (c *LatencyAverage) Choose(now time.Time) int {
+func (c *LatencyAverage) Choose(now time.Time, _ []int) int {
 	usable := c.Ing.usable()
 	rng := c.Ing.sim.rng
 	a, b := usable[rng.IntN(len(usable))], usable[rng.IntN(len(usable))]
--- a/internal/measure/service.go
+++ b/internal/measure/service.go
@@ -38,49 +38,21 @@
 	Faults    []Fault
 	// Restarts of workers, each followed by a cold start.
 	Restarts []Restart
+	// Outage takes a data centre out of service; nil for none.
+	Outage *Outage
+	// ColdStart gives each worker's gate a coldstart.Limiter; otherwise the
+	// gate admits all slots.
+	ColdStart bool
+	// RefuseCold lets the gate of a cold worker refuse what would have to
+	// wait; the ingress then tries up to two more gates.
+	RefuseCold bool
 	// NewJudge makes the detector of each worker; nil ejects nobody.
 	NewJudge func() Judge
 	// NewChooser makes the way of choosing of each ingress.
 	NewChooser func(ing *Ingress) Chooser
 	Duration   time.Duration
-}
-
-// Fault makes a worker serve badly for a time. Its health endpoint, which no
-// rule here asks, would go on saying that all is well.
-type Fault struct {
-	Worker   int
-	From, To time.Duration
-	Errors   float64
-	// Slow multiplies the service time; 0 means 1.
-	Slow float64
-	// Flap is the period of a fault that is present half of the time.
-	Flap time.Duration
-}
-
-// Restart makes a worker start anew: it takes four times as long and warms up
-// linearly.
-type Restart struct {
-	Worker int
-	At     time.Duration
-	WarmUp time.Duration
-}
-
-const coldFactor = 4.0
-
-// slowness is the factor on the service time at a moment.
-func (r Restart) slowness(at time.Duration) float64 {
-	if at < r.At || at >= r.At+r.WarmUp {
-		return 1
-	}
-	warm := float64(at-r.At) / float64(r.WarmUp)
-	return warm + (1-warm)*coldFactor
-}
-
-func (f Fault) active(at time.Duration) bool {
-	if at < f.From || at >= f.To {
-		return false
-	}
-	return f.Flap == 0 || (at-f.From)%f.Flap < f.Flap/2
+	// MeasureFrom is when latencies and refusals begin to count.
+	MeasureFrom time.Duration
 }
 
 // Judge is a detector. *eject.Detector is wrapped by SequentialJudge.
@@ -96,7 +68,8 @@
 
 // Chooser picks a worker for a request of its ingress.
 type Chooser interface {
-	Choose(now time.Time) int
+	// tried lists workers that have refused it.
+	Choose(now time.Time, tried []int) int
 	// Done learns of an answer.
 	Done(now time.Time, worker int, latency time.Duration)
 }
@@ -108,6 +81,7 @@
 	id      string
 	dc      string
 	judge   Judge
+	limiter Limiter
 	running int
 	queue   []*request
 	ejected bool
@@ -169,6 +143,9 @@
 		if cfg.NewJudge != nil {
 			w.judge = cfg.NewJudge()
 		}
+		if cfg.ColdStart {
+			w.limiter = NewColdstart(cfg.Slots)
+		}
 		s.workers = append(s.workers, w)
 	}
 	s.records = s.snapshot()
@@ -178,7 +155,7 @@
 		ing.choose = cfg.NewChooser(ing)
 	}
 	for _, r := range cfg.Restarts {
-		s.loop.after(r.At, func() { s.workers[r.Worker].judge = cfg.NewJudge() })
+		s.loop.after(r.At, func() { s.restart(s.workers[r.Worker]) })
 	}
 	s.rebuild()
 	s.loop.after(time.Second, s.second)
@@ -196,22 +173,54 @@
 func (s *Sim) arrive() {
 	gap := time.Duration(s.rng.ExpFloat64() / s.cfg.Rate * float64(time.Second))
 	s.loop.after(gap, s.arrive)
-	ing := s.entry()
-	i := ing.choose.Choose(s.loop.now)
+	s.place(&request{ing: s.entry(), begun: s.loop.now}, nil)
+}
+
+const maxAttempts = 3
+
+// place sends a request to a worker.
+func (s *Sim) place(r *request, tried []int) {
+	i := r.ing.choose.Choose(s.loop.now, tried)
 	if i < 0 {
-		s.Result.Busy++
+		s.countBusy()
 		return
 	}
 	w := s.workers[i]
-	r := &request{ing: ing, begun: s.loop.now}
-	ing.Loads.Begin(w.id)
-	if w.running >= s.cfg.Slots {
+	if s.cfg.RefuseCold && s.isFullAndCold(w) && len(tried) < maxAttempts-1 {
+		r.ing.Loads.Report(s.loop.now, w.id, s.load(w))
+		s.place(r, append(tried, i))
+		return
+	}
+	r.ing.Loads.Begin(w.id)
+	if w.running >= s.limit(w) {
 		s.enqueue(i, w, r)
 		return
 	}
 	s.start(i, w, r)
 }
 
+func (s *Sim) countBusy() {
+	if s.elapsed() >= s.cfg.MeasureFrom {
+		s.Result.Busy++
+	}
+}
+
+func (s *Sim) isFullAndCold(w *worker) bool {
+	limit := s.limit(w)
+	return limit < s.cfg.Slots && w.running >= limit
+}
+
+func (s *Sim) load(w *worker) wire.Load {
+	return wire.Load{InFlight: w.running + len(w.queue), Limit: s.limit(w)}
+}
+
+func (s *Sim) restart(w *worker) {
+	w.judge = s.cfg.NewJudge()
+	if w.limiter != nil {
+		w.limiter.Restart(s.loop.now)
+	}
+}
+
 // entry picks the ingress of a request.
 func (s *Sim) entry() *Ingress {
 	n := len(s.ings)
@@ -223,7 +232,7 @@
 
 func (s *Sim) enqueue(i int, w *worker, r *request) {
 	if len(w.queue) >= queueBound {
-		s.Result.Busy++
+		s.countBusy()
 		s.answer(i, w, r)
 		return
 	}
@@ -252,21 +261,32 @@
 	}
 	if failed {
 		s.Result.Failed++
+	} else if w.limiter != nil {
+		w.limiter.OnSuccess(s.loop.now, latency)
+	}
+	if s.elapsed() >= s.cfg.MeasureFrom {
+		s.Result.Latencies = append(s.Result.Latencies, s.loop.now.Sub(r.begun))
 	}
-	s.Result.Latencies = append(s.Result.Latencies, s.loop.now.Sub(r.begun))
 	s.answer(i, w, r)
-	if len(w.queue) > 0 {
+	for len(w.queue) > 0 && w.running < s.limit(w) {
 		next := w.queue[0]
 		w.queue = w.queue[1:]
 		s.start(i, w, next)
 	}
 }
 
+// limit is how many requests the worker's gate admits.
+func (s *Sim) limit(w *worker) int {
+	if w.limiter == nil {
+		return s.cfg.Slots
+	}
+	return w.limiter.Limit(s.loop.now)
+}
+
 // answer brings the gate's report to the ingress.
 func (s *Sim) answer(i int, w *worker, r *request) {
-	inFlight := w.running + len(w.queue)
 	r.ing.Loads.End(w.id)
-	r.ing.Loads.Report(s.loop.now, w.id, wire.Load{InFlight: inFlight, Limit: s.cfg.Slots})
+	r.ing.Loads.Report(s.loop.now, w.id, s.load(w))
 	r.ing.choose.Done(s.loop.now, i, s.loop.now.Sub(r.begun))
 }
 
@@ -283,6 +303,7 @@
 	for _, r := range s.cfg.Restarts {
 		if r.Worker == i {
 			t *= r.slowness(s.elapsed())
+			t *= max(1, float64(s.workers[i].running)/float64(r.bears(s.elapsed(), s.cfg.Slots)))
 		}
 	}
 	return time.Duration(t)
