retry: a refusal for coldness is a free move

Otherwise a returning data centre full of cold targets would use up the budget that failures need. TestMovesAreFreeButBounded holds this for the empty budget.

--- a/retry/class.go
+++ b/retry/class.go
@@ -22,7 +22,7 @@
 // classes lists every reason that an attempt may mend; the others are final.
 var classes = map[wire.Reason]class{
 	wire.ReasonBusy:           classElsewhere,
-	wire.ReasonCold:           classElsewhere,
+	wire.ReasonCold:           classMove,
 	wire.ReasonLeaving:        classMove,
 	wire.ReasonDataCentreOut:  classMove,
 	wire.ReasonNoTarget:       classMove,
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -137,6 +137,22 @@
 	assert.Equal(t, st.Attempts, 1)
 }
 
+// TestMovesAreFreeButBounded takes refusals that cost no target anything.
+func TestMovesAreFreeButBounded(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for _, reason := range []wire.Reason{wire.ReasonCold, wire.ReasonLeaving, wire.ReasonNoTarget} {
+		st := fresh(false)
+		st.Budget = NewBudget(0.2, 1)
+		assert.Assert(t, st.Budget.Withdraw())
+		moves := 0
+		for Next(st, Outcome{Reason: reason, Run: wire.NotRun}, start, rng).Action == Retry {
+			moves++
+		}
+		assert.Equal(t, moves, maxMoves)
+		assert.Equal(t, st.Attempts, 1)
+	}
+}
+
 func TestSecondDeathEnds(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	died := Outcome{Reason: wire.ReasonTargetDied, Run: wire.Unknown}
