Test late requests, frozen daemons and a greedy workspace

At most once has to hold when a message arrives after its sender has given up and when a daemon resumes after claims and leases lapsed, which cuts and kills do not show: cut bytes never arrive. The fabric's delay now holds back what one host sends, in both kinds of connections.

--- a/internal/e2e/fabric/fabric.go
+++ b/internal/e2e/fabric/fabric.go
@@ -202,9 +202,11 @@
 	}
 }
 
-// Delay adds latency to all that b answers a.
+// Delay makes all that a sends to b arrive late.
 func (f *Fabric) Delay(a, b string, milliseconds int) {
-	f.add(pair{a, b}, toxic{"delay", "latency", "downstream", fmt.Sprintf(`{"latency":%d}`, milliseconds)})
+	late := fmt.Sprintf(`{"latency":%d}`, milliseconds)
+	f.add(pair{a, b}, toxic{"late-up", "latency", "upstream", late})
+	f.add(pair{b, a}, toxic{"late-down", "latency", "downstream", late})
 }
 
 func (f *Fabric) add(key pair, x toxic) {
--- a/internal/e2e/fabric/fabric_test.go
+++ b/internal/e2e/fabric/fabric_test.go
@@ -100,6 +100,13 @@
 	}
 }
 
+func TestDelayedBytesArriveLate(t *testing.T) {
+	addr, f, lines := setup(t)
+	f.Delay("a", "b", int(2*silence/time.Millisecond))
+	assert.Assert(t, !ask(t, dial(t, "127.9.0.1", addr)))
+	assert.Equal(t, <-lines, "x")
+}
+
 func TestSilenceSparesNewConnections(t *testing.T) {
 	addr, f, _ := setup(t)
 	old := dial(t, "127.9.0.1", addr)
--- a/internal/e2e/once_test.go
+++ b/internal/e2e/once_test.go
@@ -149,3 +149,50 @@
 	served := trace.Shares(calls)["w1"]
 	t.Logf("served %.3f of %d", served.Ratio(), served.Sent)
 }
+
+func TestRequestsThatArriveLateRunOnce(t *testing.T) {
+	t.Parallel()
+	f := harness.Start(t, harness.Options{
+		Document: harness.Document(nil, harness.ServiceSpec{"timeout: 4s"}),
+	})
+	stop := f.StartLoad(harness.Load{Rate: 80, Request: order()})
+	stopKeyed := f.StartLoad(harness.Load{Rate: 20, Orders: true, Request: order()})
+	pause(time.Second)
+	// What these hosts send arrives when its senders have long given up.
+	const late = 6000 // milliseconds
+	f.Fabric.Delay(f.Hosts[0].Name, f.Hosts[3].Name, late)
+	f.Fabric.Delay(f.Hosts[1].Name, f.Hosts[4].Name, late)
+	f.Fabric.Delay(f.Hosts[5].Name, f.Hosts[2].Name, late)
+	pause(5 * time.Second)
+	stop()
+	stopKeyed()
+	pause(late * time.Millisecond)
+	calls, _ := f.Verify()
+	t.Log(summary(calls))
+}
+
+func TestOrdersRunOnceThoughDaemonsFreeze(t *testing.T) {
+	t.Parallel()
+	f := harness.Start(t, harness.Options{})
+	var wg sync.WaitGroup
+	send := func(first int) {
+		eachOrder(func(n int, key string) {
+			sendOrder(f, key, (first+n)%6, (first+n+1)%6, (first+n+2)%6)
+		})
+	}
+	for round := range 2 {
+		wg.Go(func() { send(3 * round) })
+		for _, h := range f.Hosts[2*round : 2*round+2] {
+			pause(100 * time.Millisecond)
+			h.Daemon.Freeze()
+		}
+		// Longer than claims, leases and timeouts of the callers last.
+		pause(12 * time.Second)
+		for _, h := range f.Hosts[2*round : 2*round+2] {
+			h.Daemon.Resume()
+		}
+		wg.Wait()
+	}
+	calls, runs := f.Verify()
+	t.Logf("%d runs; %v", len(runs), summary(calls))
+}
--- a/internal/e2e/rate_test.go
+++ b/internal/e2e/rate_test.go
@@ -96,3 +96,35 @@
 		})
 	}
 }
+
+func TestGreedyWorkspaceLeavesOthersTheirService(t *testing.T) {
+	t.Parallel()
+	f := harness.Start(t, harness.Options{Hosts: 3})
+	f.RunLoad(harness.Load{Rate: 100, Request: get()}, 3*time.Second)
+	// Three targets of 7 slots serve 210 such requests per second; w1 sends
+	// more than all of that, within its rate.
+	greedy := get()
+	greedy.Query = "work_ms=100"
+	modest := greedy
+	modest.Workspace = "w2"
+	small := greedy
+	small.Workspace = "w3"
+	start := time.Now()
+	stops := []func(){
+		f.StartLoad(harness.Load{Rate: 400, Request: greedy}),
+		f.StartLoad(harness.Load{Rate: 30, Request: modest}),
+		f.StartLoad(harness.Load{Rate: 5, Request: small}),
+	}
+	pause(6 * time.Second)
+	for _, stop := range stops {
+		stop()
+	}
+	calls, _ := f.Verify()
+	shares := trace.Shares(since(calls, start))
+	for _, ws := range []string{"w1", "w2", "w3"} {
+		t.Logf("%s served %.3f of %d", ws, shares[ws].Ratio(), shares[ws].Sent)
+	}
+	t.Log(summary(calls))
+	assert.Check(t, shares["w2"].Ratio() > shares["w1"].Ratio(), "w2 is crowded out")
+	assert.Check(t, shares["w3"].Ratio() > shares["w1"].Ratio(), "w3 is crowded out")
+}
