Test that slower work keeps its slots

The greedy-workspace test served a third of what its targets bear. Ruled out: fair queue (the modest workspaces are served) and rate (all within it).

--- a/internal/e2e/target_test.go
+++ b/internal/e2e/target_test.go
@@ -151,3 +151,21 @@
 	t.Logf("the gray target got %d of %d runs from 6 s on", own, late)
 	assert.Assert(t, own*len(f.Hosts) < late, "a gray target gets its full share")
 }
+
+func TestSlowerWorkKeepsItsSlots(t *testing.T) {
+	t.Parallel()
+	f := harness.Start(t, harness.Options{Hosts: 3})
+	f.RunLoad(harness.Load{Rate: 100, Request: get()}, 5*time.Second)
+	// Every request now takes longer, as when staff open catalogue files. The
+	// load needs 12 of 21 slots.
+	slow := get()
+	slow.Query = "work_ms=100"
+	stop := f.StartLoad(harness.Load{Rate: 120, Request: slow})
+	pause(8 * time.Second)
+	settled := time.Now()
+	pause(4 * time.Second)
+	stop()
+	calls, _ := f.Verify()
+	t.Logf("all: %v", summary(calls))
+	allAnswered(t, since(calls, settled))
+}
