--- a/daemon/evidence.go
+++ b/daemon/evidence.go
@@ -43,7 +43,11 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.of(o.Target, o.Incarnation).Observe(o.At, eject.Sample{Failed: o.Kind != gate.KindOK, Latency: o.Latency})
+	d := e.of(o.Target, o.Incarnation)
+	if o.Kind == gate.KindTimeout && o.Allowed < d.SlowAfter() {
+		return // it came with too little time to say anything of the target
+	}
+	d.Observe(o.At, eject.Sample{Failed: o.Kind != gate.KindOK, Latency: o.Latency})
 }
 
 // of returns the detector of a target's incarnation; a new one starts afresh.
