coldstart: a target older than the daemon is warm; a new one without reference rises as fast as it bears

main gives the limiter the target's start, so that a replaced daemon need not wait for the cold time; the limit still began at the cold limit and, without other targets to compare with, rose in steps of 2 s, 12 s in all for 7 slots.

A target that started more than the cold time and a minute before its first sight now begins at its slots, watched for a latency jump as any warm target. A new one without a reference rises each 250 ms while a round is at most 1.2 times as slow as those at lower limits; slower rounds keep the 2 s.

--- a/coldstart/limiter.go
+++ b/coldstart/limiter.go
@@ -15,6 +15,10 @@
 	// ColdTime is how long a target stays cold at least: the limit does not
 	// rise before. Default 0.
 	ColdTime time.Duration
+	// WarmAfter is how much longer than ColdTime ago a target must have started
+	// to count as warm when it is first seen, by a daemon that is newer than
+	// the target. Default 1 min.
+	WarmAfter time.Duration
 	// Step is the least time between two rises of a target that serves as fast
 	// as when warm. Default 250 ms.
 	Step time.Duration
@@ -26,6 +30,8 @@
 }
 
 const (
+	defaultWarmAfter = time.Minute
+
 	defaultStep     = 250 * time.Millisecond
 	defaultSlowStep = 2 * time.Second
 	defaultPatience = time.Minute
@@ -36,6 +42,9 @@
 	minSlowRound = 16
 	// asWarm is how many times the warm latency still counts as warm.
 	asWarm = 1.4
+	// steady is how many times the latency at lower limits still counts as no
+	// slower.
+	steady = 1.2
 	// overload is how many times the latency at lower limits means that the
 	// limit is above what the target bears.
 	overload = 1.6
@@ -58,23 +67,39 @@
 	heldAt time.Time // since when the limit has not risen
 	coldAt time.Time // since when the target is cold
 	warm   warmth
+	seen   bool
 	sheds  int
 	shedAt time.Time
 	resets int
 }
 
-// New returns the limiter of a target that is cold from now on.
-func New(opt Options, now time.Time) *Limiter {
+// New returns the limiter of a target that started at the given time.
+func New(opt Options, started time.Time) *Limiter {
 	opt.Slots = max(1, opt.Slots)
 	opt.ColdLimit = min(max(1, opt.ColdLimit), opt.Slots)
+	opt.WarmAfter = cmp.Or(opt.WarmAfter, defaultWarmAfter)
 	opt.Step = cmp.Or(opt.Step, defaultStep)
 	opt.SlowStep = cmp.Or(opt.SlowStep, defaultSlowStep)
 	opt.Patience = cmp.Or(opt.Patience, defaultPatience)
-	return &Limiter{opt: opt, limit: opt.ColdLimit, stepAt: now, heldAt: now, coldAt: now}
+	return &Limiter{opt: opt, limit: opt.ColdLimit, stepAt: started, heldAt: started, coldAt: started}
 }
 
 // Limit is how many requests the target may have at once now.
-func (l *Limiter) Limit(_ time.Time) int { return l.limit }
+func (l *Limiter) Limit(now time.Time) int {
+	l.see(now)
+	return l.limit
+}
+
+// see takes the first call, which tells how old the target is.
+func (l *Limiter) see(now time.Time) {
+	if l.seen {
+		return
+	}
+	l.seen = true
+	if now.Sub(l.coldAt) >= l.opt.ColdTime+l.opt.WarmAfter {
+		l.move(now, l.opt.Slots)
+	}
+}
 
 // Cold reports whether the limit is below the slots.
 func (l *Limiter) Cold() bool { return l.limit < l.opt.Slots }
@@ -91,6 +116,7 @@
 
 // OnSuccess takes an answer and the time to its first byte.
 func (l *Limiter) OnSuccess(now time.Time, latency time.Duration) {
+	l.see(now)
 	lat := math.Log(float64(max(latency, time.Microsecond)))
 	if !l.Cold() {
 		if l.warm.observe(lat) {
@@ -111,6 +137,7 @@
 // of the target, so that a restart of the daemon alone does not make its warm
 // targets cold. It must not be called for another incarnation.
 func (l *Limiter) Resume(now time.Time, limit int) {
+	l.seen = true
 	l.coldAt = now.Add(-l.opt.ColdTime)
 	l.move(now, min(max(limit, l.opt.ColdLimit), l.opt.Slots))
 }
@@ -170,7 +197,7 @@
 func (l *Limiter) judge(now time.Time) {
 	got := l.round.value()
 	since := now.Sub(l.stepAt)
-	fast := l.warm.known() && got <= l.warm.mean+math.Log(asWarm)
+	fast := l.isFast(got)
 	if fast && !l.shedLately(now) {
 		if since >= l.opt.Step {
 			l.rise(now, got)
@@ -192,13 +219,22 @@
 	}
 }
 
+// isFast compares a round with the warm target, or when that is not known with
+// rounds at lower limits.
+func (l *Limiter) isFast(got float64) bool {
+	if l.warm.known() {
+		return got <= l.warm.mean+math.Log(asWarm)
+	}
+	return l.base == 0 || got <= l.base+math.Log(steady)
+}
+
 // bearsMore compares a target whose warm latency is not known with itself at
 // lower limits.
 func (l *Limiter) bearsMore(got float64) bool {
 	if l.warm.known() {
 		return false
 	}
-	return l.base == 0 || got <= l.base+math.Log(overload)
+	return got <= l.base+math.Log(overload)
 }
 
 func (l *Limiter) shedLately(now time.Time) bool {
--- a/coldstart/limiter_test.go
+++ b/coldstart/limiter_test.go
@@ -161,3 +161,13 @@
 	assert.Equal(t, l.Limit(now), 1)
 	assert.Equal(t, l.Limit(warm(l, now)), 1, "cold for the cold time")
 }
+
+// TestOldTargetOfNewDaemonIsWarm first sees a target minutes after its start.
+func TestOldTargetOfNewDaemonIsWarm(t *testing.T) {
+	opt := Options{Slots: 7, ColdTime: 5 * time.Second}
+	assert.Equal(t, New(opt, start).Limit(start.Add(2*time.Minute)), 7)
+	assert.Equal(t, New(opt, start).Limit(start.Add(time.Minute)), 1)
+	seen := New(opt, start)
+	assert.Equal(t, seen.Limit(start), 1)
+	assert.Equal(t, seen.Limit(start.Add(time.Hour)), 1, "not warm without requests")
+}
