coldstart: slower work at all targets is no cold target

A latency jump was judged by the target's own past alone, and both kinds of users mix small look-ups with large files.

What arrives within 0.25 s is what the own ingress sees of other hosts.

Conclusion: a service with a single target is still judged by its own past.

--- a/coldstart/doc.go
+++ b/coldstart/doc.go
@@ -2,15 +2,16 @@
 // has shown to bear.
 //
 // A target starts at its service's cold limit and stays there for the service's
-// cold time. Below the announced slots the limit then moves in rounds of answers. While the target is slower than when warm
-// the limit stays; once a round is as fast, it rises by one for each round. A
+// cold time. Below the announced slots the limit then moves in rounds of answers.
+// While the target is slower than when warm the limit stays; once a round is as fast, it rises by one for each round. A
 // new target is compared with the service's other targets. When those are not
 // known either, it is compared with itself at lower limits: a round much slower
 // than those means that the limit was above what it bears.
 //
 // At the full slots a cumulative sum of slow answers, and of requests in flight
 // for longer than a slow answer takes, notices a target that turns cold
-// unannounced. A new incarnation, an announced restart and repeated shedding
+// unannounced, unless the other targets are as slow: then the work has changed
+// and not the target. A new incarnation, an announced restart and repeated shedding
 // do so at once. The limit then returns to the cold limit.
 //
 // Latencies are compared as geometric means and by a tracked quantile, because
--- a/coldstart/limiter.go
+++ b/coldstart/limiter.go
@@ -24,6 +24,10 @@
 	Step time.Duration
 	// SlowStep is that of a slower one. Default 2 s.
 	SlowStep time.Duration
+	// PeerDelay is how long evidence for a cold target must last when other
+	// targets are known, so that these can tell whether the work itself
+	// has become slower. Default 250 ms.
+	PeerDelay time.Duration
 	// Patience is how long a target is held below its slots before its warm
 	// latency is taken as outdated. Default 60 s.
 	Patience time.Duration
@@ -32,9 +36,10 @@
 const (
 	defaultWarmAfter = time.Minute
 
-	defaultStep     = 250 * time.Millisecond
-	defaultSlowStep = 2 * time.Second
-	defaultPatience = time.Minute
+	defaultStep      = 250 * time.Millisecond
+	defaultSlowStep  = 2 * time.Second
+	defaultPeerDelay = 250 * time.Millisecond
+	defaultPatience  = time.Minute
 
 	// minRound is the least number of answers in a round.
 	minRound = 8
@@ -67,10 +72,14 @@
 	heldAt time.Time // since when the limit has not risen
 	coldAt time.Time // since when the target is cold
 	warm   warmth
-	seen   bool
-	sheds  int
-	shedAt time.Time
-	resets int
+	// peers is the log of the present p90 latency of the service's other
+	// targets, 0 when unknown.
+	peers   float64
+	doubtAt time.Time // since when there is evidence for a cold target
+	seen    bool
+	sheds   int
+	shedAt  time.Time
+	resets  int
 }
 
 // New returns the limiter of a target that started at the given time.
@@ -80,6 +89,7 @@
 	opt.WarmAfter = cmp.Or(opt.WarmAfter, defaultWarmAfter)
 	opt.Step = cmp.Or(opt.Step, defaultStep)
 	opt.SlowStep = cmp.Or(opt.SlowStep, defaultSlowStep)
+	opt.PeerDelay = cmp.Or(opt.PeerDelay, defaultPeerDelay)
 	opt.Patience = cmp.Or(opt.Patience, defaultPatience)
 	return &Limiter{opt: opt, limit: opt.ColdLimit, stepAt: started, heldAt: started, coldAt: started}
 }
@@ -119,9 +129,8 @@
 	l.see(now)
 	lat := math.Log(float64(max(latency, time.Microsecond)))
 	if !l.Cold() {
-		if l.warm.observe(lat) {
-			l.reset(now)
-		}
+		l.round.add(lat)
+		l.weigh(now, l.warm.observe(lat))
 		return
 	}
 	if now.Sub(l.coldAt) < l.opt.ColdTime {
@@ -142,14 +151,51 @@
 	l.move(now, min(max(limit, l.opt.ColdLimit), l.opt.Slots))
 }
 
-// SetReference takes the p90 latency of the service's other targets, which a
-// target is compared with until its own warm latency is known.
+// SetReference takes the present p90 latency of the service's other targets, 0
+// when unknown. A target is compared with it until its own warm latency is known,
+// and whenever its own past says that it is slow.
 func (l *Limiter) SetReference(p90 time.Duration) {
+	l.peers = 0
 	if p90 > 0 {
-		l.warm.refer(math.Log(float64(p90)))
+		l.peers = math.Log(float64(p90))
+		l.warm.refer(l.peers)
 	}
 }
 
+// weigh acts on evidence for a cold target at its full slots. When the other
+// targets have become as slow, it is the work that has, and the target's warm
+// latency is learnt anew.
+func (l *Limiter) weigh(now time.Time, evidence bool) {
+	if !evidence {
+		l.doubtAt = time.Time{}
+		return
+	}
+	if l.peers == 0 {
+		l.reset(now)
+		return
+	}
+	if l.doubtAt.IsZero() {
+		l.doubtAt = now
+		l.round = mean{}
+		return
+	}
+	if now.Sub(l.doubtAt) < l.opt.PeerDelay || l.round.n == 0 {
+		return
+	}
+	if !l.isAsPeers(l.round.value()) {
+		l.reset(now)
+		return
+	}
+	l.warm.forget()
+	l.warm.start(l.round.value())
+	l.doubtAt = time.Time{}
+}
+
+// isAsPeers reports whether a round is as fast as the other targets are now.
+func (l *Limiter) isAsPeers(got float64) bool {
+	return l.peers != 0 && got <= l.peers-initialSpread+math.Log(asWarm)
+}
+
 // SlowAfter is the time in flight after which a request is to be reported by
 // OnOverdue; 0 when there is nothing to compare with.
 func (l *Limiter) SlowAfter() time.Duration {
@@ -164,7 +210,7 @@
 // called at most once for each request; the answer is taken as well.
 func (l *Limiter) OnOverdue(now time.Time) {
 	if !l.Cold() && l.warm.overdue() {
-		l.reset(now)
+		l.weigh(now, true)
 	}
 }
 
@@ -222,6 +268,9 @@
 // isFast compares a round with the warm target, or when that is not known with
 // rounds at lower limits.
 func (l *Limiter) isFast(got float64) bool {
+	if l.isAsPeers(got) {
+		return true
+	}
 	if l.warm.known() {
 		return got <= l.warm.mean+math.Log(asWarm)
 	}
@@ -271,5 +320,6 @@
 	l.heldAt = now
 	l.coldAt = now
 	l.sheds = 0
+	l.doubtAt = time.Time{}
 	l.warm.reset()
 }
--- a/coldstart/limiter_test.go
+++ b/coldstart/limiter_test.go
@@ -171,3 +171,35 @@
 	assert.Equal(t, seen.Limit(start), 1)
 	assert.Equal(t, seen.Limit(start.Add(time.Hour)), 1, "not warm without requests")
 }
+
+// TestSlowerWorkIsNoColdTarget proves that a target stays at its slots when the
+// work becomes slower at all targets.
+func TestSlowerWorkIsNoColdTarget(t *testing.T) {
+	const slower = 20 * usual
+	l := New(Options{Slots: 7}, start)
+	l.SetReference(2 * usual)
+	now := warm(l, start)
+	assert.Equal(t, l.Limit(now), 7)
+	serve := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(slower / 7) {
+			l.OnSuccess(now, slower)
+		}
+	}
+	serve(defaultPeerDelay / 2)
+	l.SetReference(2 * slower)
+	serve(time.Minute)
+	assert.Equal(t, l.Limit(now), 7)
+	assert.Equal(t, l.Resets(), 0)
+}
+
+// TestSlowTargetAmongFastOnesIsCold proves the opposite.
+func TestSlowTargetAmongFastOnesIsCold(t *testing.T) {
+	l := New(Options{Slots: 7}, start)
+	l.SetReference(2 * usual)
+	now := warm(l, start)
+	for end := now.Add(2 * defaultPeerDelay); now.Before(end); now = now.Add(usual) {
+		l.OnSuccess(now, 5*usual)
+	}
+	assert.Equal(t, l.Limit(now), 1)
+	assert.Equal(t, l.Resets(), 1)
+}
--- a/daemon/adapters.go
+++ b/daemon/adapters.go
@@ -82,19 +82,30 @@
 func (v *limitsView) DataCentresSince() uint64 { return v.dataCentresSince }
 
 // coldStart adapts a coldstart.Limiter to the gate.
-type coldStart struct{ *coldstart.Limiter }
+type coldStart struct {
+	*coldstart.Limiter
+	reference *reference
+}
 
-func newColdStart(svc config.Service, slots int, started time.Time) gate.Limiter {
-	return coldStart{coldstart.New(coldstart.Options{
+// newColdStart makes the limiter of a target that started at the given time.
+func (r *references) newColdStart(svc config.Service, slots int, started time.Time) gate.Limiter {
+	l := coldstart.New(coldstart.Options{
 		Slots:     slots,
 		ColdLimit: svc.ColdLimit,
 		ColdTime:  time.Duration(svc.ColdTime),
-	}, started)}
+	}, started)
+	return coldStart{Limiter: l, reference: r.of(svc.Name)}
 }
 
 // Limit implements gate.Limiter.
 func (c coldStart) Limit() int { return c.Limiter.Limit(time.Now()) }
 
+// OnSuccess implements gate.Limiter.
+func (c coldStart) OnSuccess(now time.Time, latency time.Duration) {
+	c.SetReference(c.reference.p90(now))
+	c.Limiter.OnSuccess(now, latency)
+}
+
 // OnFailure implements gate.Limiter.
 func (c coldStart) OnFailure(now time.Time, _ time.Duration) { c.Limiter.OnFailure(now) }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -146,7 +146,7 @@
 		Revision:    d.revision,
 		Observer:    d.evidence,
 		Quarantine:  d.crashes,
-		NewLimiter:  newColdStart,
+		NewLimiter:  d.evidence.latencies.newColdStart,
 		Links:       link.Options{LocalAddr: d.set.SourceAddress},
 	})
 }
@@ -240,10 +240,18 @@
 		Avoid:      &balance.Avoid{},
 		Recorder:   d.recorder,
 		Behind:     d.control.Behind,
+		Answered:   d.answered,
 		MaxConns:   d.set.MaxConns,
 	})
 }
 
+// answered takes the time to the header of an answer that the ingress got.
+func (d *Daemon) answered(service, host string, latency time.Duration) {
+	if host != d.set.Host {
+		d.evidence.latencies.of(service).observe(time.Now(), latency)
+	}
+}
+
 func (d *Daemon) register() {
 	d.control.Register(d.rpcServer)
 	d.gates.register(d.rpcServer)
--- a/daemon/evidence.go
+++ b/daemon/evidence.go
@@ -15,6 +15,8 @@
 // It implements gate.Observer.
 type evidence struct {
 	registry *suspect.Registry
+	// latencies takes those of the service's other targets.
+	latencies references
 
 	mu        sync.Mutex
 	detectors map[string]*detector
@@ -69,7 +71,9 @@
 	out := make([]member.Target, len(own))
 	for i, t := range own {
 		d := e.of(t.ID, t.Incarnation)
-		d.SetBaseline(eject.NewBaseline(ofService(snap, t.Service), t.ID))
+		baseline := eject.NewBaseline(ofService(snap, t.Service), t.ID)
+		d.SetBaseline(baseline)
+		e.latencies.of(t.Service).setRecord(baseline.Latency)
 		d.Tick(now)
 		summary := d.Summary(now)
 		t.Suspect = d.Suspect()
--- a/ingress/options.go
+++ b/ingress/options.go
@@ -71,6 +71,8 @@
 	// Behind is told of a revision that is newer than the own one and of the
 	// host that has it.
 	Behind func(host string, revision uint64)
+	// Answered is told of the time to the header of each answer.
+	Answered func(service, host string, latency time.Duration)
 	// MaxConns bounds the callers' connections.
 	MaxConns int
 }
--- a/ingress/trial.go
+++ b/ingress/trial.go
@@ -229,12 +229,13 @@
 	t.in.stats.Attempts.Add(1)
 	loads := t.in.opts.Loads
 	loads.Begin(c.Target)
+	sent := time.Now()
 	ans, err := t.in.opts.Gates.Forward(ctx, c.Host, t.wireAttempt(snap, c), t.req)
 	if err != nil {
 		loads.End(c.Target)
 		return nil, t.failed(c, err)
 	}
-	t.succeeded(c, ans)
+	t.succeeded(c, ans, sent)
 	if err := readWhole(ans); err != nil {
 		loads.End(c.Target)
 		return nil, t.truncated(err)
@@ -263,8 +264,9 @@
 	}
 }
 
-func (t *trial) succeeded(c balance.Choice, ans *wire.Answer) {
+func (t *trial) succeeded(c balance.Choice, ans *wire.Answer, sent time.Time) {
 	now := time.Now()
+	t.in.opts.Answered(t.adm.service.Name, c.Host, now.Sub(sent))
 	t.in.opts.Avoid.Reached(c.Host)
 	t.in.epochs.set(c.Host, ans.Epoch, now)
 	t.in.opts.Loads.Report(now, c.Target, ans.Load)
