ingress: tests of retries, settlement, keyed resends and broken answers

Gates are now scripted: 16 sequences of outcomes fix what follows each, among them that a POST is sent again only after "not run" and that a later "not run" never hides an earlier attempt that may have run. Keyed resends use the real claim store on the stand-in platform. Answers over the bound are read by the standard library with and without an announced length.

No fault was found in the package.

--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -72,7 +72,9 @@
 	err      error
 }
 
-func (l fakeLimiter) Take(context.Context, string) (limiter.Decision, error) { return l.decision, l.err }
+func (l fakeLimiter) Take(context.Context, string) (limiter.Decision, error) {
+	return l.decision, l.err
+}
 
 type fakeQuarantine bool
 
@@ -84,8 +86,12 @@
 	gates *fakeGates
 	in    *ingress.Ingress
 	table *standin.Platform
+	store *claim.Store
 }
 
+// claims is the door's claim store, which outlives its ingress.
+func (d *door) claims() ingress.Claims { return d.store }
+
 func digest(s string) string {
 	sum := sha256.Sum256([]byte(s))
 	return hex.EncodeToString(sum[:])
@@ -126,6 +132,7 @@
 	d := &door{gates: &fakeGates{script: script}, table: standin.New()}
 	d.gates.settled = func() (wire.RunState, error) { return wire.Unknown, errors.New("not expected") }
 	store := claim.New(d.table, claim.Options{})
+	d.store = store
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- store.Run(ctx) }()
@@ -198,7 +205,9 @@
 var keyed = []string{"X-Api-Key", secret}
 
 func TestRefusalsBeforeAnyAttempt(t *testing.T) {
-	limited := func(o *ingress.Options) { o.Limiter = fakeLimiter{decision: limiter.Decision{RetryAfter: 1500 * time.Millisecond}} }
+	limited := func(o *ingress.Options) {
+		o.Limiter = fakeLimiter{decision: limiter.Decision{RetryAfter: 1500 * time.Millisecond}}
+	}
 	limiterOut := func(o *ingress.Options) { o.Limiter = fakeLimiter{err: errors.New("broken")} }
 	quarantine := func(o *ingress.Options) { o.Quarantine = fakeQuarantine(true) }
 	altered := func(f func(*control.Snapshot)) func(*ingress.Options) {
