ingress: test fixture hears of answers

Cause: Options.Answered came while the ingress's tests were being written. Ruled out: making it optional, since every option of the ingress is required.

--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -138,7 +138,8 @@
 	go func() { ended <- store.Run(ctx) }()
 	snap := snapshot(t)
 	o := ingress.Options{
-		Host: "h1", Snapshot: func() *control.Snapshot { return snap }, Gates: d.gates,
+		Answered: func(string, string, time.Duration) {},
+		Host:     "h1", Snapshot: func() *control.Snapshot { return snap }, Gates: d.gates,
 		Limiter: fakeLimiter{decision: limiter.Decision{Allowed: true}}, Claims: store, Quarantine: fakeQuarantine(false),
 		Loads: &balance.Loads{}, Avoid: &balance.Avoid{}, Recorder: report.NewRecorder(time.Second),
 		Behind: func(string, uint64) {}, MaxConns: 100,
