limiter: a pull without reply holds up nobody

An owner pulled tokens while the asker waited, one data centre after the other, each for up to the bound on replies, which is also the asker's. So with one data centre out of reach, a workspace above its local part made its owner's answers late: they were dropped, the healthy owner was avoided, and as asks share messages, other workspaces of the shard were refused as well.

Pulls now run beside the asks, and all items of a message wait for theirs together for at most 50 ms; what arrives later serves later asks. A test lets the pull hang and wants the local tokens at once.

--- a/limiter/chaos_test.go
+++ b/limiter/chaos_test.go
@@ -95,6 +95,7 @@
 		Config: func() Config { return h.config }, Peers: c.peers, StandingTerm: chaosTerm,
 	})
 	h.service.rowWork = 1
+	h.service.pullWait = time.Hour
 	h.service.Register(meshRegistrar{mesh: c.mesh, addr: h.self.RPCAddr})
 }
 
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -282,3 +282,20 @@
 	allowed, _, _ := takeAll(t, f, from, "small", 1)
 	assert.Equal(t, allowed, 1)
 }
+
+func TestPullWithoutReplyIsNotWaitedFor(t *testing.T) {
+	f := newFleet(threeCentres(), 3)
+	warm(t, f, "large")
+	owner := f.services[ownerHost(f, "a", "large")]
+	release := make(chan struct{})
+	f.mesh.delay = func(_, method string) {
+		if method == methodGive {
+			<-release
+		}
+	}
+	defer close(release)
+	row := rowID{DataCentre: "a", Shard: limit.Shard("large", 2)}
+	grants, ok := owner.grantAll(context.Background(), owner.ownerOf(row), []takeItem{{Workspace: "large", N: 40}})
+	assert.Assert(t, ok)
+	assert.Assert(t, grants[0].Granted >= 19 && grants[0].Granted <= 20, "granted %d", grants[0].Granted)
+}
--- a/limiter/owner.go
+++ b/limiter/owner.go
@@ -84,36 +84,38 @@
 }
 
 // startPull reserves room for up to want tokens. It returns 0 when there is no
-// room or a pull is under way.
-func (o *owner) startPull(now time.Time, a allotment, workspace string, want int) int {
+// room or a pull is under way. The channel is closed when the pull ends.
+func (o *owner) startPull(now time.Time, a allotment, workspace string, want int) (int, <-chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	b, t, ok := o.bucket(now, a, workspace)
 	if !ok || b.pulling != nil {
-		return 0
+		return 0, nil
 	}
 	reserved := b.Reserve(now, t, want)
 	if reserved > 0 {
 		b.pulling = make(chan struct{})
 	}
-	return reserved
+	return reserved, b.pulling
 }
 
 // endPull ends a pull: got tokens arrived, and if there were none, other owners
-// are not asked again before dryUntil.
+// are not asked again before dryUntil. Tokens are lost if the lease has ended.
 func (o *owner) endPull(now time.Time, a allotment, workspace string, reserved, got int, dryUntil time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	b, t, ok := o.bucket(now, a, workspace)
-	if !ok {
+	b, ok := o.buckets[workspace]
+	if !ok || b.pulling == nil {
 		return
 	}
-	b.Deposit(now, t, reserved, got)
-	b.dryUntil = dryUntil
-	if b.pulling != nil {
-		close(b.pulling)
-		b.pulling = nil
+	if _, t, ok := o.bucket(now, a, workspace); ok {
+		b.Deposit(now, t, reserved, got)
+	} else {
+		b.Release(reserved)
 	}
+	b.dryUntil = dryUntil
+	close(b.pulling)
+	b.pulling = nil
 }
 
 // bucket returns the workspace's bucket and present terms.
--- a/limiter/pull.go
+++ b/limiter/pull.go
@@ -14,21 +14,31 @@
 // steady demand does not need a pull for each token.
 const pullAhead = 4
 
-// pull asks the other holders in turn for the missing tokens. It reports
-// whether any arrived.
-func (s *Service) pull(o *owner, a allotment, workspace string, missing int) bool {
-	reserved := o.startPull(s.opts.Clock(), a, workspace, missing*pullAhead)
+// pullWait is how long asks wait for a pull. It leaves time for the answer
+// within the asker's bound on replies.
+const pullWait = 50 * time.Millisecond
+
+// pull starts asking the other holders in turn for the missing tokens. The
+// channel is closed when they have arrived or none are to be had; it is nil if
+// there is no room for any.
+func (s *Service) pull(o *owner, a allotment, workspace string, missing int) <-chan struct{} {
+	reserved, done := o.startPull(s.opts.Clock(), a, workspace, missing*pullAhead)
 	if reserved == 0 {
-		return false
+		return nil
 	}
 	s.counters.pulls.Add(1)
+	go s.finishPull(o, a, workspace, reserved, min(missing, reserved))
+	return done
+}
+
+func (s *Service) finishPull(o *owner, a allotment, workspace string, reserved, enough int) {
 	got := 0
 	for _, dc := range a.layout.Order(o.row.DataCentre, workspace) {
 		if dc == o.row.DataCentre {
 			continue
 		}
 		got += s.pullFrom(rowID{DataCentre: dc, Shard: o.row.Shard}, workspace, reserved-got)
-		if got >= min(missing, reserved) {
+		if got >= enough {
 			break
 		}
 	}
@@ -37,9 +47,8 @@
 	if got == 0 {
 		dryUntil = now.Add(dryTime(a.total.Rate))
 	}
-	o.endPull(now, a, workspace, reserved, got, dryUntil)
 	s.counters.pulledTokens.Add(int64(got))
-	return got > 0
+	o.endPull(now, a, workspace, reserved, got, dryUntil)
 }
 
 func (s *Service) pullFrom(row rowID, workspace string, want int) int {
--- a/limiter/serve.go
+++ b/limiter/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -33,52 +34,87 @@
 	if o == nil {
 		return takeReply{NotOwner: true, Owner: s.hint(req.Row)}, nil
 	}
-	reply := takeReply{Grants: make([]takeGrant, len(req.Items))}
-	for i, item := range req.Items {
-		g, ok := s.grant(ctx, o, item)
+	grants, ok := s.grantAll(ctx, o, req.Items)
+	if !ok {
+		return takeReply{NotOwner: true, Owner: s.hint(req.Row)}, nil
+	}
+	return takeReply{Grants: grants}, nil
+}
+
+// grantAll takes tokens as their owner. Items that are short wait together for
+// tokens of other owners, and no longer than a short while, so that neither a
+// workspace beyond its rate nor a data centre out of reach holds up the others.
+func (s *Service) grantAll(ctx context.Context, o *owner, items []takeItem) ([]takeGrant, bool) {
+	grants := make([]takeGrant, len(items))
+	var pulls []<-chan struct{}
+	for i, item := range items {
+		pulling, ok := s.grant(o, item, &grants[i])
 		if !ok {
-			return takeReply{NotOwner: true, Owner: s.hint(req.Row)}, nil
+			return nil, false
+		}
+		if pulling != nil {
+			pulls = append(pulls, pulling)
+		}
+	}
+	if len(pulls) == 0 {
+		return grants, true
+	}
+	waitFor(ctx, pulls, s.pullWait)
+	for i, item := range items {
+		item.N -= grants[i].Granted
+		if item.N > 0 && !grants[i].NotHolder {
+			s.grantMore(o, item, &grants[i])
 		}
-		reply.Grants[i] = g
 	}
-	return reply, nil
+	return grants, true
 }
 
-// grant takes tokens as their owner and pulls from other owners when short.
-func (s *Service) grant(ctx context.Context, o *owner, item takeItem) (takeGrant, bool) {
+// grant takes what the bucket has. It returns a channel when a pull is under
+// way that is worth waiting for. ok is false if the lease allows no grant.
+func (s *Service) grant(o *owner, item takeItem, out *takeGrant) (pulling <-chan struct{}, ok bool) {
 	a, err := s.allotment(item.Workspace)
 	if err != nil {
-		return takeGrant{NotHolder: true}, true
+		out.NotHolder = true
+		return nil, true
 	}
 	g, ok := o.take(s.opts.Clock(), a, item.Workspace, item.N)
 	if !ok {
-		return takeGrant{}, false
+		return nil, false
 	}
+	*out = takeGrant{Granted: g.n, NotHolder: g.notHolder, Wait: g.wait}
 	if g.n == item.N || g.notHolder || len(a.layout.Holders) < 2 {
-		return takeGrant{Granted: g.n, NotHolder: g.notHolder, Wait: g.wait}, true
+		return nil, true
 	}
-	missing := item.N - g.n
-	if !s.refill(ctx, o, a, item.Workspace, missing, g) {
-		return takeGrant{Granted: g.n, Wait: g.wait}, true
+	if g.mayPull {
+		return s.pull(o, a, item.Workspace, item.N-g.n), true
 	}
-	more, ok := o.take(s.opts.Clock(), a, item.Workspace, missing)
-	return takeGrant{Granted: g.n + more.n, Wait: more.wait}, ok || g.n > 0
+	return g.pulling, true
 }
 
-// refill waits for the pull under way or makes one. It reports whether it is
-// worth while to take again.
-func (s *Service) refill(ctx context.Context, o *owner, a allotment, workspace string, missing int, g grant) bool {
-	if g.mayPull {
-		return s.pull(o, a, workspace, missing)
+// grantMore takes what a pull has brought.
+func (s *Service) grantMore(o *owner, item takeItem, out *takeGrant) {
+	a, err := s.allotment(item.Workspace)
+	if err != nil {
+		return
 	}
-	if g.pulling == nil {
-		return false
+	if g, ok := o.take(s.opts.Clock(), a, item.Workspace, item.N); ok {
+		out.Granted += g.n
+		out.Wait = g.wait
 	}
-	select {
-	case <-g.pulling:
-		return true
-	case <-ctx.Done():
-		return false
+}
+
+// waitFor waits until all channels are closed, but not longer than bound.
+func waitFor(ctx context.Context, all []<-chan struct{}, bound time.Duration) {
+	timer := time.NewTimer(bound)
+	defer timer.Stop()
+	for _, c := range all {
+		select {
+		case <-c:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
--- a/limiter/service.go
+++ b/limiter/service.go
@@ -45,6 +45,8 @@
 	kicks chan rowID
 	// rowWork is how many rows are worked on at once.
 	rowWork int
+	// pullWait bounds the time that asks wait for a pull.
+	pullWait time.Duration
 
 	askersMu sync.Mutex
 	askers   map[rowID]*asker
@@ -61,8 +63,10 @@
 		handed:  map[rowID]handoverRequest{},
 		barred:  map[rowID]uint64{},
 		rowWork: maxRowWork,
-		kicks:   make(chan rowID, maxKicks),
-		askers:  map[rowID]*asker{},
+
+		pullWait: pullWait,
+		kicks:    make(chan rowID, maxKicks),
+		askers:   map[rowID]*asker{},
 	}
 	s.router = newRouter(opts)
 	return s
@@ -157,13 +161,13 @@
 func (s *Service) ask(ctx context.Context, row rowID, workspace string) (takeGrant, error) {
 	if o := s.ownerOf(row); o != nil {
 		start := s.opts.Clock()
-		g, ok := s.grant(ctx, o, takeItem{Workspace: workspace, N: 1})
+		grants, ok := s.grantAll(ctx, o, []takeItem{{Workspace: workspace, N: 1}})
 		if age := s.opts.Clock().Sub(start); age >= s.opts.ReplyBound {
 			s.counters.lateReplies.Add(1)
 			return takeGrant{}, errors.Errorf("own grant dropped after %s", age.Round(time.Millisecond))
 		}
 		if ok {
-			return g, nil
+			return grants[0], nil
 		}
 	}
 	return s.askerOf(row).ask(ctx, workspace)
