limiter: one rule for moving rows, and none moves in an outage

A lease that has not lapsed was no sufficient sign: in the first seconds of a table outage a row was given up that nobody could take until the table was back. A test starts one daemon, cuts the table and adds the others; without the check 5 of 6 rows are gone.

--- a/limiter/handover.go
+++ b/limiter/handover.go
@@ -16,23 +16,6 @@
 	}
 }
 
-// rebalance hands a row to its best candidate when this daemon is no candidate
-// any more, as is the case after it started before the others. Only a candidate
-// that answers is given the row.
-func (s *Service) rebalance(ctx context.Context, o *owner) {
-	best := candidates(s.opts, o.row)
-	for _, d := range best {
-		if d.Host == s.opts.Self.Host {
-			return
-		}
-	}
-	var reply yieldReply
-	if s.callTimely(best[0].RPCAddr, methodYield, yieldRequest{Row: o.row}, &reply) != nil {
-		return
-	}
-	s.releaseRow(ctx, o)
-}
-
 func (s *Service) isStopping() bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
--- a/limiter/lease.go
+++ b/limiter/lease.go
@@ -40,7 +40,6 @@
 	if err == nil {
 		s.counters.renewals.Add(1)
 		o.renewed(start, s.opts.Clock(), next, newVersion)
-		s.rebalance(ctx, o)
 		return
 	}
 	s.counters.renewFailures.Add(1)
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -299,3 +299,17 @@
 	assert.Assert(t, ok)
 	assert.Assert(t, grants[0].Granted >= 19 && grants[0].Granted <= 20, "granted %d", grants[0].Granted)
 }
+
+func TestRowIsNotGivenUpWithoutTheTable(t *testing.T) {
+	f := newFleet(threeCentres(), 3)
+	all := f.peers
+	f.peers = all[:1]
+	f.step()
+	f.peers = all
+	f.table.down = true
+	for range 6 {
+		f.clock.Advance(time.Second)
+		f.step()
+	}
+	assert.Equal(t, f.services["a-0"].Stats().RowsOwned, int64(6))
+}
--- a/limiter/placement.go
+++ b/limiter/placement.go
@@ -34,12 +34,16 @@
 
 // displace hands a row to a better candidate of its data centre, as when this
 // daemon was the first one up and took what was free. It reports whether the row
-// was given up. A lapsed owner keeps its row: without the table nobody could
-// take it.
+// was given up. Only a candidate that answers is given the row, and only right
+// after a renewal: without the table nobody could take it.
 func (s *Service) displace(ctx context.Context, o *owner) bool {
 	order := candidates(s.opts, o.row)
 	better := len(order) > 0 && order[0].Host != s.opts.Self.Host
-	if !o.displaced(better) || o.lapsed(s.opts.Clock()) {
+	if !o.displaced(better) || !o.justRenewed(s.opts.Clock()) {
+		return false
+	}
+	var reply yieldReply
+	if s.callTimely(order[0].RPCAddr, methodYield, yieldRequest{Row: o.row}, &reply) != nil {
 		return false
 	}
 	s.opts.Logger.Info("limit row handed to its first candidate", "row", o.row.key(), "to", order[0].Host)
@@ -59,8 +63,9 @@
 	return o.betterSteps >= displacedSteps
 }
 
-func (o *owner) lapsed(now time.Time) bool {
+// justRenewed reports whether the last renewal succeeded.
+func (o *owner) justRenewed(now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.session.Lapsed(now, o.policy)
+	return now.Sub(o.session.RenewedAt) < o.policy.Lease/renewalsPerLease
 }
