coldstart: work that has become slower is not a cold target for long

One target cannot tell the two apart, so the operators' cold time decides: when it is over (at least 2 s) and a target that turned slow without a restart is as slow as before, it is compared with itself alone. After a start the patience is a minute longer, as there a slow target is cold.

--- a/coldstart/doc.go
+++ b/coldstart/doc.go
@@ -24,6 +24,11 @@
 // the target is slower than when warm, as far as its own latency did not grow,
 // gives a warming target more to do, but a good part of it beyond what it
 // bears. The price of waiting is capacity unused during the warm-up; a service
-// whose cold targets bear more says so by its cold limit. A target that is
-// slower for good is taken as it is after the patience time.
+// whose cold targets bear more says so by its cold limit.
+//
+// One target cannot tell being cold from work that has become slower. The
+// cold time, which operators set, decides: when it is over and a target that
+// turned slow without a restart is as slow as before, it is compared with itself
+// alone. A cold time set too short lets a target that turned cold unannounced
+// get more than it bears.
 package coldstart
--- a/coldstart/limiter.go
+++ b/coldstart/limiter.go
@@ -24,8 +24,10 @@
 	Step time.Duration
 	// SlowStep is that of a slower one. Default 2 s.
 	SlowStep time.Duration
-	// Patience is how long a target is held below its slots before its warm
-	// latency is taken as outdated. Default 60 s.
+	// Patience is how long a target that was found slow without a restart is
+	// held below its slots before its warm latency is taken as outdated: its
+	// work has become slower, not the target. Default is ColdTime, but at
+	// least 2 s. After a start it is a minute longer.
 	Patience time.Duration
 }
 
@@ -34,7 +36,8 @@
 
 	defaultStep     = 250 * time.Millisecond
 	defaultSlowStep = 2 * time.Second
-	defaultPatience = time.Minute
+	minPatience     = 2 * time.Second
+	startPatience   = time.Minute
 
 	// minRound is the least number of answers in a round.
 	minRound = 8
@@ -68,9 +71,11 @@
 	coldAt time.Time // since when the target is cold
 	warm   warmth
 	seen   bool
-	sheds  int
-	shedAt time.Time
-	resets int
+	// started tells that the target is cold by a start, not by evidence.
+	started bool
+	sheds   int
+	shedAt  time.Time
+	resets  int
 }
 
 // New returns the limiter of a target that started at the given time.
@@ -80,8 +85,8 @@
 	opt.WarmAfter = cmp.Or(opt.WarmAfter, defaultWarmAfter)
 	opt.Step = cmp.Or(opt.Step, defaultStep)
 	opt.SlowStep = cmp.Or(opt.SlowStep, defaultSlowStep)
-	opt.Patience = cmp.Or(opt.Patience, defaultPatience)
-	return &Limiter{opt: opt, limit: opt.ColdLimit, stepAt: started, heldAt: started, coldAt: started}
+	opt.Patience = cmp.Or(opt.Patience, max(opt.ColdTime, minPatience))
+	return &Limiter{opt: opt, limit: opt.ColdLimit, stepAt: started, heldAt: started, coldAt: started, started: true}
 }
 
 // Limit is how many requests the target may have at once now.
@@ -191,7 +196,10 @@
 
 // Restart takes an announced restart or a new incarnation. The warm latency is
 // kept, as the new process is compared with it.
-func (l *Limiter) Restart(now time.Time) { l.reset(now) }
+func (l *Limiter) Restart(now time.Time) {
+	l.reset(now)
+	l.started = true
+}
 
 // judge ends a round when the step is over.
 func (l *Limiter) judge(now time.Time) {
@@ -210,7 +218,7 @@
 	switch {
 	case fast, l.bearsMore(got):
 		l.rise(now, got)
-	case now.Sub(l.heldAt) >= l.opt.Patience:
+	case now.Sub(l.heldAt) >= l.patience():
 		l.base = got
 		l.warm.forget()
 		l.rise(now, got)
@@ -219,6 +227,13 @@
 	}
 }
 
+func (l *Limiter) patience() time.Duration {
+	if l.started {
+		return l.opt.Patience + startPatience
+	}
+	return l.opt.Patience
+}
+
 // isFast compares a round with the warm target, or when that is not known with
 // rounds at lower limits.
 func (l *Limiter) isFast(got float64) bool {
@@ -270,6 +285,7 @@
 	l.base = 0
 	l.heldAt = now
 	l.coldAt = now
+	l.started = false
 	l.sheds = 0
 	l.warm.reset()
 }
--- a/internal/measure/cold.go
+++ b/internal/measure/cold.go
@@ -173,9 +173,9 @@
 // service time with a median of 25 ms and sigma 0.5.
 const referenceLatency = 47500 * time.Microsecond
 
-// NewColdstart returns the limiter of the system.
-func NewColdstart(slots int) Limiter {
-	l := coldstart.New(coldstart.Options{Slots: slots, ColdLimit: 1}, epoch)
+// NewColdstart returns the limiter of the system with the service's cold time.
+func NewColdstart(slots int, coldTime time.Duration) Limiter {
+	l := coldstart.New(coldstart.Options{Slots: slots, ColdLimit: 1, ColdTime: coldTime}, epoch)
 	l.SetReference(referenceLatency)
 	return l
 }
--- a/internal/measure/cold_test.go
+++ b/internal/measure/cold_test.go
@@ -20,7 +20,8 @@
 	name string
 	make func() Limiter
 }{
-	{"coldstart", func() Limiter { return NewColdstart(7) }},
+	{"coldstart", func() Limiter { return NewColdstart(7, 20*time.Second) }},
+	{"coldstart-short", func() Limiter { return NewColdstart(7, 5*time.Second) }},
 	{"fixed", func() Limiter { return FixedLimit(7) }},
 	{"aimd", func() Limiter { return &AIMD{Slots: 7, limit: 7} }},
 }
@@ -28,7 +29,7 @@
 // TestUnannouncedColdTargetIsSpared compares with a fixed limit.
 func TestUnannouncedColdTargetIsSpared(t *testing.T) {
 	for seed := range uint64(5) {
-		ours := RunCold(coldConfig(seed, NewColdstart(7)))
+		ours := RunCold(coldConfig(seed, NewColdstart(7, 20*time.Second)))
 		fixed := RunCold(coldConfig(seed, FixedLimit(7)))
 		assert.Assert(t, ours.Over*3 < fixed.Over, "seed %d: %d over, fixed %d", seed, ours.Over, fixed.Over)
 		assert.Assert(t, ours.Recovered > 0, "seed %d: never recovered", seed)
@@ -98,7 +99,7 @@
 				falls := 0
 				const runs, hours = 5, 2
 				for seed := range uint64(runs) {
-					cfg := coldConfig(seed, NewColdstart(7))
+					cfg := coldConfig(seed, NewColdstart(7, 20*time.Second))
 					cfg.Sigma, cfg.Rate = sigma, 100
 					cfg.ColdAt, cfg.Duration = hours*time.Hour, hours*time.Hour
 					falls += RunCold(cfg).FallsBefore
--- a/internal/measure/service.go
+++ b/internal/measure/service.go
@@ -144,7 +144,7 @@
 			w.judge = cfg.NewJudge()
 		}
 		if cfg.ColdStart {
-			w.limiter = NewColdstart(cfg.Slots)
+			w.limiter = NewColdstart(cfg.Slots, 5*time.Second)
 		}
 		s.workers = append(s.workers, w)
 	}
