--- a/balance/pick.go
+++ b/balance/pick.go
@@ -109,7 +109,7 @@
 		}
 		for j := range z.cands {
 			c := &z.cands[j]
-			if p.allowed(c) && (!ramped || p.warmEnough(c)) {
+			if p.allowed(c) {
 				cands = append(cands, c)
 			}
 		}
@@ -129,14 +129,6 @@
 	return min(1, max(0, float64(p.now.Sub(z.since))/float64(p.ramp)))
 }
 
-// warmEnough leaves a cold target out of most choices, by the share of its slots
-// that it bears. Each of many ingresses may think that the one free place of a
-// cold target is its own.
-func (p *picker) warmEnough(c *candidate) bool {
-	limit := c.load.limitOr(p.now, c.limit)
-	return limit >= c.slots || p.rng.Float64()*float64(c.slots) < float64(limit)
-}
-
 func (p *picker) allowed(c *candidate) bool {
 	if slices.Contains(p.req.Tried, c.id) {
 		return false
--- a/balance/view.go
+++ b/balance/view.go
@@ -64,7 +64,6 @@
 	id    string
 	host  string
 	limit int
-	slots int
 	load  *Load
 	// troubled targets gather evidence against themselves but are in use.
 	troubled bool
@@ -275,7 +274,6 @@
 		id:       t.ID,
 		host:     d.Host,
 		limit:    capacity(t),
-		slots:    max(t.Slots, 1),
 		load:     b.in.Loads.Of(t.ID),
 		troubled: t.Score > 0,
 	}
