--- a/balance/pick.go
+++ b/balance/pick.go
@@ -108,8 +108,9 @@
 			continue
 		}
 		for j := range z.cands {
-			if p.allowed(&z.cands[j]) {
-				cands = append(cands, &z.cands[j])
+			c := &z.cands[j]
+			if p.allowed(c) && (!ramped || p.warmEnough(c)) {
+				cands = append(cands, c)
 			}
 		}
 	}
@@ -128,6 +129,14 @@
 	return min(1, max(0, float64(p.now.Sub(z.since))/float64(p.ramp)))
 }
 
+// warmEnough leaves a cold target out of most choices, by the share of its slots
+// that it bears. Each of many ingresses may think that the one free place of a
+// cold target is its own.
+func (p *picker) warmEnough(c *candidate) bool {
+	limit := c.load.limitOr(p.now, c.limit)
+	return limit >= c.slots || p.rng.Float64()*float64(c.slots) < float64(limit)
+}
+
 func (p *picker) allowed(c *candidate) bool {
 	if slices.Contains(p.req.Tried, c.id) {
 		return false
@@ -151,7 +160,7 @@
 	if j >= i {
 		j++
 	}
-	if p.occupancy(cands[j]) < p.occupancy(cands[i]) {
+	if p.less(cands[j], cands[i]) {
 		i = j
 	}
 	return cands[i]
@@ -162,27 +171,43 @@
 	best := cands[start]
 	for k := range cands {
 		c := cands[(start+k)%len(cands)]
-		if p.occupancy(c) < p.occupancy(best) {
+		if p.less(c, best) {
 			best = c
 		}
 	}
 	return best
 }
 
+// idle is below this number of requests in flight; reports decay to a fraction.
+const idleBelow = 0.5
+
+// less reports whether a is the better choice. Idle targets are equal, whatever
+// their limits, because a cold target warms up only by being used.
+func (p *picker) less(a, b *candidate) bool {
+	if p.isIdle(a) && p.isIdle(b) {
+		return false
+	}
+	return p.occupancy(a) < p.occupancy(b)
+}
+
+func (p *picker) isIdle(c *candidate) bool {
+	return !c.troubled && c.load.inFlight(p.now) < idleBelow
+}
+
 func (p *picker) occupancy(c *candidate) float64 {
-	limit := c.load.limitOr(p.now, c.limit)
-	occ := (c.load.inFlight(p.now) + 1) / float64(limit)
+	limit := float64(c.load.limitOr(p.now, c.limit))
+	inFlight := c.load.inFlight(p.now)
 	if c.troubled {
-		return occ * troubledFactor
+		return troubledFactor * (inFlight + 1) / limit
 	}
-	return occ
+	return inFlight / limit
 }
 
 // hasRoom reports whether one more request fits; with Alone, whether the
 // target seems idle.
 func (p *picker) hasRoom(c *candidate) bool {
 	if p.req.Alone {
-		return c.load.inFlight(p.now) < 0.5
+		return c.load.inFlight(p.now) < idleBelow
 	}
 	limit := c.load.limitOr(p.now, c.limit)
 	return c.load.inFlight(p.now)+1 <= float64(limit)
--- a/daemon/evidence.go
+++ b/daemon/evidence.go
@@ -15,6 +15,8 @@
 // It implements gate.Observer.
 type evidence struct {
 	registry *suspect.Registry
+	// latencies takes those of the service's other targets.
+	latencies references
 
 	mu        sync.Mutex
 	detectors map[string]*detector
@@ -43,7 +45,11 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.of(o.Target, o.Incarnation).Observe(o.At, eject.Sample{Failed: o.Kind != gate.KindOK, Latency: o.Latency})
+	d := e.of(o.Target, o.Incarnation)
+	if o.Kind == gate.KindTimeout && o.Allowed < d.SlowAfter() {
+		return // it came with too little time to say anything of the target
+	}
+	d.Observe(o.At, eject.Sample{Failed: o.Kind != gate.KindOK, Latency: o.Latency})
 }
 
 // of returns the detector of a target's incarnation; a new one starts afresh.
@@ -65,7 +71,9 @@
 	out := make([]member.Target, len(own))
 	for i, t := range own {
 		d := e.of(t.ID, t.Incarnation)
-		d.SetBaseline(eject.NewBaseline(ofService(snap, t.Service), t.ID))
+		baseline := eject.NewBaseline(ofService(snap, t.Service), t.ID)
+		d.SetBaseline(baseline)
+		e.latencies.of(t.Service).setRecord(baseline.Latency)
 		d.Tick(now)
 		summary := d.Summary(now)
 		t.Suspect = d.Suspect()
