--- a/balance/pick.go
+++ b/balance/pick.go
@@ -152,7 +152,7 @@
 	if j >= i {
 		j++
 	}
-	if p.occupancy(cands[j]) < p.occupancy(cands[i]) {
+	if p.less(cands[j], cands[i]) {
 		i = j
 	}
 	return cands[i]
@@ -163,13 +163,29 @@
 	best := cands[start]
 	for k := range cands {
 		c := cands[(start+k)%len(cands)]
-		if p.occupancy(c) < p.occupancy(best) {
+		if p.less(c, best) {
 			best = c
 		}
 	}
 	return best
 }
 
+// idle is below this number of requests in flight; reports decay to a fraction.
+const idleBelow = 0.5
+
+// less reports whether a is the better choice. Idle targets are equal, whatever
+// their limits, because a cold target warms up only by being used.
+func (p *picker) less(a, b *candidate) bool {
+	if p.isIdle(a) && p.isIdle(b) {
+		return false
+	}
+	return p.occupancy(a) < p.occupancy(b)
+}
+
+func (p *picker) isIdle(c *candidate) bool {
+	return !c.troubled && c.load.inFlight(p.now) < idleBelow
+}
+
 func (p *picker) occupancy(c *candidate) float64 {
 	limit := float64(c.load.limitOr(p.now, c.limit))
 	inFlight := c.load.inFlight(p.now)
@@ -183,7 +199,7 @@
 // target seems idle.
 func (p *picker) hasRoom(c *candidate) bool {
 	if p.req.Alone {
-		return c.load.inFlight(p.now) < 0.5
+		return c.load.inFlight(p.now) < idleBelow
 	}
 	limit := c.load.limitOr(p.now, c.limit)
 	return c.load.inFlight(p.now)+1 <= float64(limit)
--- a/balance/pick_test.go
+++ b/balance/pick_test.go
@@ -211,3 +211,24 @@
 		Pick(start, v, &avoid, Request{Service: "s7"}, rng)
 	}
 }
+
+// TestIdleColdTargetIsUsed proves that an idle cold target gets requests beside
+// an idle warm one; otherwise it would never warm up.
+func TestIdleColdTargetIsUsed(t *testing.T) {
+	cold := member.Target{ID: "h1/t", Service: "s", State: member.TargetReady, Slots: 7, Limit: 1}
+	warm := member.Target{ID: "h2/t", Service: "s", State: member.TargetReady, Slots: 7, Limit: 7}
+	v := NewView(Input{Host: "h3", DataCentre: "dc", DataCentres: []DataCentre{{Name: "dc"}}, Daemons: []member.Daemon{
+		{Host: "h1", DataCentre: "dc", State: member.StateServing, Targets: []member.Target{cold}},
+		{Host: "h2", DataCentre: "dc", State: member.StateServing, Targets: []member.Target{warm}},
+	}})
+	rng := rand.New(rand.NewPCG(1, 2))
+	chosen := 0
+	for range 1000 {
+		c, ok := Pick(time.Unix(0, 0), v, nil, Request{Service: "s"}, rng)
+		assert.Assert(t, ok)
+		if c.Host == "h1" {
+			chosen++
+		}
+	}
+	assert.Assert(t, chosen > 400 && chosen < 600, "%d of 1000", chosen)
+}
