ingress: the refusal of a large body reaches a caller that is still sending

Ruled out: reading the body before the refusal, since a caller that waits for the refusal would then wait for the read timeout.

--- a/ingress/body_test.go
+++ b/ingress/body_test.go
@@ -91,3 +91,14 @@
 	}
 	assert.Equal(t, len(d.gates.tries), 1)
 }
+
+// TestRefusalOfALargeBodyReachesItsSender has callers send all of a body before
+// they read the answer, as most clients do.
+func TestRefusalOfALargeBodyReachesItsSender(t *testing.T) {
+	d := open(t, ok)
+	for range 5 {
+		body := strings.Repeat("x", 8<<20)
+		isProblem(t, d.do(t, "POST", "/o", body, keyed...), wire.ReasonTooLarge, wire.NotRun)
+		isProblem(t, d.do(t, "POST", "/o", body), wire.ReasonNoKey, wire.NotRun)
+	}
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -71,34 +70,14 @@
 	r := wire.Refuse(wire.ReasonBadRequest, "the request could not be read")
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		r = in.oversized(&ctx.Request.Header)
+		if conn, ok := ctx.Conn().(*patientConn); ok {
+			conn.linger.Store(true)
+		}
 	}
 	problem.Write(&ctx.Response, r)
 	ctx.SetConnectionClose()
 }
 
-// patientListener bounds each write instead of each answer, since large answers
-// may take long.
-type patientListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l patientListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return patientConn{conn}, nil
-}
-
-type patientConn struct{ net.Conn }
-
-// Write implements net.Conn.
-func (c patientConn) Write(p []byte) (int, error) {
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeIdleTimeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(p)
-}
-
 // discardLogger drops the library's lines; failures are counted instead.
 type discardLogger struct{}
 
