--- a/coldstart/limiter.go
+++ b/coldstart/limiter.go
@@ -28,8 +28,11 @@
 	// targets are known, so that these can tell whether the work itself
 	// has become slower. Default 250 ms.
 	PeerDelay time.Duration
-	// Patience is how long a target is held below its slots before its warm
-	// latency is taken as outdated. Default 60 s.
+	// Patience is how long a target that was found slow without a restart, and
+	// has no others to compare with, is held below its slots before its warm
+	// latency is taken as outdated: its work has become slower, not the
+	// target. Default is ColdTime, but at least 2 s. In other cases it is a
+	// minute longer.
 	Patience time.Duration
 }
 
@@ -39,7 +42,8 @@
 	defaultStep      = 250 * time.Millisecond
 	defaultSlowStep  = 2 * time.Second
 	defaultPeerDelay = 250 * time.Millisecond
-	defaultPatience  = time.Minute
+	minPatience      = 2 * time.Second
+	surePatience     = time.Minute
 
 	// minRound is the least number of answers in a round.
 	minRound = 8
@@ -77,6 +81,8 @@
 	peers   float64
 	doubtAt time.Time // since when there is evidence for a cold target
 	seen    bool
+	// started tells that the target is cold by a start, not by evidence.
+	started bool
 	sheds   int
 	shedAt  time.Time
 	resets  int
@@ -90,8 +96,8 @@
 	opt.Step = cmp.Or(opt.Step, defaultStep)
 	opt.SlowStep = cmp.Or(opt.SlowStep, defaultSlowStep)
 	opt.PeerDelay = cmp.Or(opt.PeerDelay, defaultPeerDelay)
-	opt.Patience = cmp.Or(opt.Patience, defaultPatience)
-	return &Limiter{opt: opt, limit: opt.ColdLimit, stepAt: started, heldAt: started, coldAt: started}
+	opt.Patience = cmp.Or(opt.Patience, max(opt.ColdTime, minPatience))
+	return &Limiter{opt: opt, limit: opt.ColdLimit, stepAt: started, heldAt: started, coldAt: started, started: true}
 }
 
 // Limit is how many requests the target may have at once now.
@@ -237,7 +243,10 @@
 
 // Restart takes an announced restart or a new incarnation. The warm latency is
 // kept, as the new process is compared with it.
-func (l *Limiter) Restart(now time.Time) { l.reset(now) }
+func (l *Limiter) Restart(now time.Time) {
+	l.reset(now)
+	l.started = true
+}
 
 // judge ends a round when the step is over.
 func (l *Limiter) judge(now time.Time) {
@@ -256,7 +265,7 @@
 	switch {
 	case fast, l.bearsMore(got):
 		l.rise(now, got)
-	case now.Sub(l.heldAt) >= l.opt.Patience:
+	case now.Sub(l.heldAt) >= l.patience():
 		l.base = got
 		l.warm.forget()
 		l.rise(now, got)
@@ -265,6 +274,14 @@
 	}
 }
 
+// patience is long when it is known that the target, not its work, is slow.
+func (l *Limiter) patience() time.Duration {
+	if l.started || l.peers != 0 {
+		return l.opt.Patience + surePatience
+	}
+	return l.opt.Patience
+}
+
 // isFast compares a round with the warm target, or when that is not known with
 // rounds at lower limits.
 func (l *Limiter) isFast(got float64) bool {
@@ -319,6 +336,7 @@
 	l.base = 0
 	l.heldAt = now
 	l.coldAt = now
+	l.started = false
 	l.sheds = 0
 	l.doubtAt = time.Time{}
 	l.warm.reset()
