--- a/cli/wait.go
+++ b/cli/wait.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/gooseberryshed/gooseberryshed/admin"
+	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/member"
 )
 
@@ -65,23 +66,12 @@
 		if p.complete(time.Since(started) >= f.grace) {
 			return nil
 		}
-		if !sleep(ctx, pollInterval) {
+		if !pause.For(ctx, pollInterval) {
 			return errors.Errorf("revision %d is accepted, but after %s it %s; see gooseberryshed status", rev, f.timeout, last.reach())
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // progress tells how far a revision has come.
 type progress struct {
 	revision uint64
--- a/configstore/apply.go
+++ b/configstore/apply.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/platform"
 )
 
@@ -24,30 +25,23 @@
 		return Result{}, err
 	}
 	a := applier{store: s, change: c}
-	pause := firstPause
+	next := firstPause
 	for range applyAttempts {
 		res, again, err := a.try(ctx)
 		if !again {
 			return res, a.explain(err)
 		}
-		if !wait(ctx, pause) {
+		if !wait(ctx, next) {
 			return Result{}, a.explain(ctx.Err())
 		}
-		pause = min(2*pause, maxPause)
+		next = min(2*next, maxPause)
 	}
 	return Result{}, a.explain(&BusyError{Attempts: applyAttempts})
 }
 
 // wait pauses for d/2 to d.
 func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d/2 + rand.N(d/2))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return pause.For(ctx, d/2+rand.N(d/2))
 }
 
 // applier is one call of Apply.
--- a/control/loop.go
+++ b/control/loop.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberryshed/gooseberryshed/configstore"
+	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/member"
 )
 
@@ -173,12 +174,5 @@
 // sleep waits for about d, or reports that ctx ended.
 func sleep(ctx context.Context, d time.Duration) bool {
 	jitter := 1 + jitterShare*(rand.Float64()-0.5)
-	timer := time.NewTimer(time.Duration(float64(d) * jitter))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return pause.For(ctx, time.Duration(float64(d)*jitter))
 }
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gooseberryshed/gooseberryshed/announce"
+	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/supervise"
 )
 
@@ -67,7 +68,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), readyBound)
 	defer cancel()
 	for !d.control.Snapshot().Ready() && ctx.Err() == nil {
-		pauseFor(ctx, pollEvery)
+		pause.For(ctx, pollEvery)
 	}
 	return d.ingress.Serve(l)
 }
@@ -149,7 +150,7 @@
 	d.note("announce leaving", d.control.Leave(ctx))
 	d.control.Spread(ctx, spreadRounds)
 	d.limiter.Release(ctx)
-	pauseFor(ctx, grace-time.Since(started))
+	pause.For(ctx, grace-time.Since(started))
 	d.note("drain the gate", d.gate.Drain(ctx))
 	d.emptyCallers(ctx)
 	d.note("close callers' connections", d.ingress.Shutdown(ctx))
@@ -169,7 +170,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callerGrace)
 	defer cancel()
 	for d.ingress.OpenConnections() > 0 && ctx.Err() == nil {
-		pauseFor(ctx, pollEvery)
+		pause.For(ctx, pollEvery)
 	}
 }
 
@@ -189,15 +190,3 @@
 	d.client.Close()
 	d.rpcClient.Close()
 }
-
-func pauseFor(ctx context.Context, t time.Duration) {
-	if t <= 0 {
-		return
-	}
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -14,6 +14,7 @@
 	"github.com/gooseberryshed/gooseberryshed/config"
 	"github.com/gooseberryshed/gooseberryshed/configstore"
 	"github.com/gooseberryshed/gooseberryshed/daemon"
+	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/internal/standin/record"
 	"github.com/gooseberryshed/gooseberryshed/internal/standin/target"
 	"github.com/gooseberryshed/gooseberryshed/member"
@@ -123,7 +124,7 @@
 	client := admin.New()
 	for _, h := range d.fleet.hosts {
 		for !d.knowsAll(ctx, client, h) {
-			if !sleep(ctx, readyPause) {
+			if !pause.For(ctx, readyPause) {
 				return errors.Errorf("%s does not know all targets after %s; run with --logs", h.name, readyBound)
 			}
 		}
@@ -165,7 +166,7 @@
 		if err := s.begin(ctx); err != nil {
 			return err
 		}
-		if !sleep(ctx, time.Duration(s.share*float64(d.duration))) {
+		if !pause.For(ctx, time.Duration(s.share*float64(d.duration))) {
 			return ctx.Err()
 		}
 		d.progress()
--- a/demo/traffic.go
+++ b/demo/traffic.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/gooseberryshed/gooseberryshed/internal/e2e/trace"
+	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/internal/standin/answer"
 )
 
@@ -134,7 +135,7 @@
 		if rec.Err == "" && rec.Run == "" {
 			return
 		}
-		if !sleep(ctx, orderPause) {
+		if !pause.For(ctx, orderPause) {
 			return
 		}
 		r.host = (r.host + 1) % len(c.hosts)
@@ -187,14 +188,3 @@
 	defer c.mu.Unlock()
 	return append([]trace.Call(nil), c.calls...)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/forward/client.go
+++ b/forward/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gooseberryshed/gooseberryshed/headers"
+	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/link"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 	"github.com/valyala/fasthttp"
@@ -118,12 +119,12 @@
 // one, so the outcome stays unknown then.
 func (c *Client) resend(ctx context.Context, host, addr string, att wire.Attempt, req *fasthttp.Request, why *wire.Refusal) (*wire.Answer, *wire.Refusal) {
 	deadline := time.Now().Add(att.Remaining)
-	pause := firstPause
+	wait := firstPause
 	for range maxCopies {
-		if !sleep(ctx, pause) {
+		if !pause.For(ctx, wait) {
 			break
 		}
-		pause *= 2
+		wait *= 2
 		att.Remaining = time.Until(deadline)
 		if att.Remaining <= 0 {
 			break
@@ -147,18 +148,6 @@
 	firstPause = 5 * time.Millisecond
 )
 
-// sleep pauses and reports whether the context is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func result(answer *wire.Answer, ref *wire.Refusal) (*wire.Answer, error) {
 	if ref != nil {
 		return nil, ref
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -13,6 +13,7 @@
 
 	"github.com/gooseberryshed/gooseberryshed/config"
 	"github.com/gooseberryshed/gooseberryshed/control"
+	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/limiter"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 )
@@ -107,7 +108,7 @@
 		if err == nil {
 			return x.decided(d)
 		}
-		if !isNoOwner(err) || !pause(ctx, tokenPause) {
+		if !isNoOwner(err) || !pause.For(ctx, tokenPause) {
 			return limiterRefusal(err)
 		}
 	}
--- a/ingress/guard.go
+++ b/ingress/guard.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/gooseberryshed/gooseberryshed/claim"
+	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 )
 
@@ -64,7 +65,7 @@
 		if done {
 			return r, r != nil
 		}
-		if !pause(ctx, pollInterval) {
+		if !pause.For(ctx, pollInterval) {
 			return inProgress(), true
 		}
 	}
--- a/ingress/trial.go
+++ b/ingress/trial.go
@@ -9,6 +9,7 @@
 
 	"github.com/gooseberryshed/gooseberryshed/balance"
 	"github.com/gooseberryshed/gooseberryshed/control"
+	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/retry"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 )
@@ -137,7 +138,7 @@
 		// After a pause the members may be other ones than those tried.
 		t.tried = t.tried[:0]
 	}
-	return pause(ctx, d.After)
+	return pause.For(ctx, d.After)
 }
 
 func (t *trial) settle(ctx context.Context) wire.RunState {
@@ -155,20 +156,6 @@
 // settleTimeout bounds finding out what became of an attempt.
 const settleTimeout = 3 * time.Second
 
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // attempt makes one attempt. Small answers are read whole. bounded is ctx with
 // the request's deadline.
 func (t *trial) attempt(ctx, bounded context.Context) (*wire.Answer, *wire.Refusal) {
--- a/internal/standin/target/handler.go
+++ b/internal/standin/target/handler.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/internal/standin/answer"
 	"github.com/gooseberryshed/gooseberryshed/internal/standin/record"
 )
@@ -116,7 +117,7 @@
 		return
 	}
 	todo := f.decide(run.Seq, time.Since(since), workTime(r, t.opts.Work))
-	if !sleep(r.Context(), todo.work) {
+	if !pause.For(r.Context(), todo.work) {
 		t.end(run, record.OutcomeCancelled)
 		return
 	}
@@ -142,20 +143,20 @@
 		own = t.swap(own)
 	}
 	w.Header().Set(attemptHeader, own.attempt)
-	pause := time.Duration(queryInt(r, "chunk_ms")) * time.Millisecond
-	if pause == 0 {
+	gap := time.Duration(queryInt(r, "chunk_ms")) * time.Millisecond
+	if gap == 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(len(own.body)))
 	}
 	w.WriteHeader(own.status)
-	if !stream(w, r, own.body, pause) {
+	if !stream(w, r, own.body, gap) {
 		return record.OutcomeCancelled
 	}
 	return record.OutcomeAnswered
 }
 
 // stream writes body in parts with a pause before each part but the first.
-func stream(w http.ResponseWriter, r *http.Request, body []byte, pause time.Duration) bool {
-	if pause == 0 {
+func stream(w http.ResponseWriter, r *http.Request, body []byte, gap time.Duration) bool {
+	if gap == 0 {
 		_, err := w.Write(body)
 		return err == nil
 	}
@@ -166,7 +167,7 @@
 			return false
 		}
 		body = body[n:]
-		if http.NewResponseController(w).Flush() != nil || !sleep(r.Context(), pause) {
+		if http.NewResponseController(w).Flush() != nil || !pause.For(r.Context(), gap) {
 			return false
 		}
 	}
--- a/internal/standin/target/runs.go
+++ b/internal/standin/target/runs.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -86,18 +85,6 @@
 	return false
 }
 
-// sleep waits for d and reports whether ctx was still alive then.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // sendTruncated writes half of the body and ends the connection.
 func sendTruncated(w http.ResponseWriter, how Truncation, own reply) {
 	conn, buf, err := http.NewResponseController(w).Hijack()
--- a/supervise/supervise.go
+++ b/supervise/supervise.go
@@ -9,6 +9,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 )
 
 // Default bounds of restarts.
@@ -129,17 +131,17 @@
 			return &Error{Child: c.Name, Restarts: len(failures), Err: err}
 		}
 		t.restarts.Add(1)
-		pause := t.pause(len(failures))
+		wait := t.backoff(len(failures))
 		if t.opts.Logger != nil {
-			t.opts.Logger.Warn("child restarts", "child", c.Name, "pause", pause, "err", err)
+			t.opts.Logger.Warn("child restarts", "child", c.Name, "pause", wait, "err", err)
 		}
-		if !sleep(ctx, pause) {
+		if !pause.For(ctx, wait) {
 			return nil
 		}
 	}
 }
 
-func (t *Tree) pause(failures int) time.Duration {
+func (t *Tree) backoff(failures int) time.Duration {
 	p := t.opts.MinPause
 	for i := 1; i < failures && p < t.opts.MaxPause; i++ {
 		p *= 2
@@ -167,14 +169,3 @@
 	}
 	return times
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
