Demo: a fault long enough to be found, a fleet warm enough to be judged

Cause: the demo repaired its broken target after 6 s, while detection takes 7 to 9 s, and sent at full rate while owners of the rates and targets were seconds old: 113 of 635 requests refused (rate-exceeded 101, no-target 12). Ruled out: owners that start full, which would mint tokens when a data centre is removed and added again; a quicker detector, whose false ejections cost more.

--- a/control/publish.go
+++ b/control/publish.go
@@ -58,6 +58,9 @@
 }
 
 func (c *Control) logTouch(old, next *Snapshot) {
+	if next.TableOutage && !old.TableOutage {
+		c.stats.Outages.Add(1)
+	}
 	if old.InTouch != next.InTouch {
 		c.opts.Logger.Info("in touch changed", "in_touch", next.InTouch, "table_outage", next.TableOutage)
 	}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -23,10 +23,12 @@
 
 const (
 	// DefaultDuration is the time of traffic.
-	DefaultDuration = 20 * time.Second
+	DefaultDuration = 30 * time.Second
 	// readyBound is how long the fleet may take until every daemon serves.
 	readyBound = 20 * time.Second
 	readyPause = 100 * time.Millisecond
+	// fillTime lets the buckets of a fleet that starts for the first time fill.
+	fillTime = 3 * time.Second
 	// brokenShare is the share of requests that the broken target fails.
 	brokenShare = 0.2
 	// objective of the burn report.
@@ -100,6 +102,10 @@
 	if err := d.awaitReady(ctx); err != nil {
 		return Verdict{}, err
 	}
+	// The owners of the rates are new as well, and their buckets start empty.
+	if !pause.For(ctx, fillTime) {
+		return Verdict{}, ctx.Err()
+	}
 	d.say("every daemon serves; sending %d menus, %d order states and %d orders a second", menuRate, statusRate, orderRate)
 	traffic, stopTraffic := context.WithCancel(ctx)
 	defer stopTraffic()
@@ -144,7 +150,11 @@
 	}
 	targets := 0
 	for _, m := range members {
-		targets += len(m.Targets)
+		for _, t := range m.Targets {
+			if t.State == member.TargetReady {
+				targets++
+			}
+		}
 	}
 	return st.Revision > 0 && st.InTouch && targets == len(d.fleet.hosts)*targetsPerHost
 }
@@ -158,9 +168,9 @@
 
 func (d *demo) script(ctx context.Context) error {
 	for _, s := range []step{
-		{0.2, nothing, nothing},
-		{0.3, d.breakTarget, d.repairTarget},
-		{0.3, d.takeOut, d.judgeOut},
+		{0.15, nothing, nothing},
+		{0.45, d.breakTarget, d.repairTarget},
+		{0.2, d.takeOut, d.judgeOut},
 		{0.2, d.takeIn, nothing},
 	} {
 		if err := s.begin(ctx); err != nil {
