--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,107 @@
+package control
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/gooseberryshed/gooseberryshed/balance"
+	"github.com/gooseberryshed/gooseberryshed/config"
+	"github.com/gooseberryshed/gooseberryshed/configstore"
+	"github.com/gooseberryshed/gooseberryshed/freshness"
+	"github.com/gooseberryshed/gooseberryshed/member"
+	"github.com/gooseberryshed/gooseberryshed/platform/standin"
+)
+
+// running returns a control whose loop runs, over a stand-in platform.
+func running(t *testing.T) (*Control, *standin.Platform) {
+	t.Helper()
+	p := standin.New()
+	c := New(Options{
+		Self:    member.Daemon{Host: "h1", DataCentre: "dc1", Incarnation: 1, State: member.StateServing},
+		Table:   p,
+		Store:   configstore.New(p, nil),
+		Targets: func() []member.Target { return nil },
+		Loads:   &balance.Loads{},
+		Logger:  log.New(io.Discard),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- c.RunLoop(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-ended)
+	})
+	return c, p
+}
+
+// at returns the view of a document at a revision.
+func at(revision uint64) configstore.View {
+	section := config.Section{Name: "base", Team: "ops", DataCentres: []config.DataCentre{{Name: "dc1", Region: "r"}}}
+	return configstore.NewView(configstore.State{
+		Revision: revision,
+		Sections: []configstore.Stored{{Revision: revision, Section: section}},
+	})
+}
+
+func TestRevisionsOnlyRise(t *testing.T) {
+	c, _ := running(t)
+	ctx := context.Background()
+	for _, revision := range []uint64{5, 3, 5, 4} {
+		assert.NilError(t, c.adopt(ctx, at(revision)))
+	}
+	assert.NilError(t, c.do(ctx, func(time.Time, *state) {}))
+	assert.Equal(t, c.revision(), uint64(5))
+}
+
+// TestPeerAheadMakesNothingFresh proves that a peer's reading of the table
+// counts only when the peer's revision is in force here.
+func TestPeerAheadMakesNothingFresh(t *testing.T) {
+	c, _ := running(t)
+	ctx := context.Background()
+	assert.NilError(t, c.adopt(ctx, at(5)))
+	hear := func(revision uint64) (inTouch bool) {
+		touch := member.Touch{Revision: revision, TableKnown: true}
+		assert.NilError(t, c.do(ctx, func(now time.Time, s *state) {
+			s.touch.knowledge = freshness.Knowledge{}
+			c.answered(now, now, s, "h2", touch)
+			inTouch = c.inTouch(now, s)
+		}))
+		return inTouch
+	}
+	assert.Assert(t, hear(5))
+	assert.Assert(t, !hear(6))
+	assert.NilError(t, c.adopt(ctx, at(6)))
+	assert.Assert(t, hear(6))
+}
+
+func TestKnownToBeBehindStopsServing(t *testing.T) {
+	c, _ := running(t)
+	ctx := context.Background()
+	assert.NilError(t, c.adopt(ctx, at(5)))
+	assert.NilError(t, c.do(ctx, func(now time.Time, s *state) {
+		s.touch.read(now)
+		c.told(now, s, "h2", 6)
+		assert.Check(t, c.inTouch(now, s))
+		assert.Check(t, !c.inTouch(now.Add(behindBound+time.Millisecond), s))
+	}))
+}
+
+func TestOwnRowIsLeftToANewerDaemon(t *testing.T) {
+	c, p := running(t)
+	ctx := context.Background()
+	opts := c.opts
+	opts.Self.Incarnation = 2
+	newer := New(opts)
+	assert.Assert(t, !newer.writeRow(ctx).IsZero())
+	assert.NilError(t, c.RemoveRow(ctx))
+	_, err := p.Get(ctx, rowPrefix+"h1")
+	assert.NilError(t, err)
+	assert.NilError(t, newer.RemoveRow(ctx))
+	_, err = p.Get(ctx, rowPrefix+"h1")
+	assert.ErrorContains(t, err, "no such row")
+}
--- a/forward/codec.go
+++ b/forward/codec.go
@@ -39,6 +39,7 @@
 	paramRemaining   = "remaining-us"
 	paramIdempotent  = "idempotent"
 	paramFingerprint = "fingerprint"
+	paramNoQueue     = "no-queue"
 )
 
 const (
@@ -61,6 +62,7 @@
 	setUint(args, paramRevision, att.Revision)
 	setUint(args, paramRemaining, uint64(max(att.Remaining.Microseconds(), 0)))
 	args.Set(paramIdempotent, strconv.FormatBool(att.Idempotent))
+	args.Set(paramNoQueue, strconv.FormatBool(att.NoQueue))
 	setUint(args, paramFingerprint, att.Fingerprint)
 	h.Set(fieldAttempt, att.ID.String())
 	h.SetBytesV(fieldEnvelope, args.QueryString())
@@ -86,6 +88,7 @@
 		Revision:    p.uint(paramRevision),
 		Remaining:   p.micros(paramRemaining),
 		Idempotent:  p.text(paramIdempotent) == strconv.FormatBool(true),
+		NoQueue:     p.text(paramNoQueue) == strconv.FormatBool(true),
 		Fingerprint: p.uint(paramFingerprint),
 	}
 	return att, p.err
--- a/gate/admit.go
+++ b/gate/admit.go
@@ -68,6 +68,9 @@
 		g.active++
 		return nil, nil
 	}
+	if tk.att.NoQueue && t.limiter.Limit() < t.slots {
+		return nil, g.cold(t)
+	}
 	it, ref := g.enqueue(tk, now)
 	if ref == nil {
 		g.active++
@@ -130,6 +133,13 @@
 	return it, nil
 }
 
+// cold refuses an attempt that another target may serve sooner than a queue in
+// front of a cold one.
+func (g *Gate) cold(t *target) *wire.Refusal {
+	g.stats.Busy++
+	return wire.Refuse(wire.ReasonCold, "target %s is cold and has all the requests that it bears", t.id)
+}
+
 func (g *Gate) busy(t *target, why string) *wire.Refusal {
 	g.stats.Busy++
 	ref := wire.Refuse(wire.ReasonBusy, "target %s: %s", t.id, why)
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -246,3 +246,34 @@
 	assert.NilError(t, f.Drain(context.Background()))
 	assert.Equal(t, <-got, "hello")
 }
+
+// TestColdTargetQueuesOnlyThePatient proves that a full cold target refuses an
+// attempt that asks for no queue, and lets another one wait.
+func TestColdTargetQueuesOnlyThePatient(t *testing.T) {
+	entered, release := make(chan struct{}, 2), make(chan struct{})
+	f := start(t, startBackend(t, func(rc *fasthttp.RequestCtx) {
+		entered <- struct{}{}
+		<-release
+		hello(rc)
+	}), "orders", nil)
+	ended := make(chan error, 2)
+	run := func(att wire.Attempt) {
+		ans, err := f.Forward(context.Background(), att, order())
+		if err == nil {
+			err = ans.Body.Close()
+		}
+		ended <- err
+	}
+	go run(f.attempt())
+	<-entered
+	hasty := f.attempt()
+	hasty.NoQueue = true
+	_, err := f.Forward(context.Background(), hasty, order())
+	refusal := wire.AsRefusal(err)
+	assert.Equal(t, refusal.Reason, wire.ReasonCold)
+	assert.Equal(t, refusal.Run, wire.NotRun)
+	go run(f.attempt())
+	close(release)
+	assert.NilError(t, <-ended)
+	assert.NilError(t, <-ended)
+}
--- a/wire/attempt.go
+++ b/wire/attempt.go
@@ -59,6 +59,9 @@
 	Remaining time.Duration
 	// Idempotent allows the request to be repeated.
 	Idempotent bool
+	// NoQueue asks for a refusal rather than a place in the queue of a target
+	// that is cold.
+	NoQueue bool
 	// Fingerprint identifies the request's content across attempts, for
 	// recognising requests that crash targets.
 	Fingerprint uint64
