--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -13,21 +13,21 @@
 	lingerBytes = MaxBodyBytes
 )
 
-// patientListener bounds each write instead of each answer, since large answers
+// callerListener bounds each write instead of each answer, since large answers
 // may take long.
-type patientListener struct{ net.Listener }
+type callerListener struct{ net.Listener }
 
 // Accept implements net.Listener.
-func (l patientListener) Accept() (net.Conn, error) {
+func (l callerListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &patientConn{Conn: conn}, nil
+	return &callerConn{Conn: conn}, nil
 }
 
-// patientConn is one connection of a caller.
-type patientConn struct {
+// callerConn is one connection of a caller.
+type callerConn struct {
 	net.Conn
 	// linger is set when the caller may still be sending a refused body. Closed
 	// at once, the connection would be reset and the refusal lost.
@@ -35,7 +35,7 @@
 }
 
 // Write implements net.Conn.
-func (c *patientConn) Write(p []byte) (int, error) {
+func (c *callerConn) Write(p []byte) (int, error) {
 	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeIdleTimeout)); err != nil {
 		return 0, err
 	}
@@ -44,14 +44,14 @@
 
 // Close implements net.Conn. It drops what the caller still sends, within
 // bounds, if the connection lingers.
-func (c *patientConn) Close() error {
+func (c *callerConn) Close() error {
 	if c.linger.Load() {
 		c.drain()
 	}
 	return c.Conn.Close()
 }
 
-func (c *patientConn) drain() {
+func (c *callerConn) drain() {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
 		return
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -46,7 +46,7 @@
 
 // Serve takes connections until the listener is closed.
 func (in *Ingress) Serve(l net.Listener) error {
-	err := in.server.Serve(patientListener{l})
+	err := in.server.Serve(callerListener{l})
 	return errors.Wrap(err, "serve callers")
 }
 
@@ -71,7 +71,7 @@
 	r := wire.Refuse(wire.ReasonBadRequest, "the request could not be read")
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		r = in.oversized(&ctx.Request.Header)
-		if conn, ok := ctx.Conn().(*patientConn); ok {
+		if conn, ok := ctx.Conn().(*callerConn); ok {
 			conn.linger.Store(true)
 		}
 	}
--- a/ingress/trial.go
+++ b/ingress/trial.go
@@ -237,9 +237,9 @@
 	return ans, nil
 }
 
-// patientAfter is the number of moves to other targets after which a request
+// queueAfterMoves is the number of moves to other targets after which a request
 // waits in the queue of a cold one: then few are warm.
-const patientAfter = 2
+const queueAfterMoves = 2
 
 func (t *trial) wireAttempt(snap *control.Snapshot, c balance.Choice) wire.Attempt {
 	return wire.Attempt{
@@ -253,7 +253,7 @@
 		Revision:    snap.Config.Revision(),
 		Remaining:   time.Until(t.state.Deadline),
 		Idempotent:  t.adm.idempotent,
-		NoQueue:     t.state.Moves < patientAfter,
+		NoQueue:     t.state.Moves < queueAfterMoves,
 		Fingerprint: t.fingerprint,
 	}
 }
