--- a/cmd/gooseberryshedd/main.go
+++ b/cmd/gooseberryshedd/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"github.com/gooseberryshed/gooseberryshed/daemon"
+	"github.com/gooseberryshed/gooseberryshed/hostd"
 )
 
-func main() { os.Exit(daemon.Main()) }
+func main() { os.Exit(daemon.Main(hostd.Command())) }
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -30,9 +30,12 @@
 // errUsage marks a command line that could not be read.
 var errUsage = errors.New("see --help")
 
-// Main runs the daemon of the command line and returns the exit code.
-func Main() int {
-	err := Command().Execute()
+// Main runs the daemon of the command line, or one of the given commands
+// beside it, and returns the exit code.
+func Main(others ...*cobra.Command) int {
+	cmd := Command()
+	cmd.AddCommand(others...)
+	err := cmd.Execute()
 	var se *settings.Error
 	switch {
 	case err == nil:
--- /dev/null
+++ b/gray/filter.go
@@ -0,0 +1,175 @@
+package gray
+
+import (
+	"math"
+	"time"
+)
+
+// Options describe the spells. Zero fields take the defaults given.
+type Options struct {
+	// FailShare is the share of requests that a gray target fails. Default 0.7.
+	FailShare float64
+	// SoundTime and GrayTime are the mean lengths of the two states. Defaults
+	// 7 s and 3 s: spells last seconds and hit about three targets in ten.
+	SoundTime, GrayTime time.Duration
+	// Window is how many requests the filter looks back on. Default 48.
+	Window int
+}
+
+const (
+	defaultFailShare = 0.7
+	defaultSoundTime = 7 * time.Second
+	defaultGrayTime  = 3 * time.Second
+	defaultWindow    = 48
+
+	// soundFailure is the share of requests that a sound target fails.
+	soundFailure = 0.02
+	// minSurvival keeps a single very late request from settling the matter:
+	// about one in a hundred takes several times the usual.
+	minSurvival = 0.015
+	// maxAge is how long a request stays in the window after its start.
+	maxAge = 20 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	if o.FailShare <= 0 {
+		o.FailShare = defaultFailShare
+	}
+	if o.SoundTime <= 0 {
+		o.SoundTime = defaultSoundTime
+	}
+	if o.GrayTime <= 0 {
+		o.GrayTime = defaultGrayTime
+	}
+	if o.Window <= 0 {
+		o.Window = defaultWindow
+	}
+	return o
+}
+
+// state of a request in the window.
+type state uint8
+
+const (
+	running state = iota
+	good
+	failed
+	left // ended by the caller at its age
+)
+
+// Request is a request in the filter's window.
+type Request struct {
+	start time.Time
+	ended time.Time
+	work  *Work
+	state state
+}
+
+// Filter judges one target. It is not safe for concurrent use.
+type Filter struct {
+	opts     Options
+	requests []*Request
+}
+
+// NewFilter returns a filter that knows nothing of its target.
+func NewFilter(o Options) *Filter { return &Filter{opts: o.withDefaults()} }
+
+// Start enters a request that is about to be sent. work is the distribution
+// of its kind.
+func (f *Filter) Start(now time.Time, work *Work) *Request {
+	r := &Request{start: now, work: work}
+	f.requests = append(f.requests, r)
+	f.trim(now)
+	return r
+}
+
+// Good records a whole answer, and teaches the kind's distribution.
+func (f *Filter) Good(now time.Time, r *Request) {
+	r.end(now, good)
+	r.work.Observe(now.Sub(r.start))
+}
+
+// Failed records a failure for which the target is to blame.
+func (f *Filter) Failed(now time.Time, r *Request) { r.end(now, failed) }
+
+// Left records that the caller gave the request up.
+func (f *Filter) Left(now time.Time, r *Request) { r.end(now, left) }
+
+// Forget removes a request that did not run.
+func (f *Filter) Forget(r *Request) {
+	for i, other := range f.requests {
+		if other == r {
+			f.requests = append(f.requests[:i], f.requests[i+1:]...)
+			return
+		}
+	}
+}
+
+// Reset forgets everything, for a target that has started anew.
+func (f *Filter) Reset() { f.requests = nil }
+
+func (r *Request) end(now time.Time, s state) {
+	if r.state == running {
+		r.ended, r.state = now, s
+	}
+}
+
+func (f *Filter) trim(now time.Time) {
+	drop := max(len(f.requests)-f.opts.Window, 0)
+	for drop < len(f.requests) && now.Sub(f.requests[drop].start) > maxAge {
+		drop++
+	}
+	if drop > 0 {
+		f.requests = append([]*Request(nil), f.requests[drop:]...)
+	}
+}
+
+// longRun is the share of time that a target is gray.
+func (o Options) longRun() float64 {
+	return float64(o.GrayTime) / float64(o.GrayTime+o.SoundTime)
+}
+
+// drift moves a belief towards the long-run share over a time without evidence.
+func (o Options) drift(p float64, dt time.Duration) float64 {
+	rate := 1/o.GrayTime.Seconds() + 1/o.SoundTime.Seconds()
+	share := o.longRun()
+	return share + (p-share)*math.Exp(-rate*max(dt.Seconds(), 0))
+}
+
+// Drift moves a belief that is dt old towards what is known of any target.
+func Drift(p float64, dt time.Duration) float64 {
+	return Options{}.withDefaults().drift(p, dt)
+}
+
+// Unknown is the belief about a target of which nothing is known.
+func Unknown() float64 { return Options{}.withDefaults().longRun() }
+
+// Probability is how likely the target is gray now.
+func (f *Filter) Probability(now time.Time) float64 {
+	p := f.opts.longRun()
+	if len(f.requests) == 0 {
+		return p
+	}
+	at := f.requests[0].start
+	for _, r := range f.requests {
+		p = f.opts.drift(p, r.start.Sub(at))
+		at = r.start
+		sound, gray := r.likelihoods(now, f.opts.FailShare)
+		p = p * gray / (p*gray + (1-p)*sound)
+	}
+	return f.opts.drift(p, now.Sub(at))
+}
+
+// likelihoods of what is seen of a request, for a sound and for a gray target.
+func (r *Request) likelihoods(now time.Time, failShare float64) (sound, gray float64) {
+	switch r.state {
+	case good:
+		return 1 - soundFailure, 1 - failShare
+	case failed:
+		return soundFailure, failShare
+	case left:
+		now = r.ended
+	}
+	s := max(r.work.Survival(now.Sub(r.start)), minSurvival)
+	return s, (1-failShare)*s + failShare
+}
--- /dev/null
+++ b/gray/work.go
@@ -0,0 +1,70 @@
+package gray
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// objectiveShare is the usual share of a route's objective that its work
+	// takes; it serves until answers have been seen.
+	objectiveShare = 0.35
+	// firstSigma is the spread of the logarithm of work times before answers
+	// have been seen.
+	firstSigma = 0.6
+	// firstWeight is how many answers the first guess counts for, and maxWeight
+	// how many the past does.
+	firstWeight = 4.0
+	maxWeight   = 60.0
+	minSigma    = 0.25
+	maxSigma    = 1.2
+	leastTime   = time.Millisecond
+)
+
+// Work is the distribution of the time that one kind of request takes, taken
+// as log-normal. It is not safe for concurrent use.
+type Work struct {
+	mu       float64 // mean of the logarithm of seconds
+	variance float64
+	weight   float64
+}
+
+// NewWork returns a first guess from a route's objective.
+func NewWork(objective time.Duration) *Work {
+	usual := max(time.Duration(objectiveShare*float64(objective)), leastTime)
+	return &Work{mu: math.Log(usual.Seconds()), variance: firstSigma * firstSigma, weight: firstWeight}
+}
+
+// Observe takes the time that a good answer took.
+func (w *Work) Observe(d time.Duration) {
+	x := math.Log(max(d, leastTime).Seconds())
+	w.weight = min(w.weight+1, maxWeight)
+	delta := x - w.mu
+	w.mu += delta / w.weight
+	w.variance += (delta*(x-w.mu) - w.variance) / w.weight
+}
+
+func (w *Work) sigma() float64 {
+	return min(max(math.Sqrt(w.variance), minSigma), maxSigma)
+}
+
+// Survival is the share of requests that take longer than d.
+func (w *Work) Survival(d time.Duration) float64 {
+	if d <= 0 {
+		return 1
+	}
+	z := (math.Log(d.Seconds()) - w.mu) / w.sigma()
+	return 0.5 * math.Erfc(z/math.Sqrt2)
+}
+
+// Mean is the mean time.
+func (w *Work) Mean() time.Duration {
+	s := w.sigma()
+	return time.Duration(math.Exp(w.mu+s*s/2) * float64(time.Second))
+}
+
+// Quantile is the time within which the share q of requests ends.
+func (w *Work) Quantile(q float64) time.Duration {
+	z := math.Sqrt2 * math.Erfinv(2*q-1)
+	return time.Duration(math.Exp(w.mu+z*w.sigma()) * float64(time.Second))
+}
--- /dev/null
+++ b/hostd/ingress.go
@@ -0,0 +1,367 @@
+package hostd
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/gooseberryshed/gooseberryshed/decisions"
+	"github.com/gooseberryshed/gooseberryshed/gray"
+	"github.com/gooseberryshed/gooseberryshed/h1"
+	"github.com/gooseberryshed/gooseberryshed/metrics"
+	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
+	"github.com/gooseberryshed/gooseberryshed/problem"
+	"github.com/gooseberryshed/gooseberryshed/retry"
+	"github.com/gooseberryshed/gooseberryshed/routes"
+	"github.com/gooseberryshed/gooseberryshed/wire"
+)
+
+// gates reaches the gates of all hosts.
+type gates interface {
+	// Forward takes an attempt to a target through its host's gate.
+	Forward(ctx context.Context, t Target, f Forward, req *fasthttp.Request) Reply
+}
+
+// rates decides whether a workspace may send one more request.
+type rates interface {
+	Take(ctx context.Context, w *routes.Workspace) (ok bool, retryAfter time.Duration)
+}
+
+// Ingress takes the requests of this host's callers.
+type Ingress struct {
+	set     *karpithaz.Settings
+	control *Control
+	gates   gates
+	rates   rates
+	log     *decisions.Log
+	metrics *metrics.Registry
+	reports *reports
+
+	mu      sync.Mutex
+	works   map[string]*gray.Work
+	budgets map[string]*retry.Budget
+}
+
+// NewIngress returns an ingress.
+func NewIngress(set *karpithaz.Settings, c *Control, g gates, r rates, l *decisions.Log, m *metrics.Registry) *Ingress {
+	return &Ingress{
+		set:     set,
+		control: c,
+		gates:   g,
+		rates:   r,
+		log:     l,
+		metrics: m,
+		reports: newReports(),
+		works:   map[string]*gray.Work{},
+		budgets: map[string]*retry.Budget{},
+	}
+}
+
+// exchange is one request of a caller on its way.
+type exchange struct {
+	in      *Ingress
+	x       *h1.Exchange
+	caller  karpithaz.Request
+	view    *View
+	route   *routes.Route
+	service string
+	holder  *routes.Workspace
+	inner   bool
+	// deadline is when the caller must have an answer.
+	deadline time.Time
+	started  time.Time
+}
+
+// defaultPatience is assumed of callers who do not say how long they wait.
+const defaultPatience = 30 * time.Second
+
+// Handle answers a request.
+func (in *Ingress) Handle(ctx context.Context, x *h1.Exchange) {
+	e := &exchange{in: in, x: x, view: in.control.View(), started: x.Arrived}
+	e.caller = karpithaz.ReadRequest(&x.Request.Header)
+	in.metrics.Add("requests", 1)
+	if refusal := e.admit(ctx); refusal != nil {
+		e.refuse(refusal, "refused")
+		return
+	}
+	e.prepare()
+	e.finish(ctx, newTrial(e).run(ctx))
+}
+
+// admit matches route and key, and takes a token of the workspace.
+func (e *exchange) admit(ctx context.Context) *wire.Refusal {
+	cfg := e.view.Config
+	if !e.view.Ready() {
+		return wire.Refuse(wire.ReasonOutOfTouch, "this host has read no configuration or no hosts yet")
+	}
+	path, ok := e.originForm()
+	if !ok {
+		return wire.Refuse(wire.ReasonBadRequest, "the request target is not a path")
+	}
+	host := string(e.x.Request.Header.Host())
+	if e.route, ok = cfg.Match(host, path); !ok {
+		return e.denied(wire.Refuse(wire.ReasonNoRoute, "no route of host %q matches the path", host))
+	}
+	e.setDeadline()
+	if refusal := e.authenticate(cfg); refusal != nil {
+		return refusal
+	}
+	if e.holder != nil {
+		if ok, after := e.in.rates.Take(ctx, e.holder); !ok {
+			r := wire.Refuse(wire.ReasonRate, "workspace %s exceeds its rate", e.holder.Name)
+			r.RetryAfter = after
+			return r
+		}
+	}
+	e.service = pickPart(e.route.Parts, rand.Float64())
+	return nil
+}
+
+// originForm returns the path without the query, and turns an absolute request
+// target into a path and a host.
+func (e *exchange) originForm() (path string, ok bool) {
+	h := &e.x.Request.Header
+	target := string(h.RequestURI())
+	if rest, absolute := strings.CutPrefix(target, "http://"); absolute {
+		host, _, _ := strings.Cut(rest, "/")
+		target = "/" + strings.TrimPrefix(rest[len(host):], "/")
+		h.SetHost(host)
+		h.SetRequestURI(target)
+	}
+	path, _, _ = strings.Cut(target, "?")
+	return path, strings.HasPrefix(path, "/")
+}
+
+func (e *exchange) setDeadline() {
+	patience := e.caller.TimeLeft
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	if e.route.Timeout > 0 {
+		patience = min(patience, e.route.Timeout)
+	}
+	e.deadline = e.started.Add(patience)
+}
+
+// Ages of the configuration's proof.
+const (
+	// staleDenial is the age above which a request that the configuration does
+	// not allow is refused for now rather than denied: a newer one may allow it.
+	// A feed's answer comes every two seconds.
+	staleDenial = 2600 * time.Millisecond
+	// proofMargin is kept from the bound for withdrawn keys, for the error of
+	// the clocks.
+	proofMargin = 250 * time.Millisecond
+)
+
+// denied returns the refusal, or a softer one while the configuration may be
+// out of date.
+func (e *exchange) denied(r *wire.Refusal) *wire.Refusal {
+	if age := e.in.control.ProofAge(); age > staleDenial {
+		return wire.Refuse(wire.ReasonOutOfTouch, "%s, by a configuration last proved %s ago", r.Detail, age.Round(time.Millisecond))
+	}
+	return r
+}
+
+func (e *exchange) authenticate(cfg *routes.Config) *wire.Refusal {
+	if !cfg.HasWorkspaces() || e.route.Open {
+		e.inner = e.route.Open && e.caller.Key == ""
+		return nil
+	}
+	if e.caller.Key == "" {
+		return e.denied(wire.Refuse(wire.ReasonNoKey, "the route demands a key"))
+	}
+	holder, ok := cfg.Holder(e.caller.Key)
+	if !ok {
+		return e.denied(wire.Refuse(wire.ReasonBadKey, "the key is not valid"))
+	}
+	age := e.in.control.ProofAge()
+	if b := e.in.set.Bounds; b.RevokeStrictly && age > b.RevokeWithin-proofMargin {
+		return wire.Refuse(wire.ReasonOutOfTouch, "the key was last known to be valid %s ago", age.Round(time.Millisecond))
+	}
+	e.holder = holder
+	return nil
+}
+
+// pickPart chooses a part by weight; r is uniform in [0, 1).
+func pickPart(parts []routes.Part, r float64) string {
+	total := 0
+	for _, p := range parts {
+		total += p.Weight
+	}
+	x := r * float64(total)
+	for _, p := range parts {
+		if x -= float64(p.Weight); x < 0 {
+			return p.Service
+		}
+	}
+	return parts[len(parts)-1].Service
+}
+
+// prepare takes off what neither gates nor targets may see.
+func (e *exchange) prepare() {
+	h := &e.x.Request.Header
+	karpithaz.StripCaller(h)
+	stripConnection(h)
+}
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Upgrade", "Expect", headerForward, headerReport, headerRefusal,
+}
+
+func stripConnection(h *fasthttp.RequestHeader) {
+	for _, name := range strings.Split(string(h.Peek("Connection")), ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			h.Del(name)
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+	h.SetNoDefaultContentType(true)
+}
+
+// priority is the workspace's, where it has one, else the route's.
+func (e *exchange) priority() int {
+	if e.holder != nil && e.holder.Priority != nil {
+		return *e.holder.Priority
+	}
+	return e.route.Priority
+}
+
+func (e *exchange) workspace() string {
+	if e.holder == nil {
+		return ""
+	}
+	return e.holder.Name
+}
+
+// finish writes what became of a request.
+func (e *exchange) finish(ctx context.Context, out outcome) {
+	if ctx.Err() != nil {
+		e.in.metrics.Add("left", 1)
+		e.in.log.Decide("caller-left", "id", e.caller.Attempt, "route", e.route.Name, "after_ms", time.Since(e.started).Milliseconds(), "attempts", out.attempts)
+		return
+	}
+	if out.answer == nil {
+		e.refuse(out.refusal, "failed")
+		return
+	}
+	took := time.Since(e.started)
+	resp := &e.x.Response
+	out.answer.Header.CopyTo(&resp.Header)
+	for _, name := range hopByHop {
+		resp.Header.Del(name)
+	}
+	resp.SetBodyRaw(out.answer.Body)
+	e.in.metrics.Add("served", 1)
+	e.in.metrics.Observe("request_time", took)
+	e.in.log.Decide("answered", "id", e.caller.Attempt, "route", e.route.Name, "status", resp.StatusCode(), "target", out.target,
+		"attempts", out.attempts, "took_ms", took.Milliseconds(), "objective_ms", e.route.Objective.Milliseconds(), "late", took > e.route.Objective)
+}
+
+// refuse answers a request that got no answer of a target.
+func (e *exchange) refuse(r *wire.Refusal, decision string) {
+	resp := &e.x.Response
+	status := r.Reason.Status()
+	if r.Run != wire.NotRun && (status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests) {
+		// Those promise that the request did not run.
+		status = fasthttp.StatusBadGateway
+	}
+	if r.Run == wire.NotRun && status >= fasthttp.StatusInternalServerError {
+		status = fasthttp.StatusServiceUnavailable
+	}
+	problem.Write(resp, r)
+	resp.SetStatusCode(status)
+	var after time.Duration
+	if status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests {
+		after = comeBack(r.RetryAfter, e.priorityOrLast(), rand.Float64())
+	}
+	karpithaz.WriteOwnAnswer(&resp.Header, e.caller.Attempt, after)
+	e.in.metrics.Add(decision, 1)
+	e.in.metrics.Add(decision+"_"+string(r.Reason), 1)
+	e.in.log.Decide(decision, "id", e.caller.Attempt, "status", status, "reason", r.Reason, "run", r.Run, "detail", r.Detail,
+		"retry_after_ms", after.Milliseconds(), "after_ms", time.Since(e.started).Milliseconds(),
+		"revision", e.revision(), "proof_age_ms", e.in.control.ProofAge().Milliseconds())
+}
+
+func (e *exchange) revision() uint64 {
+	if e.view.Config == nil {
+		return 0
+	}
+	return e.view.Config.Revision
+}
+
+// lastPriority ranks requests whose route is not known.
+const lastPriority = 3
+
+func (e *exchange) priorityOrLast() int {
+	if e.route == nil {
+		return lastPriority
+	}
+	return e.priority()
+}
+
+// Bounds of the advice when to come back.
+const (
+	leastComeBack = 200 * time.Millisecond
+	mostComeBack  = 3 * time.Second
+	// priorityStep lets more urgent callers come back first.
+	priorityStep = 150 * time.Millisecond
+)
+
+// comeBack chooses when a refused caller should try again: after the hint, the
+// urgent before others, and not all at once.
+func comeBack(hint time.Duration, priority int, spread float64) time.Duration {
+	base := min(max(hint, leastComeBack), mostComeBack) + time.Duration(min(max(priority, 0), lastPriority))*priorityStep
+	return base + time.Duration(spread*float64(base)/2)
+}
+
+// work is the distribution of the time that a route's requests take from here.
+func (in *Ingress) work(r *routes.Route) gray.Work {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return *in.workOf(r)
+}
+
+func (in *Ingress) workOf(r *routes.Route) *gray.Work {
+	w := in.works[r.Name]
+	if w == nil {
+		w = gray.NewWork(r.Objective)
+		in.works[r.Name] = w
+	}
+	return w
+}
+
+func (in *Ingress) learn(r *routes.Route, took time.Duration) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.workOf(r).Observe(took)
+}
+
+// budget is this host's share of a service's retry budget.
+func (in *Ingress) budget(service string, hosts int) *retry.Budget {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	b := in.budgets[service]
+	if b == nil {
+		b = newBudgetShare(in.set.Bounds, hosts)
+		in.budgets[service] = b
+	}
+	return b
+}
+
+// budgetUse is the part of the fleet's retry budget that the hosts' shares
+// give out; the rest covers calls that repeated work makes in its turn.
+const budgetUse = 0.75
+
+func newBudgetShare(b karpithaz.Bounds, hosts int) *retry.Budget {
+	reserve := int(budgetUse * b.RetryReserve / float64(max(hosts, 1)))
+	return retry.NewBudget(budgetUse*b.RetryRatio, max(reserve, 1))
+}
--- /dev/null
+++ b/hostd/main.go
@@ -0,0 +1,56 @@
+package hostd
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
+)
+
+// Command returns the command that runs the daemon on the platform.
+func Command() *cobra.Command {
+	var metricsPort int
+	cmd := &cobra.Command{
+		Use:   "host",
+		Short: "Run beside the target of one host of the Kárpitház platform",
+		Long: `Runs beside the target of one host of the Kárpitház platform. The host's facts
+come from the settings file that the environment variable ` + karpithaz.SettingsVariable + ` names.
+
+SIGTERM and SIGINT start a planned stop that cuts no request.`,
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return run(metricsPort) },
+	}
+	cmd.Flags().IntVar(&metricsPort, "metrics-port", 0, "port of the metrics page at the host's address; 0 has none")
+	return cmd
+}
+
+// maxPort is the highest TCP port.
+const maxPort = 65535
+
+func run(metricsPort int) error {
+	if metricsPort < 0 || metricsPort > maxPort {
+		return errors.Errorf("--metrics-port %d is not a port; use 0 to %d", metricsPort, maxPort)
+	}
+	set, err := karpithaz.LoadSettings()
+	if err != nil {
+		return err
+	}
+	o := Options{Settings: set, Output: os.Stdout}
+	if metricsPort > 0 {
+		o.MetricsListen = net.JoinHostPort(set.IP, strconv.Itoa(metricsPort))
+	}
+	h, err := New(o)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return h.Run(ctx)
+}
--- /dev/null
+++ b/hostd/reports.go
@@ -0,0 +1,83 @@
+package hostd
+
+import (
+	"sync"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/placing"
+)
+
+// reports keeps what gates last told, and which paths to them failed.
+type reports struct {
+	mu       sync.Mutex
+	byTarget map[string]placing.Report
+	paths    map[string]path
+}
+
+// path is the state of the way to a host.
+type path struct {
+	failures int
+	retryAt  time.Time
+}
+
+// Bounds of the time in which a path that failed is avoided; it doubles with
+// each failure in a row.
+const (
+	firstAvoid = 500 * time.Millisecond
+	longAvoid  = 4 * time.Second
+)
+
+func newReports() *reports {
+	return &reports{byTarget: map[string]placing.Report{}, paths: map[string]path{}}
+}
+
+func (r *reports) set(target string, rep placing.Report) {
+	if rep.At.IsZero() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byTarget[target] = rep
+}
+
+func (r *reports) get(target string) placing.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byTarget[target]
+}
+
+// reached records that a host's gate has answered.
+func (r *reports) reached(host string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.paths, host)
+}
+
+// failed records that the way to a host failed.
+func (r *reports) failed(host string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.paths[host]
+	p.retryAt = now.Add(min(firstAvoid<<min(p.failures, 8), longAvoid))
+	p.failures++
+	r.paths[host] = p
+}
+
+// doubtful reports whether the way to a host failed a short while ago.
+func (r *reports) doubtful(host string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, ok := r.paths[host]
+	return ok && now.Before(p.retryAt)
+}
+
+// keep drops the reports on targets that are no longer there.
+func (r *reports) keep(known func(target string) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for t := range r.byTarget {
+		if !known(t) {
+			delete(r.byTarget, t)
+		}
+	}
+}
--- /dev/null
+++ b/hostd/stop.go
@@ -0,0 +1,37 @@
+package hostd
+
+import (
+	"time"
+)
+
+// Times of a planned stop.
+const (
+	// callersLeave is how long callers may still come after the first question
+	// that found the host not ready: two questions a second apart, and the time
+	// of their requests to arrive.
+	callersLeave = 2600 * time.Millisecond
+	// killMargin is kept from the platform's kill.
+	killMargin = 300 * time.Millisecond
+	// stopPoll is how often the end of the work is looked for.
+	stopPoll = 20 * time.Millisecond
+)
+
+// stop is the planned stop: say not ready, refuse new work at the gate, let
+// callers leave, and end when all that was taken is answered. Work that still
+// runs is not broken off before the platform's kill is due.
+func (h *Host) stop() {
+	started := time.Now()
+	close(h.stopped)
+	h.gate.Stop()
+	h.log.Logger().Info("stopping", "callers", h.servers.callers.Active(), "gate", h.servers.gates.Active())
+	last := started.Add(h.set.Bounds.StopWithin - killMargin)
+	for now := started; now.Before(last); now = time.Now() {
+		idle := h.servers.callers.Active() == 0 && h.servers.gates.Active() == 0
+		if idle && now.Sub(started) >= callersLeave {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	h.log.Logger().Info("stopped", "took_ms", time.Since(started).Milliseconds(),
+		"callers", h.servers.callers.Active(), "gate", h.servers.gates.Active())
+}
--- /dev/null
+++ b/hostd/target.go
@@ -0,0 +1,90 @@
+package hostd
+
+import (
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/admission"
+	"github.com/gooseberryshed/gooseberryshed/gray"
+	"github.com/gooseberryshed/gooseberryshed/placing"
+	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
+	"github.com/gooseberryshed/gooseberryshed/routes"
+)
+
+// local is the target of this host, as its gate knows it. The gate's lock
+// guards it.
+type local struct {
+	id      string
+	service string
+	address string
+	dc      string
+	// born and sequence order what the target says of itself.
+	born, sequence int64
+	// leaving targets get nothing more.
+	leaving   bool
+	coldUntil time.Time
+	// downUntil keeps requests from a target that refused a connection.
+	downUntil time.Time
+	line      *admission.Line
+	filter    *gray.Filter
+	pace      admission.Pace
+}
+
+func newLocal(h karpithaz.Heartbeat) *local {
+	return &local{
+		id:      h.Target,
+		service: h.Service,
+		address: h.Address,
+		dc:      h.DataCentre,
+		line:    admission.New(h.Slots),
+		filter:  gray.NewFilter(gray.Options{}),
+	}
+}
+
+// supersedes reports whether a heartbeat tells something newer than what is
+// known. Heartbeats may arrive late, also those of an earlier life.
+func (t *local) supersedes(h karpithaz.Heartbeat) bool {
+	if h.Born != t.born {
+		return h.Born > t.born
+	}
+	return h.Sequence > t.sequence
+}
+
+// sameLife reports whether a heartbeat comes from the life that is known. A
+// target that a health check has found has no time of birth yet.
+func (t *local) sameLife(h karpithaz.Heartbeat) bool {
+	return h.Target == t.id && (h.Born == t.born || t.born == 0)
+}
+
+// hear takes what may change within a life.
+func (t *local) hear(h karpithaz.Heartbeat, now time.Time) {
+	t.born, t.sequence = h.Born, h.Sequence
+	t.line.SetSlots(h.Slots)
+	t.leaving = t.leaving || h.Leaving
+	t.coldUntil = now.Add(h.ColdFor)
+}
+
+func (t *local) cold(now time.Time) bool { return now.Before(t.coldUntil) }
+
+// bearable is how many requests a second the target may get. Targets turn cold
+// without notice, and one that is cold breaks down above its bound.
+func (t *local) bearable(svc *routes.Service, b karpithaz.Bounds) int {
+	if svc == nil || svc.ColdPerSecond <= 0 {
+		return 0
+	}
+	return max(int(svc.ColdPerSecond*b.ColdOverage+b.ColdSlack)-coldMargin, 1)
+}
+
+// coldMargin keeps requests whose arrival falls into another second than their
+// sending within the bound.
+const coldMargin = 3
+
+func (t *local) report(now time.Time) placing.Report {
+	return placing.Report{
+		At:      now,
+		Running: t.line.Running(),
+		Waiting: t.line.Waiting(),
+		Slots:   t.line.Slots(),
+		Gray:    t.filter.Probability(now),
+		Cold:    t.cold(now),
+	}
+}
--- /dev/null
+++ b/hostd/view.go
@@ -0,0 +1,97 @@
+package hostd
+
+import (
+	"encoding/json"
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberryshed/gooseberryshed/routes"
+)
+
+// Target is a target that may be chosen, and the gate that leads to it.
+type Target struct {
+	// ID names the present life of the target.
+	ID         string `json:"target"`
+	Service    string `json:"service"`
+	Host       string `json:"host"`
+	DataCentre string `json:"data_centre"`
+	// Gate is the address of the host's gate.
+	Gate  string `json:"gate"`
+	Slots int    `json:"slots"`
+}
+
+// decodeTarget reads a host's row. Rows of other writers fail.
+func decodeTarget(key string, value []byte) (Target, error) {
+	var t Target
+	if err := json.Unmarshal(value, &t); err != nil {
+		return t, errors.Wrap(err, "host row")
+	}
+	if t.Host != key || t.ID == "" || t.Service == "" || t.DataCentre == "" || t.Slots <= 0 {
+		return t, errors.New("host row lacks a field")
+	}
+	ip, _, err := net.SplitHostPort(t.Gate)
+	if err != nil || net.ParseIP(ip) == nil {
+		return t, errors.Errorf("host row has gate %q, which is not IP:port", t.Gate)
+	}
+	return t, nil
+}
+
+// View is what a host knows at one time. It is immutable.
+type View struct {
+	// Config is nil until a configuration was read.
+	Config *routes.Config
+	// KnowsHosts is set once the hosts' rows were read.
+	KnowsHosts bool
+	// Hosts is the number of hosts with a target.
+	Hosts     int
+	evacuated map[string]bool
+	byService map[string][]Target
+	byHost    map[string]Target
+}
+
+// Evacuated reports whether a data centre's targets are to get nothing.
+func (v *View) Evacuated(dataCentre string) bool { return v.evacuated[dataCentre] }
+
+// Targets lists the targets of a service, by host. The caller must not change
+// the list.
+func (v *View) Targets(service string) []Target { return v.byService[service] }
+
+// TargetOf returns the target of a host.
+func (v *View) TargetOf(host string) (Target, bool) {
+	t, ok := v.byHost[host]
+	return t, ok
+}
+
+// Ready reports whether requests can be served.
+func (v *View) Ready() bool { return v.Config != nil && v.KnowsHosts }
+
+func newView(cfg *routes.Config, evacuated map[string]bool, hosts map[string]Target, known bool) *View {
+	v := &View{
+		Config:     cfg,
+		KnowsHosts: known,
+		Hosts:      len(hosts),
+		evacuated:  evacuated,
+		byService:  map[string][]Target{},
+		byHost:     hosts,
+	}
+	for _, t := range hosts {
+		v.byService[t.Service] = append(v.byService[t.Service], t)
+	}
+	for _, list := range v.byService {
+		slices.SortFunc(list, func(a, b Target) int { return strings.Compare(a.Host, b.Host) })
+	}
+	return v
+}
+
+// knows reports whether a target is in the view.
+func (v *View) knows(target string) bool {
+	for _, t := range v.byHost {
+		if t.ID == target {
+			return true
+		}
+	}
+	return false
+}
--- a/link/body.go
+++ b/link/body.go
@@ -28,6 +28,7 @@
 	src    io.Reader
 	left   int64 // bytes to come; unused for chunks
 	chunks bool
+	toEnd  bool // the body ends with the connection
 	keep   bool
 	err    error // set once the exchange has ended
 }
@@ -47,6 +48,9 @@
 	case resp.Length == lengthChunked:
 		b.chunks = true
 		b.src = httputil.NewChunkedReader(e.c.br)
+	case resp.Length == lengthIdentity:
+		b.toEnd = true
+		b.keep = false
 	case resp.Length == 0:
 		b.finish()
 	default:
@@ -72,12 +76,15 @@
 	if b.err != nil {
 		return 0, b.err
 	}
-	if !b.chunks && int64(len(p)) > b.left {
+	if !b.chunks && !b.toEnd && int64(len(p)) > b.left {
 		p = p[:b.left]
 	}
 	n, err := b.src.Read(p)
-	if b.chunks {
+	switch {
+	case b.chunks:
 		return n, b.afterChunkRead(err)
+	case b.toEnd:
+		return n, b.afterUnframedRead(err)
 	}
 	return n, b.afterFixedRead(n, err)
 }
@@ -111,6 +118,19 @@
 	return b.err
 }
 
+// afterUnframedRead takes an orderly close as the end.
+func (b *body) afterUnframedRead(err error) error {
+	switch err {
+	case nil:
+		return nil
+	case io.EOF:
+		b.finish()
+	default:
+		b.failRead(err)
+	}
+	return b.err
+}
+
 // skipTrailer reads up to the empty line that ends a chunked body.
 func skipTrailer(br *bufio.Reader) error {
 	total := 0
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -33,6 +33,14 @@
 	// BeforeSend is called when a connection is at hand and before its first
 	// byte; an error ends the exchange with nothing sent.
 	BeforeSend func() error
+	// Unframed accepts an answer without length or chunks. Its body is whole
+	// when the peer closes the connection, and broken when it resets it.
+	Unframed bool
+	// Mine, when set, tells whether an answer belongs to this request. Others,
+	// left over from earlier requests of the connection, are passed over.
+	Mine func(h *fasthttp.ResponseHeader) bool
+	// OnInterim is called for each interim answer.
+	OnInterim func()
 }
 
 // Response is an answer whose body is still to be read.
@@ -52,12 +60,17 @@
 	errUnverifiable = errors.New("neither Content-Length nor chunks")
 	errSwitched     = errors.New("the peer switched protocols unasked")
 	errInterim      = errors.New("too many interim answers")
+	errForeign      = errors.New("too many answers to other requests")
 )
 
 const (
 	statusSwitchingProtocols = 101
 	firstFinalStatus         = 200
 	maxInterimAnswers        = 10000
+	// maxForeignAnswers and maxForeignBytes bound the answers to other requests
+	// that are passed over.
+	maxForeignAnswers = 3
+	maxForeignBytes   = 1 << 20
 )
 
 // Do sends req to addr over one connection and reads the answer's header.
@@ -167,15 +180,41 @@
 		return nil, e.failure(err)
 	}
 	resp := &Response{Reused: c.reused}
-	if err := readHeader(c, resp, e.Silence); err != nil {
+	if err := e.readAnswer(req, resp); err != nil {
 		return nil, e.failure(err)
 	}
-	if !isVerifiable(req, resp) {
-		return nil, e.failure(errUnverifiable)
-	}
 	return resp, nil
 }
 
+// readAnswer reads the header of the answer to req.
+func (e *exchange) readAnswer(req *fasthttp.Request, resp *Response) error {
+	for range maxForeignAnswers {
+		if err := e.readHeader(resp); err != nil {
+			return err
+		}
+		if !isVerifiable(req, resp) && (!e.Unframed || resp.Header.ContentLength() != lengthIdentity) {
+			return errUnverifiable
+		}
+		if e.Mine == nil || e.Mine(&resp.Header) {
+			return nil
+		}
+		if err := e.passOver(resp); err != nil {
+			return err
+		}
+	}
+	return errForeign
+}
+
+// passOver reads the rest of an answer to another request.
+func (e *exchange) passOver(resp *Response) error {
+	n := resp.Header.ContentLength()
+	if n < 0 || n > maxForeignBytes {
+		return errForeign
+	}
+	_, err := io.CopyN(io.Discard, e.c.br, int64(n))
+	return err
+}
+
 func (e *exchange) firstByte() time.Duration {
 	if e.FirstByte > 0 {
 		return e.FirstByte
@@ -203,12 +242,13 @@
 }
 
 // readHeader reads the final answer's header and passes over interim ones.
-func readHeader(c *conn, resp *Response, silence time.Duration) error {
+func (e *exchange) readHeader(resp *Response) error {
+	c := e.c
 	for range maxInterimAnswers {
 		if _, err := c.br.Peek(1); err != nil {
 			return err
 		}
-		c.silence = silence
+		c.silence = e.Silence
 		if err := resp.Header.Read(c.br); err != nil {
 			return err
 		}
@@ -220,6 +260,9 @@
 			return nil
 		}
 		c.received = 0
+		if e.OnInterim != nil {
+			e.OnInterim()
+		}
 	}
 	return errInterim
 }
--- /dev/null
+++ b/placing/placing.go
@@ -0,0 +1,123 @@
+package placing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/gray"
+)
+
+// Report is what a gate last told of its target.
+type Report struct {
+	// At is when the report arrived; zero means that there was none.
+	At time.Time
+	// Running and Waiting count requests; Slots is how many run at once.
+	Running, Waiting, Slots int
+	// Gray is the gate's belief that the target fails much of its work.
+	Gray float64
+	// Cold is set while the target bears little.
+	Cold bool
+}
+
+// Candidate is a target that may be chosen.
+type Candidate struct {
+	// Target names it; Host runs it.
+	Target, Host string
+	// Near is set for targets of the own data centre.
+	Near bool
+	// Doubtful paths failed a short while ago.
+	Doubtful bool
+	Report   Report
+}
+
+// Request is what matters of a request for its placing.
+type Request struct {
+	// Repeatable requests can be saved by a second target.
+	Repeatable bool
+	// Large answers make distance dear.
+	Large bool
+}
+
+// Costs in units of one request's worth.
+const (
+	// grayLost and grayDelayed weigh the chance that a target is gray, for
+	// requests that cannot and that can be repeated.
+	grayLost    = 1.0
+	grayDelayed = 0.4
+	// loadCost multiplies the square of the share of slots in use: targets
+	// slow down when they are nearly full.
+	loadCost = 0.2
+	// queueCost is added for each slot's worth of work beyond the slots.
+	queueCost = 0.5
+	// farCost is the price of the bytes of a usual request between data
+	// centres, farLargeCost that of a large answer.
+	farCost      = 0.06
+	farLargeCost = 0.6
+	// doubtCost keeps requests from paths that failed lately.
+	doubtCost = 0.7
+	// coldCost keeps requests from targets that bear little.
+	coldCost = 0.3
+	// noise spreads requests over targets of the same cost.
+	noise = 0.04
+	// usualLoad is assumed where nothing is known.
+	usualLoad = 0.4
+	// loadFades is the time in which a known load loses most of its meaning.
+	loadFades = 1500 * time.Millisecond
+)
+
+// Rand is a source of randomness; *rand.Rand of math/rand/v2 is one.
+type Rand interface{ Float64() float64 }
+
+// Cost is a candidate's cost for a request.
+func Cost(now time.Time, c Candidate, r Request) float64 {
+	belief, load := known(now, c.Report)
+	cost := loadCost * min(load, 1) * min(load, 1)
+	cost += queueCost * max(load-1, 0)
+	if r.Repeatable {
+		cost += grayDelayed * belief
+	} else {
+		cost += grayLost * belief
+	}
+	switch {
+	case c.Near:
+	case r.Large:
+		cost += farLargeCost
+	default:
+		cost += farCost
+	}
+	if c.Doubtful {
+		cost += doubtCost
+	}
+	if c.Report.Cold {
+		cost += coldCost
+	}
+	return cost
+}
+
+// known is what a report is worth at its age.
+func known(now time.Time, r Report) (belief, load float64) {
+	if r.At.IsZero() || r.Slots <= 0 {
+		return gray.Unknown(), usualLoad
+	}
+	age := now.Sub(r.At)
+	load = float64(r.Running+r.Waiting) / float64(r.Slots)
+	fresh := max(0, 1-age.Seconds()/loadFades.Seconds())
+	return gray.Drift(r.Gray, age), usualLoad + fresh*(load-usualLoad)
+}
+
+// Order sorts candidates by cost, cheapest first.
+func Order(now time.Time, cands []Candidate, r Request, rnd Rand) {
+	type scored struct {
+		c    Candidate
+		cost float64
+	}
+	list := make([]scored, len(cands))
+	for i, c := range cands {
+		list[i] = scored{c, Cost(now, c, r) + noise*rnd.Float64()}
+	}
+	slices.SortStableFunc(list, func(a, b scored) int { return cmp.Compare(a.cost, b.cost) })
+	for i := range list {
+		cands[i] = list[i].c
+	}
+}
--- /dev/null
+++ b/routes/routes.go
@@ -0,0 +1,215 @@
+package routes
+
+import (
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Kind says what may be repeated.
+type Kind int
+
+// The kinds of routes.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = iota + 1
+	// NonIdempotent requests may run at most once for each attempt of a caller.
+	NonIdempotent
+	// Download requests are idempotent and have large answers.
+	Download
+)
+
+// Repeatable reports whether a request of this kind may run more than once.
+func (k Kind) Repeatable() bool { return k != NonIdempotent }
+
+// Part is a service that takes a share of a route's requests.
+type Part struct {
+	Service string
+	// Weight is relative to the other parts' weights.
+	Weight int
+}
+
+// Route sends requests of one host and path prefix to services.
+type Route struct {
+	Name string
+	// Host is in lower case, without a port.
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest that a caller is kept waiting; 0 is no bound.
+	Timeout time.Duration
+	// Objective is the latency that earns full credit.
+	Objective time.Duration
+	// Priority ranks requests; 0 is the most urgent.
+	Priority int
+	// Parts has at least one entry.
+	Parts []Part
+	// MaxAttempts bounds the targets that one request may be sent to.
+	MaxAttempts int
+	// Open routes need no key.
+	Open bool
+	// Regions limits where requests may run; empty is anywhere.
+	Regions []string
+}
+
+// Service is a group of targets that are alike.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConns bounds the connections that a target accepts; 0 is not known.
+	MaxConns int
+	// ColdTime is how long a target stays cold after a start.
+	ColdTime time.Duration
+	// ColdPerSecond is how many requests a second a cold target bears; 0 is
+	// no bound.
+	ColdPerSecond float64
+}
+
+// Workspace is a group of callers that share keys and a rate.
+type Workspace struct {
+	Name string
+	// Priority replaces the route's; nil leaves it.
+	Priority *int
+	// Rate is in requests a second; 0 is unlimited.
+	Rate float64
+	// Burst is how many requests may come at once above the rate.
+	Burst float64
+	// Regions limits where requests may run; empty is anywhere.
+	Regions []string
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one revision of the configuration.
+type Config struct {
+	Revision uint64
+	Limits   Limits
+
+	byHost     map[string]map[string]*Route
+	services   map[string]*Service
+	workspaces map[string]*Workspace
+	byKey      map[string]*Workspace
+	routeCount int
+}
+
+// Key is a key and the workspace that holds it.
+type Key struct {
+	Secret    string
+	Workspace string
+}
+
+// Document is what a Config is built from.
+type Document struct {
+	Revision   uint64
+	Limits     Limits
+	Routes     []Route
+	Services   []Service
+	Workspaces []Workspace
+	Keys       []Key
+}
+
+// New builds a Config. It fails if a route names a service that does not exist
+// or has no prefix, and if a key names an unknown workspace.
+func New(d Document) (*Config, error) {
+	c := &Config{
+		Revision:   d.Revision,
+		Limits:     d.Limits,
+		byHost:     map[string]map[string]*Route{},
+		services:   make(map[string]*Service, len(d.Services)),
+		workspaces: make(map[string]*Workspace, len(d.Workspaces)),
+		byKey:      make(map[string]*Workspace, len(d.Keys)),
+		routeCount: len(d.Routes),
+	}
+	for i := range d.Services {
+		c.services[d.Services[i].Name] = &d.Services[i]
+	}
+	for i := range d.Routes {
+		if err := c.addRoute(&d.Routes[i]); err != nil {
+			return nil, err
+		}
+	}
+	for i := range d.Workspaces {
+		c.workspaces[d.Workspaces[i].Name] = &d.Workspaces[i]
+	}
+	for _, k := range d.Keys {
+		w := c.workspaces[k.Workspace]
+		if w == nil {
+			return nil, errors.Errorf("a key names workspace %q, which does not exist", k.Workspace)
+		}
+		c.byKey[k.Secret] = w
+	}
+	return c, nil
+}
+
+func (c *Config) addRoute(r *Route) error {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return errors.Errorf("route %q: prefix %q must begin and end with a slash", r.Name, r.Prefix)
+	}
+	if len(r.Parts) == 0 {
+		return errors.Errorf("route %q names no service", r.Name)
+	}
+	for _, p := range r.Parts {
+		if c.services[p.Service] == nil {
+			return errors.Errorf("route %q names service %q, which does not exist", r.Name, p.Service)
+		}
+	}
+	prefixes := c.byHost[r.Host]
+	if prefixes == nil {
+		prefixes = map[string]*Route{}
+		c.byHost[r.Host] = prefixes
+	}
+	prefixes[r.Prefix] = r
+	return nil
+}
+
+// Match returns the route of the host with the longest prefix that begins the
+// path. A port in host is passed over.
+func (c *Config) Match(host, path string) (*Route, bool) {
+	prefixes := c.byHost[canonicalHost(host)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0 && prefixes != nil; {
+		if r := prefixes[path[:end+1]]; r != nil {
+			return r, true
+		}
+		end = strings.LastIndexByte(path[:end], '/')
+	}
+	return nil, false
+}
+
+func canonicalHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// Service returns a service by name.
+func (c *Config) Service(name string) (*Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
+
+// Holder returns the workspace that holds a key.
+func (c *Config) Holder(key string) (*Workspace, bool) {
+	w, ok := c.byKey[key]
+	return w, ok
+}
+
+// Workspace returns a workspace by name.
+func (c *Config) Workspace(name string) (*Workspace, bool) {
+	w, ok := c.workspaces[name]
+	return w, ok
+}
+
+// HasWorkspaces reports whether requests need keys at all.
+func (c *Config) HasWorkspaces() bool { return len(c.workspaces) > 0 }
+
+// Routes is the number of routes.
+func (c *Config) Routes() int { return c.routeCount }
--- a/wire/reason.go
+++ b/wire/reason.go
@@ -34,6 +34,9 @@
 	ReasonOutOfTouch:     {503, "try again on a new connection to another host"},
 	ReasonTargetDied:     {502, "find out whether the request took effect before repeating it"},
 	ReasonDuplicateOrder: {409, "use a new attempt id"},
+	ReasonGray:           {503, "try again shortly"},
+	ReasonShed:           {503, "try again shortly"},
+	ReasonWrongTarget:    {503, "try again shortly"},
 }
 
 const statusUnlisted = 500
--- a/wire/refusal.go
+++ b/wire/refusal.go
@@ -53,6 +53,12 @@
 	ReasonOutOfTouch     Reason = "out-of-touch"
 	ReasonTargetDied     Reason = "target-died"
 	ReasonDuplicateOrder Reason = "duplicate-attempt"
+	// ReasonGray is a target that seems to fail much of its work.
+	ReasonGray Reason = "target-gray"
+	// ReasonShed is a target that stated that it did not run the request.
+	ReasonShed Reason = "target-shed"
+	// ReasonWrongTarget is another target at the address, which refused.
+	ReasonWrongTarget Reason = "wrong-target"
 )
 
 // Refusal is the error of a request that got no answer from a target.
