Rates over the fleet by bucket owners; settings reload on SIGHUP

The owner of a workspace, chosen by rendezvous hashing, keeps its token bucket and is asked by datagram for each request. A second owner takes over half of the rate, and passes the question on when it can still reach the first.

Ruled out: static shares (callers stay with one host), leases in the store (a priced call a renewal, starved for a lease after a loss).

--- a/hostd/announce.go
+++ b/hostd/announce.go
@@ -40,7 +40,7 @@
 		x.Response.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
-	if h.Address != g.set.TargetAddress {
+	if h.Address != g.set().TargetAddress {
 		g.metrics.Add("heartbeats_foreign", 1)
 		g.log.Decide("heartbeat-refused", "target", id, "address", h.Address, "err", "not the address of this host's target")
 		x.Response.SetStatusCode(fasthttp.StatusConflict)
@@ -93,9 +93,10 @@
 	return &Target{
 		ID:         t.id,
 		Service:    t.service,
-		Host:       g.set.Host,
-		DataCentre: g.set.DataCentre,
-		Gate:       g.set.GateListen,
+		Host:       g.set().Host,
+		DataCentre: g.set().DataCentre,
+		Gate:       g.set().GateListen,
+		Control:    g.set().DatagramListen,
 		Slots:      t.line.Slots(),
 	}
 }
@@ -136,7 +137,7 @@
 // anew serves before the next heartbeat. It waits for a configuration, which
 // names the path, and gives up when a heartbeat comes first.
 func (g *Gate) Look(ctx context.Context) {
-	for g.service(g.set.Service) == nil {
+	for g.service(g.set().Service) == nil {
 		if !pause.For(ctx, lookPause) {
 			return
 		}
@@ -162,14 +163,14 @@
 func (g *Gate) health(ctx context.Context) (karpithaz.Heartbeat, bool) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	req.Header.SetRequestURI(g.service(g.set.Service).HealthPath)
-	req.Header.SetHost(g.set.TargetAddress)
+	req.Header.SetRequestURI(g.service(g.set().Service).HealthPath)
+	req.Header.SetHost(g.set().TargetAddress)
 	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
 	defer cancel()
 	g.metrics.Add("target_probes", 1)
-	resp, err := g.links.Do(ctx, g.set.TargetAddress, req, link.Exchange{FirstByte: lookTimeout})
+	resp, err := g.links.Do(ctx, g.set().TargetAddress, req, link.Exchange{FirstByte: lookTimeout})
 	if err != nil {
-		g.log.Decide("health-failed", "address", g.set.TargetAddress, "err", err)
+		g.log.Decide("health-failed", "address", g.set().TargetAddress, "err", err)
 		return karpithaz.Heartbeat{}, false
 	}
 	if _, err := readBody(resp); err != nil {
@@ -181,9 +182,9 @@
 	}
 	return karpithaz.Heartbeat{
 		Target:     says.Target,
-		Service:    g.set.Service,
-		Address:    g.set.TargetAddress,
-		DataCentre: g.set.DataCentre,
+		Service:    g.set().Service,
+		Address:    g.set().TargetAddress,
+		DataCentre: g.set().DataCentre,
 		Slots:      says.Load.Slots,
 		ColdFor:    says.ColdFor,
 	}, true
--- a/hostd/control.go
+++ b/hostd/control.go
@@ -226,7 +226,7 @@
 			pause.For(ctx, between)
 		case errors.Is(err, karpithaz.ErrHistoryGone):
 			c.log.Logger().Warn("store has dropped its history; reading anew", "table", table)
-			f.version = 0
+			f.started = false
 		case ctx.Err() == nil:
 			failures++
 			f.failed(failures, err)
@@ -248,6 +248,8 @@
 	c       *Control
 	table   string
 	version uint64
+	// started is set once the whole table has been read.
+	started bool
 	offset  storeClock
 }
 
@@ -255,7 +257,7 @@
 	asked := boottime.Now()
 	var r karpithaz.Reading
 	var err error
-	whole := f.version == 0
+	whole := !f.started
 	if whole {
 		r, err = f.c.store.Range(ctx, f.table, "", storeTimeout)
 	} else {
@@ -266,7 +268,7 @@
 	}
 	n := news{table: f.table, whole: whole, rows: r.Rows, done: make(chan struct{})}
 	n.asOf = f.offset.answered(asked, boottime.Now(), r.StoreMillis)
-	f.version = max(r.Version, f.version)
+	f.version, f.started = max(r.Version, f.version), true
 	select {
 	case f.c.news <- n:
 		<-n.done
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -20,7 +20,7 @@
 
 // Gate is the only door to the target of this host.
 type Gate struct {
-	set      *karpithaz.Settings
+	set      func() *karpithaz.Settings
 	view     func() *View
 	announce func(*Target)
 	log      *decisions.Log
@@ -46,7 +46,7 @@
 
 // NewGate returns a gate that knows no target yet. announce is told of the
 // target, or nil, whenever others should know.
-func NewGate(set *karpithaz.Settings, view func() *View, announce func(*Target), l *decisions.Log, m *metrics.Registry) *Gate {
+func NewGate(set func() *karpithaz.Settings, view func() *View, announce func(*Target), l *decisions.Log, m *metrics.Registry) *Gate {
 	return &Gate{
 		set:      set,
 		view:     view,
@@ -164,13 +164,13 @@
 	view := g.view()
 	switch {
 	case g.stopping:
-		return wire.Refuse(wire.ReasonLeaving, "host %s is stopping", g.set.Host)
+		return wire.Refuse(wire.ReasonLeaving, "host %s is stopping", g.set().Host)
 	case t == nil || t.id != f.Target:
-		return wire.Refuse(wire.ReasonNoTarget, "target %s is not on host %s", f.Target, g.set.Host)
+		return wire.Refuse(wire.ReasonNoTarget, "target %s is not on host %s", f.Target, g.set().Host)
 	case t.leaving:
 		return wire.Refuse(wire.ReasonLeaving, "target %s is leaving", t.id)
-	case view.Evacuated(g.set.DataCentre):
-		return wire.Refuse(wire.ReasonDataCentreOut, "data centre %s is out", g.set.DataCentre)
+	case view.Evacuated(g.set().DataCentre):
+		return wire.Refuse(wire.ReasonDataCentreOut, "data centre %s is out", g.set().DataCentre)
 	case now.Before(t.downUntil):
 		return wire.Refuse(wire.ReasonUnreachable, "target %s refused a connection a moment ago", t.id)
 	case !f.Repeatable && g.sent.has(f.Attempt):
@@ -207,7 +207,7 @@
 func (g *Gate) send(tk *ticket, now time.Time) *wire.Refusal {
 	t := tk.target
 	svc := g.service(t.service)
-	if !t.pace.Allow(now, t.bearable(svc, g.set.Bounds)) {
+	if !t.pace.Allow(now, t.bearable(svc, g.set().Bounds)) {
 		r := wire.Refuse(wire.ReasonCold, "target %s has all the requests that it bears in a second", t.id)
 		r.RetryAfter = t.pace.ClearsIn(now)
 		return r
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,7 +30,10 @@
 
 // Host is the daemon of one host.
 type Host struct {
-	set     *karpithaz.Settings
+	// set are the settings at the start; addresses are taken from them.
+	set *karpithaz.Settings
+	// present are the settings in force, which a reload replaces.
+	present atomic.Pointer[karpithaz.Settings]
 	log     *decisions.Log
 	metrics *metrics.Registry
 	store   *karpithaz.Store
@@ -37,6 +41,8 @@
 	gate    *Gate
 	client  *gateClient
 	ingress *Ingress
+	rates   *fleetRates
+	asks    *datagrams
 	servers servers
 	stopped chan struct{}
 }
@@ -63,9 +69,16 @@
 		client:  newGateClient(o.Settings.IP),
 		stopped: make(chan struct{}),
 	}
+	h.present.Store(o.Settings)
 	h.control = NewControl(o.Settings.Host, h.store, h.log, h.metrics)
-	h.gate = NewGate(o.Settings, h.control.View, h.control.Announce, h.log, h.metrics)
-	h.ingress = NewIngress(o.Settings, h.control, h, unlimited{}, h.log, h.metrics)
+	h.gate = NewGate(h.present.Load, h.control.View, h.control.Announce, h.log, h.metrics)
+	asks, err := newDatagrams(o.Settings.DatagramListen, h.metrics, h.answer)
+	if err != nil {
+		return nil, err
+	}
+	h.asks = asks
+	h.rates = newFleetRates(o.Settings.Host, h.control.View, asks.ask)
+	h.ingress = NewIngress(h.present.Load, h.control, h, h.rates, h.log, h.metrics)
 	if err := h.open(o.MetricsListen); err != nil {
 		h.close()
 		return nil, err
@@ -122,6 +135,7 @@
 	for _, l := range h.servers.listeners {
 		l.Close()
 	}
+	h.asks.close()
 	h.gate.Close()
 	h.client.links.Close()
 	h.store.Close()
@@ -137,6 +151,7 @@
 		{Name: "config", Run: h.control.RunConfig},
 		{Name: "hosts", Run: h.control.RunHosts},
 		{Name: "own-row", Run: h.control.RunOwnRow},
+		{Name: "datagrams", Run: h.asks.run},
 		{Name: "sweep", Run: h.runSweep},
 	}, h.servers.children...)
 	failed := make(chan error, 1)
@@ -157,6 +172,18 @@
 	return err
 }
 
+// Reload reads the settings anew. Unusable ones change nothing. Addresses stay
+// as they were at the start.
+func (h *Host) Reload() {
+	set, err := karpithaz.LoadSettings()
+	if err != nil {
+		h.log.Logger().Error("settings unusable; the last ones stay in force", "err", err)
+		return
+	}
+	h.present.Store(set)
+	h.log.Logger().Info("settings reloaded", "service", set.Service)
+}
+
 // sweepEvery is how often idle connections and old knowledge are dropped.
 const sweepEvery = 5 * time.Second
 
@@ -165,6 +192,7 @@
 		now := time.Now()
 		h.client.links.Sweep(now)
 		h.gate.links.Sweep(now)
+		h.rates.sweep(now)
 		view := h.control.View()
 		h.ingress.reports.keep(func(target string) bool { return view.knows(target) })
 	}
@@ -179,6 +207,15 @@
 	return h.client.Forward(ctx, t, f, req)
 }
 
+// answer answers a datagram of another daemon.
+func (h *Host) answer(ctx context.Context, q datagram) datagram {
+	if q.Kind == questionRate {
+		return h.rates.answer(ctx, q)
+	}
+	h.metrics.Add("datagrams_unknown", 1)
+	return datagram{}
+}
+
 // handleForward answers another daemon's attempt.
 func (h *Host) handleForward(ctx context.Context, x *h1.Exchange) {
 	f, err := readForward(&x.Request.Header)
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -33,7 +33,7 @@
 
 // Ingress takes the requests of this host's callers.
 type Ingress struct {
-	set     *karpithaz.Settings
+	set     func() *karpithaz.Settings
 	control *Control
 	gates   gates
 	rates   rates
@@ -47,7 +47,7 @@
 }
 
 // NewIngress returns an ingress.
-func NewIngress(set *karpithaz.Settings, c *Control, g gates, r rates, l *decisions.Log, m *metrics.Registry) *Ingress {
+func NewIngress(set func() *karpithaz.Settings, c *Control, g gates, r rates, l *decisions.Log, m *metrics.Registry) *Ingress {
 	return &Ingress{
 		set:     set,
 		control: c,
@@ -180,7 +180,7 @@
 		return e.denied(wire.Refuse(wire.ReasonBadKey, "the key is not valid"))
 	}
 	age := e.in.control.ProofAge()
-	if b := e.in.set.Bounds; b.RevokeStrictly && age > b.RevokeWithin-proofMargin {
+	if b := e.in.set().Bounds; b.RevokeStrictly && age > b.RevokeWithin-proofMargin {
 		return wire.Refuse(wire.ReasonOutOfTouch, "the key was last known to be valid %s ago", age.Round(time.Millisecond))
 	}
 	e.holder = holder
@@ -351,7 +351,7 @@
 	defer in.mu.Unlock()
 	b := in.budgets[service]
 	if b == nil {
-		b = newBudgetShare(in.set.Bounds, hosts)
+		b = newBudgetShare(in.set().Bounds, hosts)
 		in.budgets[service] = b
 	}
 	return b
--- a/hostd/main.go
+++ b/hostd/main.go
@@ -52,5 +52,13 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	go func() {
+		for range hup {
+			h.Reload()
+		}
+	}()
 	return h.Run(ctx)
 }
--- a/hostd/reports.go
+++ b/hostd/reports.go
@@ -63,6 +63,13 @@
 	r.paths[host] = p
 }
 
+// avoid records that a host did not answer and is to be passed over for a time.
+func (r *reports) avoid(host string, now time.Time, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.paths[host] = path{failures: r.paths[host].failures + 1, retryAt: now.Add(d)}
+}
+
 // doubtful reports whether the way to a host failed a short while ago.
 func (r *reports) doubtful(host string, now time.Time) bool {
 	r.mu.Lock()
--- a/hostd/trial.go
+++ b/hostd/trial.go
@@ -306,7 +306,7 @@
 		out = append(out, placing.Candidate{
 			Target:   t.ID,
 			Host:     t.Host,
-			Near:     t.DataCentre == a.e.in.set.DataCentre,
+			Near:     t.DataCentre == a.e.in.set().DataCentre,
 			Doubtful: a.e.in.reports.doubtful(t.Host, now),
 			Report:   a.e.in.reports.get(t.ID),
 		})
@@ -317,7 +317,7 @@
 // allowed reports whether route and workspace let the request run in the
 // target's region.
 func (a *attempt) allowed(t Target) bool {
-	region := a.e.in.set.Regions[t.DataCentre]
+	region := a.e.in.set().Regions[t.DataCentre]
 	if len(a.e.route.Regions) > 0 && !slices.Contains(a.e.route.Regions, region) {
 		return false
 	}
@@ -337,7 +337,7 @@
 		Target:        t.ID,
 		TimeLeftMs:    time.Until(e.deadline).Milliseconds(),
 		Workspace:     e.workspace(),
-		CallerService: e.in.set.Service,
+		CallerService: e.in.set().Service,
 		Route:         e.route.Name,
 		ObjectiveMs:   e.route.Objective.Milliseconds(),
 		Priority:      e.priority(),
--- a/hostd/view.go
+++ b/hostd/view.go
@@ -2,7 +2,8 @@
 
 import (
 	"encoding/json"
-	"net"
+	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 
@@ -18,9 +19,10 @@
 	Service    string `json:"service"`
 	Host       string `json:"host"`
 	DataCentre string `json:"data_centre"`
-	// Gate is the address of the host's gate.
-	Gate  string `json:"gate"`
-	Slots int    `json:"slots"`
+	// Gate is the address of the host's gate, Control that of its datagrams.
+	Gate    string `json:"gate"`
+	Control string `json:"control"`
+	Slots   int    `json:"slots"`
 }
 
 // decodeTarget reads a host's row. Rows of other writers fail.
@@ -32,9 +34,10 @@
 	if t.Host != key || t.ID == "" || t.Service == "" || t.DataCentre == "" || t.Slots <= 0 {
 		return t, errors.New("host row lacks a field")
 	}
-	ip, _, err := net.SplitHostPort(t.Gate)
-	if err != nil || net.ParseIP(ip) == nil {
-		return t, errors.Errorf("host row has gate %q, which is not IP:port", t.Gate)
+	for _, addr := range []string{t.Gate, t.Control} {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			return t, errors.Wrap(err, "host row")
+		}
 	}
 	return t, nil
 }
@@ -50,6 +53,7 @@
 	evacuated map[string]bool
 	byService map[string][]Target
 	byHost    map[string]Target
+	names     []string
 }
 
 // Evacuated reports whether a data centre's targets are to get nothing.
@@ -65,6 +69,10 @@
 	return t, ok
 }
 
+// hostNames lists the hosts with a target, sorted. The caller must not change
+// the list.
+func (v *View) hostNames() []string { return v.names }
+
 // Ready reports whether requests can be served.
 func (v *View) Ready() bool { return v.Config != nil && v.KnowsHosts }
 
@@ -76,6 +84,7 @@
 		evacuated:  evacuated,
 		byService:  map[string][]Target{},
 		byHost:     hosts,
+		names:      slices.Sorted(maps.Keys(hosts)),
 	}
 	for _, t := range hosts {
 		v.byService[t.Service] = append(v.byService[t.Service], t)
