Retry budget of the whole fleet by its owner; second attempts go elsewhere

Change: a host's budget grows with its requests; beyond it the owner of the service's fleet-wide reserve is asked. Attempts of one request never share a target. Buckets count as filled since their owner's claim began. A stopping host refuses what it could not finish.

Ruled out: larger reserves for each host (their sum breaks the budget).

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -90,7 +91,7 @@
 		evacuated: map[string]bool{},
 		hosts:     map[string]Target{},
 	}
-	c.view.Store(newView(nil, nil, nil, false))
+	c.view.Store(newView(nil, nil, nil, false, time.Now()))
 	return c
 }
 
@@ -128,7 +129,7 @@
 		c.takeHosts(n)
 	}
 	if changed {
-		c.view.Store(newView(c.config, maps.Clone(c.evacuated), maps.Clone(c.hosts), c.known))
+		c.publish()
 	}
 	if n.table == karpithaz.OperatorTable && c.config != nil {
 		// The proof follows the view, so that nobody sees it with an older one.
@@ -136,6 +137,14 @@
 	}
 }
 
+func (c *Control) publish() {
+	v := newView(c.config, maps.Clone(c.evacuated), maps.Clone(c.hosts), c.known, time.Now())
+	if old := c.View(); slices.Equal(old.names, v.names) {
+		v.hostsSince = old.hostsSince
+	}
+	c.view.Store(v)
+}
+
 func (c *Control) takeOperators(n news) {
 	if n.whole {
 		c.evacuated = map[string]bool{}
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -77,7 +77,7 @@
 		return nil, err
 	}
 	h.asks = asks
-	h.rates = newFleetRates(o.Settings.Host, h.control.View, asks.ask)
+	h.rates = newFleetRates(o.Settings.Host, h.bounds, h.control.View, asks.ask)
 	h.ingress = NewIngress(h.present.Load, h.control, h, h.rates, h.log, h.metrics)
 	if err := h.open(o.MetricsListen); err != nil {
 		h.close()
@@ -207,9 +207,11 @@
 	return h.client.Forward(ctx, t, f, req)
 }
 
+func (h *Host) bounds() karpithaz.Bounds { return h.present.Load().Bounds }
+
 // answer answers a datagram of another daemon.
 func (h *Host) answer(ctx context.Context, q datagram) datagram {
-	if q.Kind == questionRate {
+	if q.Kind == questionRate || q.Kind == questionRepeat {
 		return h.rates.answer(ctx, q)
 	}
 	h.metrics.Add("datagrams_unknown", 1)
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -26,9 +27,13 @@
 	Forward(ctx context.Context, t Target, f Forward, req *fasthttp.Request) Reply
 }
 
-// rates decides whether a workspace may send one more request.
+// rates takes tokens of what is bounded over the fleet.
 type rates interface {
+	// Take asks whether a workspace may send one more request.
 	Take(ctx context.Context, w *routes.Workspace) (ok bool, retryAfter time.Duration)
+	// Repeat asks whether a request for a service may be sent once more,
+	// beyond what the service's requests allow by their number.
+	Repeat(ctx context.Context, service string) bool
 }
 
 // Ingress takes the requests of this host's callers.
@@ -41,11 +46,20 @@
 	metrics *metrics.Registry
 	reports *reports
 
+	// leaving is set when a planned stop has begun.
+	leaving atomic.Pointer[leaving]
+
 	mu      sync.Mutex
 	works   map[string]*gray.Work
 	budgets map[string]*retry.Budget
 }
 
+// leaving is a planned stop under way.
+type leaving struct{ since, until time.Time }
+
+// Leave begins a planned stop that ends at a time.
+func (in *Ingress) Leave(now, until time.Time) { in.leaving.Store(&leaving{now, until}) }
+
 // NewIngress returns an ingress.
 func NewIngress(set func() *karpithaz.Settings, c *Control, g gates, r rates, l *decisions.Log, m *metrics.Registry) *Ingress {
 	return &Ingress{
@@ -107,6 +121,9 @@
 		return e.denied(wire.Refuse(wire.ReasonNoRoute, "no route of host %q matches the path", host))
 	}
 	e.setDeadline()
+	if refusal := e.tooLate(); refusal != nil {
+		return refusal
+	}
 	if refusal := e.authenticate(cfg); refusal != nil {
 		return refusal
 	}
@@ -147,6 +164,25 @@
 	e.deadline = e.started.Add(patience)
 }
 
+// lastWork is the share of a route's requests that must end before a host
+// stops, for it to still take one after its callers should have left.
+const lastWork = 0.98
+
+// tooLate refuses requests that come late in a planned stop and would be cut by
+// its end.
+func (e *exchange) tooLate() *wire.Refusal {
+	l := e.in.leaving.Load()
+	now := time.Now()
+	if l == nil || now.Sub(l.since) < callersLeave {
+		return nil
+	}
+	w := e.in.work(e.route)
+	if now.Add(w.Quantile(lastWork)).Before(l.until) {
+		return nil
+	}
+	return wire.Refuse(wire.ReasonLeaving, "this host stops in %s", l.until.Sub(now).Round(time.Millisecond))
+}
+
 // Ages of the configuration's proof.
 const (
 	// staleDenial is the age above which a request that the configuration does
@@ -345,23 +381,19 @@
 	in.workOf(r).Observe(took)
 }
 
-// budget is this host's share of a service's retry budget.
-func (in *Ingress) budget(service string, hosts int) *retry.Budget {
+// budget is this host's retry budget for a service, which grows with the
+// requests that it sends there.
+func (in *Ingress) budget(service string) *retry.Budget {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	b := in.budgets[service]
 	if b == nil {
-		b = newBudgetShare(in.set().Bounds, hosts)
+		b = retry.NewBudget(budgetUse*in.set().Bounds.RetryRatio, ownReserve)
 		in.budgets[service] = b
 	}
 	return b
 }
 
-// budgetUse is the part of the fleet's retry budget that the hosts' shares
-// give out; the rest covers calls that repeated work makes in its turn.
-const budgetUse = 0.75
-
-func newBudgetShare(b karpithaz.Bounds, hosts int) *retry.Budget {
-	reserve := int(budgetUse * b.RetryReserve / float64(max(hosts, 1)))
-	return retry.NewBudget(budgetUse*b.RetryRatio, max(reserve, 1))
-}
+// ownReserve is how many repeats a host may save up; it stays small against
+// what the fleet may do in the budget's window.
+const ownReserve = 1
--- a/hostd/rates.go
+++ b/hostd/rates.go
@@ -5,34 +5,53 @@
 	"sync"
 	"time"
 
+	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/quota"
 	"github.com/gooseberryshed/gooseberryshed/routes"
 )
 
-// questionRate asks an owner for a token of a workspace.
-const questionRate = "rate"
-
-// ownersAsked is how many hosts are asked in the order of their claims.
-const ownersAsked = 2
+// Questions to the owner of a bucket.
+const (
+	// questionRate asks for a token of a workspace.
+	questionRate = "rate"
+	// questionRepeat asks for a token of a service's retry budget.
+	questionRepeat = "repeat"
+)
 
-// takenOverShare is the share of a rate that the second owner gives out while
-// it cannot reach the first, who may be giving out tokens to others.
-const takenOverShare = 0.5
+const (
+	// ownersAsked is how many hosts are asked in the order of their claims.
+	ownersAsked = 2
+	// takenOverShare is the share of a rate that the second owner gives out
+	// while it cannot reach the first, who may be giving out tokens to others.
+	takenOverShare = 0.5
+	// lookAgain is how long a host that did not answer is passed over.
+	lookAgain = 1500 * time.Millisecond
+	// burstFromSlack is the share of the platform's slack on rates that is
+	// added to a burst, since callers come in clumps.
+	burstFromSlack = 0.4
+	// budgetUse is the share of the fleet's retry budget that is given out; the
+	// rest covers the calls that repeated work makes in its turn.
+	budgetUse = 0.8
+)
 
-// lookAgain is how long a host that did not answer is passed over.
-const lookAgain = 1500 * time.Millisecond
+// allowance is the rate and burst of a bucket.
+type allowance struct {
+	// kind is the question that asks for a token, name the bucket's name.
+	kind, name  string
+	rate, burst float64
+}
 
-// fleetRates takes tokens from the workspaces' owners, and is the owner of
-// some.
+// fleetRates takes tokens from the owners of buckets, and is the owner of some.
 type fleetRates struct {
 	host    string
+	bounds  func() karpithaz.Bounds
 	view    func() *View
 	ask     func(ctx context.Context, addr string, q datagram) (datagram, error)
 	reached *reports
 
 	mu      sync.Mutex
 	buckets map[string]*quota.Bucket
-	// remembered numbers of questions keep a repeated one from taking twice.
+	// answered keeps a repeated question from taking a second token.
 	answered map[answeredKey]answeredRate
 }
 
@@ -46,9 +65,10 @@
 	a  datagram
 }
 
-func newFleetRates(host string, view func() *View, ask func(context.Context, string, datagram) (datagram, error)) *fleetRates {
+func newFleetRates(host string, bounds func() karpithaz.Bounds, view func() *View, ask func(context.Context, string, datagram) (datagram, error)) *fleetRates {
 	return &fleetRates{
 		host:     host,
+		bounds:   bounds,
 		view:     view,
 		ask:      ask,
 		reached:  newReports(),
@@ -62,27 +82,51 @@
 	if w.Rate <= 0 {
 		return true, 0
 	}
+	return r.takeFrom(ctx, r.workspace(w))
+}
+
+// Repeat implements rates.
+func (r *fleetRates) Repeat(ctx context.Context, service string) bool {
+	ok, _ := r.takeFrom(ctx, r.repeats(service))
+	return ok
+}
+
+func (r *fleetRates) workspace(w *routes.Workspace) allowance {
+	return allowance{questionRate, w.Name, w.Rate, w.Burst + burstFromSlack*r.bounds().RateSlack}
+}
+
+// repeats is the part of a service's retry budget that does not depend on its
+// requests: half at once, and the other half over the budget's window.
+func (r *fleetRates) repeats(service string) allowance {
+	b := r.bounds()
+	half := budgetUse * b.RetryReserve / 2
+	return allowance{questionRepeat, service, half / b.RetryWindow.Seconds(), half}
+}
+
+// takeFrom takes a token of a bucket from its owner.
+func (r *fleetRates) takeFrom(ctx context.Context, b allowance) (ok bool, retryAfter time.Duration) {
 	hosts := r.view().hostNames()
-	owners := quota.Owners(w.Name, hosts)
+	owners := quota.Owners(b.kind+" "+b.name, hosts)
 	for _, owner := range owners[:min(len(owners), ownersAsked)] {
 		if owner == r.host {
-			return r.own(w, owner == owners[0])
+			return r.own(b, owner == owners[0])
 		}
-		if a, ok := r.askOwner(ctx, owner, w.Name); ok {
+		if a, ok := r.askOwner(ctx, owner, b); ok {
 			return a.Yes, time.Duration(a.Millis) * time.Millisecond
 		}
 	}
-	// Nobody who may own the rate can be reached; the host's own part of it
-	// keeps the sum of all hosts within the rate.
-	return r.take("own part of "+w.Name, w.Rate/float64(max(len(hosts), 1)), 1)
+	// No owner can be reached; the host's own part of the rate keeps the sum
+	// over all hosts within it.
+	part := float64(max(len(hosts), 1))
+	return r.take("own part of "+b.name, b.kind, b.rate/part, b.burst/part)
 }
 
-func (r *fleetRates) askOwner(ctx context.Context, owner, workspace string) (datagram, bool) {
+func (r *fleetRates) askOwner(ctx context.Context, owner string, b allowance) (datagram, bool) {
 	t, ok := r.view().TargetOf(owner)
 	if !ok || r.reached.doubtful(owner, time.Now()) {
 		return datagram{}, false
 	}
-	a, err := r.ask(ctx, t.Control, datagram{Kind: questionRate, Name: workspace, Host: r.host})
+	a, err := r.ask(ctx, t.Control, datagram{Kind: b.kind, Name: b.name, Host: r.host})
 	if err != nil {
 		if ctx.Err() == nil {
 			r.reached.avoid(owner, time.Now(), lookAgain)
@@ -94,23 +138,24 @@
 }
 
 // own takes a token from a bucket of this host.
-func (r *fleetRates) own(w *routes.Workspace, first bool) (bool, time.Duration) {
+func (r *fleetRates) own(b allowance, first bool) (bool, time.Duration) {
 	if first {
-		return r.take(w.Name, w.Rate, w.Burst)
+		return r.take(b.name, b.kind, b.rate, b.burst)
 	}
-	return r.take("taken over "+w.Name, takenOverShare*w.Rate, takenOverShare*w.Burst)
+	return r.take("taken over "+b.name, b.kind, takenOverShare*b.rate, takenOverShare*b.burst)
 }
 
-func (r *fleetRates) take(name string, rate, burst float64) (bool, time.Duration) {
+func (r *fleetRates) take(name, kind string, rate, burst float64) (bool, time.Duration) {
+	since := r.view().hostsSince
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
-	b := r.buckets[name]
+	key := kind + " " + name
+	b := r.buckets[key]
 	if b == nil {
-		b = quota.NewBucket(now, burst)
-		r.buckets[name] = b
+		b = quota.NewBucket(since, burst)
+		r.buckets[key] = b
 	}
-	return b.Take(now, rate, burst)
+	return b.Take(time.Now(), rate, burst)
 }
 
 // answer answers another host's question for a token. A host that is not the
@@ -124,30 +169,37 @@
 	if ok {
 		return known.a
 	}
-	a := r.decide(ctx, q.Name)
+	a := r.decide(ctx, q)
 	r.mu.Lock()
 	r.answered[key] = answeredRate{time.Now(), a}
 	r.mu.Unlock()
 	return a
 }
 
-func (r *fleetRates) decide(ctx context.Context, workspace string) datagram {
+func (r *fleetRates) decide(ctx context.Context, q datagram) datagram {
 	view := r.view()
-	if view.Config == nil {
-		return datagram{}
-	}
-	w, ok := view.Config.Workspace(workspace)
-	if !ok {
-		return datagram{Millis: lookAgain.Milliseconds()}
+	b := r.repeats(q.Name)
+	if q.Kind == questionRate {
+		if view.Config == nil {
+			return datagram{Millis: lookAgain.Milliseconds()}
+		}
+		w, ok := view.Config.Workspace(q.Name)
+		if !ok {
+			return datagram{Millis: lookAgain.Milliseconds()}
+		}
+		if w.Rate <= 0 {
+			return datagram{Yes: true}
+		}
+		b = r.workspace(w)
 	}
-	owners := quota.Owners(workspace, view.hostNames())
+	owners := quota.Owners(b.kind+" "+b.name, view.hostNames())
 	first := len(owners) == 0 || owners[0] == r.host
 	if !first {
-		if a, ok := r.askOwner(ctx, owners[0], workspace); ok {
+		if a, ok := r.askOwner(ctx, owners[0], b); ok {
 			return a
 		}
 	}
-	yes, after := r.own(w, first)
+	yes, after := r.own(b, first)
 	return datagram{Yes: yes, Millis: after.Milliseconds()}
 }
 
--- a/hostd/stop.go
+++ b/hostd/stop.go
@@ -21,10 +21,11 @@
 // runs is not broken off before the platform's kill is due.
 func (h *Host) stop() {
 	started := time.Now()
+	last := started.Add(h.set.Bounds.StopWithin - killMargin)
 	close(h.stopped)
 	h.gate.Stop()
+	h.ingress.Leave(started, last)
 	h.log.Logger().Info("stopping", "callers", h.servers.callers.Active(), "gate", h.servers.gates.Active())
-	last := started.Add(h.set.Bounds.StopWithin - killMargin)
 	for now := started; now.Before(last); now = time.Now() {
 		idle := h.servers.callers.Active() == 0 && h.servers.gates.Active() == 0
 		if idle && now.Sub(started) >= callersLeave {
--- a/hostd/trial.go
+++ b/hostd/trial.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -34,6 +35,8 @@
 	// reached a target.
 	running, sent int
 	tried         []string
+	// at is where the attempts under way are.
+	at *places
 	// failure is the last answer that tells of a failure; it is passed on when
 	// nothing better comes.
 	failure *outcome
@@ -51,9 +54,35 @@
 const maxParallel = 8
 
 func newTrial(e *exchange) *trial {
-	b := e.in.budget(e.service, e.view.Hosts)
+	b := e.in.budget(e.service)
 	b.Deposit()
-	return &trial{e: e, budget: b, results: make(chan attemptResult, maxParallel)}
+	return &trial{e: e, budget: b, results: make(chan attemptResult, maxParallel), at: &places{}}
+}
+
+// places are the targets that attempts of one request have been offered to and
+// have not been refused by.
+type places struct {
+	mu  sync.Mutex
+	ids []string
+}
+
+// enter takes a place unless another attempt has it.
+func (p *places) enter(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if slices.Contains(p.ids, id) {
+		return false
+	}
+	p.ids = append(p.ids, id)
+	return true
+}
+
+func (p *places) leave(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.Index(p.ids, id); i >= 0 {
+		p.ids = slices.Delete(p.ids, i, i+1)
+	}
 }
 
 // hedgeQuantile is the share of requests that end before a second attempt
@@ -75,7 +104,7 @@
 				return *out
 			}
 		case <-hedge.C:
-			if t.mayRepeat() {
+			if t.mayRepeat(ctx) {
 				t.launch(ctx, true)
 			}
 		case <-deadline.C:
@@ -99,11 +128,25 @@
 }
 
 // mayRepeat reports whether a request that may have run may be sent again.
-func (t *trial) mayRepeat() bool {
+func (t *trial) mayRepeat(ctx context.Context) bool {
 	return t.e.route.Kind.Repeatable() &&
 		t.sent+t.running < t.e.route.MaxAttempts &&
 		time.Now().Before(t.e.deadline) &&
-		t.budget.Withdraw()
+		t.inBudget(ctx)
+}
+
+// inBudget takes one repeat, from what this host's requests allow or else from
+// what is left to the fleet.
+func (t *trial) inBudget(ctx context.Context) bool {
+	if t.budget.Withdraw() {
+		return true
+	}
+	ok := t.e.in.rates.Repeat(ctx, t.e.service)
+	if !ok {
+		t.e.in.metrics.Add("repeats_over_budget", 1)
+		t.e.in.log.Decide("over-budget", "id", t.e.caller.Attempt, "service", t.e.service)
+	}
+	return ok
 }
 
 // launch starts an attempt.
@@ -114,7 +157,7 @@
 	req := &fasthttp.Request{}
 	t.e.x.Request.Header.CopyTo(&req.Header)
 	req.SetBodyRaw(t.e.x.Request.Body())
-	a := &attempt{e: t.e, req: req, avoid: slices.Clone(t.tried), hedge: hedge}
+	a := &attempt{e: t.e, req: req, avoid: slices.Clone(t.tried), at: t.at, hedge: hedge}
 	go func() { t.results <- a.run(ctx) }()
 }
 
@@ -144,7 +187,7 @@
 	if t.running > 0 {
 		return nil
 	}
-	if t.again(refusal) {
+	if t.again(ctx, refusal) {
 		t.launch(ctx, false)
 		return nil
 	}
@@ -152,14 +195,14 @@
 }
 
 // again reports whether another attempt follows a refusal.
-func (t *trial) again(r *wire.Refusal) bool {
+func (t *trial) again(ctx context.Context, r *wire.Refusal) bool {
 	if r.Run == wire.NotRun {
 		// Only a target's own refusal counts against the budget; all gates
 		// have been asked otherwise.
 		return (r.Reason == wire.ReasonShed || r.Reason == wire.ReasonWrongTarget) &&
-			t.sent < t.e.route.MaxAttempts && t.budget.Withdraw()
+			t.sent < t.e.route.MaxAttempts && t.inBudget(ctx)
 	}
-	return t.mayRepeat()
+	return t.mayRepeat(ctx)
 }
 
 func (t *trial) takeAnswer(ctx context.Context, r attemptResult) *outcome {
@@ -175,7 +218,7 @@
 	if t.running > 0 {
 		return nil
 	}
-	if t.mayRepeat() {
+	if t.mayRepeat(ctx) {
 		t.launch(ctx, false)
 		return nil
 	}
@@ -208,6 +251,7 @@
 	e     *exchange
 	req   *fasthttp.Request
 	avoid []string
+	at    *places
 	hedge bool
 }
 
@@ -331,6 +375,10 @@
 	if !ok || t.ID != c.Target {
 		return Reply{Refusal: wire.Refuse(wire.ReasonNoTarget, "target %s has gone", c.Target)}, t
 	}
+	if !a.at.enter(t.ID) {
+		return Reply{Refusal: wire.Refuse(wire.ReasonBusy, "another attempt of the request is at target %s", t.ID)}, t
+	}
+	defer a.at.leave(t.ID)
 	e := a.e
 	f := Forward{
 		Attempt:       e.caller.Attempt,
--- a/hostd/view.go
+++ b/hostd/view.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -54,6 +55,8 @@
 	byService map[string][]Target
 	byHost    map[string]Target
 	names     []string
+	// hostsSince is when the set of hosts last changed.
+	hostsSince time.Time
 }
 
 // Evacuated reports whether a data centre's targets are to get nothing.
@@ -76,7 +79,7 @@
 // Ready reports whether requests can be served.
 func (v *View) Ready() bool { return v.Config != nil && v.KnowsHosts }
 
-func newView(cfg *routes.Config, evacuated map[string]bool, hosts map[string]Target, known bool) *View {
+func newView(cfg *routes.Config, evacuated map[string]bool, hosts map[string]Target, known bool, since time.Time) *View {
 	v := &View{
 		Config:     cfg,
 		KnowsHosts: known,
@@ -85,6 +88,7 @@
 		byService:  map[string][]Target{},
 		byHost:     hosts,
 		names:      slices.Sorted(maps.Keys(hosts)),
+		hostsSince: since,
 	}
 	for _, t := range hosts {
 		v.byService[t.Service] = append(v.byService[t.Service], t)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -8,8 +8,8 @@
 // order drawn from the names of host and workspace (rendezvous hashing), and
 // the owner keeps its token bucket. A host asks the owner for each request.
 // Tokens are taken before the request goes on, so a lost answer only loses a
-// token. A bucket that is new to its owner starts partly filled: the one
-// before it may have been emptied a moment ago.
+// token. An owner's bucket was partly filled when its claim began: the one
+// before it may have been emptied a moment earlier.
 //
 // Weighed: a static share for each host refuses callers who keep to one host;
 // shares under leases need a store call per renewal and starve for a lease
@@ -33,9 +33,10 @@
 	at    time.Time
 }
 
-// NewBucket returns a partly filled bucket.
-func NewBucket(now time.Time, burst float64) *Bucket {
-	return &Bucket{level: max(firstLevel*burst, 1), at: now}
+// NewBucket returns the bucket of an owner who has had its claim since a time.
+// It was partly filled then.
+func NewBucket(since time.Time, burst float64) *Bucket {
+	return &Bucket{level: max(firstLevel*burst, 1), at: since}
 }
 
 // Take takes a token. Without one it returns when the next will be there.
