--- a/admission/line.go
+++ b/admission/line.go
@@ -15,8 +15,8 @@
 	Expected time.Duration
 	// Until is when the answer is of no more use.
 	Until time.Time
-	// MayWait allows a place in the line.
-	MayWait bool
+	// MaxWait bounds the expected wait for a slot; 0 allows none.
+	MaxWait time.Duration
 	// Value is the caller's.
 	Value any
 
@@ -89,11 +89,15 @@
 		l.running++
 		return Run, nil
 	}
-	if !it.MayWait {
+	if it.MaxWait <= 0 {
 		return Busy, nil
 	}
 	at, _ := slices.BinarySearchFunc(l.waiting, it, compare)
-	if now.Add(l.waitAt(at) + it.Expected).After(it.Until) {
+	wait := l.waitAt(at)
+	if wait > it.MaxWait {
+		return Busy, nil
+	}
+	if now.Add(wait + it.Expected).After(it.Until) {
 		return Late, nil
 	}
 	if len(l.waiting) >= maxLine*l.slots {
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -36,11 +36,12 @@
 	Priority    int   `json:"p,omitempty"`
 	Inner       bool  `json:"i,omitempty"`
 	Repeatable  bool  `json:"a,omitempty"`
-	// MayWait allows a place in the gate's line.
-	MayWait bool `json:"q,omitempty"`
-	// Insist sends the request although the target seems gray.
-	Insist   bool   `json:"f,omitempty"`
-	Revision uint64 `json:"v"`
+	// MaxWaitMs bounds the expected wait in the gate's line, in milliseconds; 0
+	// allows none.
+	MaxWaitMs int64 `json:"q,omitempty"`
+	// MaxGray is how likely the target may be gray for the request to be sent.
+	MaxGray  float64 `json:"g"`
+	Revision uint64  `json:"v"`
 }
 
 // Reply is a gate's reply to an attempt: an answer of the target or a refusal.
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -80,7 +80,7 @@
 	tk, refusal := g.admit(ctx, f, arrived)
 	if refusal != nil {
 		g.log.Decide("gate-refused", "id", f.Attempt, "target", f.Target, "reason", refusal.Reason, "run", refusal.Run,
-			"detail", refusal.Detail, "may_wait", f.MayWait, "waited_ms", time.Since(arrived).Milliseconds(), "revision", f.Revision)
+			"detail", refusal.Detail, "max_wait_ms", f.MaxWaitMs, "max_gray", f.MaxGray, "waited_ms", time.Since(arrived).Milliseconds(), "revision", f.Revision)
 		g.metrics.Add("gate_refused_"+string(refusal.Reason), 1)
 		return Reply{Refusal: refusal, Report: g.report()}
 	}
@@ -134,7 +134,7 @@
 		Priority: tk.f.Priority,
 		Expected: work.Mean(),
 		Until:    tk.deadline,
-		MayWait:  tk.f.MayWait,
+		MaxWait:  time.Duration(tk.f.MaxWaitMs) * time.Millisecond,
 		Value:    make(chan *wire.Refusal, 1),
 	}
 	verdict, dropped := t.line.Offer(now, it)
@@ -176,26 +176,12 @@
 	case !f.Repeatable && g.sent.has(f.Attempt):
 		return wire.RefuseUnknown(wire.ReasonDuplicateOrder, "the attempt was sent before")
 	}
-	if p := t.filter.Probability(now); !f.Insist && p > grayLimit(f.Repeatable) {
+	if p := t.filter.Probability(now); p > f.MaxGray {
 		return wire.Refuse(wire.ReasonGray, "target %s is gray with probability %.2f", t.id, p)
 	}
 	return nil
 }
 
-// Beliefs above which a gate refuses work that does not insist. Requests that
-// cannot be repeated are lost on a gray target.
-const (
-	grayLimitOnce       = 0.35
-	grayLimitRepeatable = 0.7
-)
-
-func grayLimit(repeatable bool) float64 {
-	if repeatable {
-		return grayLimitRepeatable
-	}
-	return grayLimitOnce
-}
-
 // busy refuses with the time after which a slot is likely; the lock is held.
 func (g *Gate) busy(t *local, why string) *wire.Refusal {
 	r := wire.Refuse(wire.ReasonBusy, "target %s: %s", t.id, why)
--- a/hostd/trial.go
+++ b/hostd/trial.go
@@ -1,6 +1,7 @@
 package hostd
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -34,7 +35,9 @@
 	// running counts attempts without a result, sent those that may have
 	// reached a target.
 	running, sent int
-	tried         []string
+	// tried are the targets that failed the request, shed those that did not
+	// run it for lack of room.
+	tried, shed []string
 	// at is where the attempts under way are.
 	at *places
 	// failure is the last answer that tells of a failure; it is passed on when
@@ -44,6 +47,14 @@
 	mayRun  bool
 }
 
+// maxSheds bounds how often targets may shed one request: each time costs a
+// repeat of the budget, and by then most of them shed.
+const maxSheds = 4
+
+func distinct(ids []string) int {
+	return len(slices.Compact(slices.Sorted(slices.Values(ids))))
+}
+
 type attemptResult struct {
 	reply  Reply
 	target Target
@@ -158,6 +169,9 @@
 	t.e.x.Request.Header.CopyTo(&req.Header)
 	req.SetBodyRaw(t.e.x.Request.Body())
 	a := &attempt{e: t.e, req: req, avoid: slices.Clone(t.tried), at: t.at, hedge: hedge}
+	if t.sent+t.running+distinct(t.shed) > t.e.route.MaxAttempts {
+		a.only = slices.Clone(t.shed)
+	}
 	go func() { t.results <- a.run(ctx) }()
 }
 
@@ -173,10 +187,10 @@
 		t.sent++
 		t.mayRun = true
 	}
-	if refusal.Reason == wire.ReasonShed {
-		t.sent++
-	}
-	if r.target.ID != "" {
+	switch {
+	case refusal.Reason == wire.ReasonShed:
+		t.shed = append(t.shed, r.target.ID)
+	case r.target.ID != "":
 		t.tried = append(t.tried, r.target.ID)
 	}
 	if !r.hedge || t.last == nil {
@@ -200,7 +214,7 @@
 		// Only a target's own refusal counts against the budget; all gates
 		// have been asked otherwise.
 		return (r.Reason == wire.ReasonShed || r.Reason == wire.ReasonWrongTarget) &&
-			t.sent < t.e.route.MaxAttempts && t.inBudget(ctx)
+			len(t.shed) < maxSheds && t.inBudget(ctx)
 	}
 	return t.mayRepeat(ctx)
 }
@@ -251,6 +265,8 @@
 	e     *exchange
 	req   *fasthttp.Request
 	avoid []string
+	// only, when not empty, lists the targets that the request may go to.
+	only  []string
 	at    *places
 	hedge bool
 }
@@ -259,67 +275,168 @@
 const (
 	// maxOffers is how many gates are asked for a free slot.
 	maxOffers = 8
-	// maxWaits is how many gates are then asked for a place in their line.
-	maxWaits = 2
+	// maxInsists is how many gates are then asked for a place in their line, or
+	// to send to a target that is likely gray.
+	maxInsists = 2
+	// knownFor is how long a gate's word on a full or gray target is taken
+	// without asking again.
+	knownFor = 100 * time.Millisecond
+	// shortWait is the share of a route's objective that a request rather waits
+	// near than goes far; for large answers it is shortWaitLarge.
+	shortWait      = 0.08
+	shortWaitLarge = 0.4
+)
+
+// Likelihoods of a gray target up to which a request goes there while others
+// may be sounder. Those that cannot be repeated are lost there.
+const (
+	grayFirstOnce       = 0.15
+	grayFirstRepeatable = 0.5
 )
 
-// run offers the request to gates in the order of cost until one takes it. If
-// none has a free slot, it asks those with the shortest wait for a place in
-// the line.
+// terms are what a request asks of a gate.
+type terms struct {
+	maxWait time.Duration
+	maxGray float64
+}
+
+// offer is a gate's refusal of a request.
+type offer struct {
+	c       placing.Candidate
+	refusal *wire.Refusal
+}
+
+// run offers the request to gates in the order of cost until one takes it: for
+// a free slot of a target that seems sound, for a short wait near, and at last
+// on any terms.
 func (a *attempt) run(ctx context.Context) attemptResult {
 	cands := a.candidates()
 	if len(cands) == 0 {
 		return a.result(Reply{Refusal: wire.Refuse(wire.ReasonNoTarget, "no target of service %s is known and may be chosen", a.e.service)}, Target{})
 	}
 	placing.Order(time.Now(), cands, a.placed(), random{})
-	var refused []offer
-	for _, c := range cands[:min(len(cands), maxOffers)] {
-		reply, target := a.offer(ctx, c, false)
-		if a.settled(reply) || ctx.Err() != nil {
-			return a.result(reply, target)
+	near, far := split(cands[:min(len(cands), maxOffers)])
+	first := terms{maxGray: a.grayFirst()}
+	short := terms{maxGray: a.grayFirst(), maxWait: a.shortWait()}
+	s := &search{a: a}
+	if s.round(ctx, near, first) || s.round(ctx, near, short) || s.round(ctx, far, first) {
+		return s.result
+	}
+	if !a.hedge && s.insist(ctx) {
+		return s.result
+	}
+	return a.result(Reply{Refusal: s.last}, Target{})
+}
+
+func split(cands []placing.Candidate) (near, far []placing.Candidate) {
+	for _, c := range cands {
+		if c.Near && !c.Doubtful {
+			near = append(near, c)
+		} else {
+			far = append(far, c)
 		}
-		refused = append(refused, offer{c, reply.Refusal})
 	}
-	if a.hedge {
-		last := refused[len(refused)-1]
-		return a.result(Reply{Refusal: last.refusal}, Target{})
+	return near, far
+}
+
+func (a *attempt) grayFirst() float64 {
+	if a.e.route.Kind.Repeatable() {
+		return grayFirstRepeatable
 	}
-	return a.insist(ctx, refused)
+	return grayFirstOnce
 }
 
-// offer is a gate's refusal of a request.
-type offer struct {
-	c       placing.Candidate
-	refusal *wire.Refusal
+func (a *attempt) shortWait() time.Duration {
+	share := shortWait
+	if a.e.route.Kind == routes.Download {
+		share = shortWaitLarge
+	}
+	return time.Duration(share * float64(a.e.route.Objective))
+}
+
+// search is one attempt's way through the gates.
+type search struct {
+	a       *attempt
+	refused []offer
+	last    *wire.Refusal
+	result  attemptResult
+}
+
+// round offers the request to candidates on the same terms. It reports whether
+// that settled the attempt.
+func (s *search) round(ctx context.Context, cands []placing.Candidate, t terms) bool {
+	for _, c := range cands {
+		if r := s.known(c, t); r != nil {
+			s.note(c, r)
+			continue
+		}
+		if s.ask(ctx, c, t) {
+			return true
+		}
+	}
+	return false
+}
+
+// known is the refusal that a gate's last word foretells, if that is fresh.
+func (s *search) known(c placing.Candidate, t terms) *wire.Refusal {
+	r := s.a.e.in.reports.get(c.Target)
+	switch {
+	case r.At.IsZero() || time.Since(r.At) > knownFor:
+		return nil
+	case r.Gray > t.maxGray:
+		return wire.Refuse(wire.ReasonGray, "target %s was gray with probability %.2f a moment ago", c.Target, r.Gray)
+	case t.maxWait == 0 && r.Running >= r.Slots:
+		return wire.Refuse(wire.ReasonBusy, "target %s had no free slot a moment ago", c.Target)
+	}
+	return nil
+}
+
+func (s *search) note(c placing.Candidate, r *wire.Refusal) {
+	s.last = r
+	for i := range s.refused {
+		if s.refused[i].c.Target == c.Target {
+			s.refused[i].refusal = r
+			return
+		}
+	}
+	s.refused = append(s.refused, offer{c, r})
+}
+
+// ask offers the request to one gate and reports whether that settled the
+// attempt.
+func (s *search) ask(ctx context.Context, c placing.Candidate, t terms) bool {
+	reply, target := s.a.offer(ctx, c, t)
+	if s.a.settled(reply) || ctx.Err() != nil {
+		s.result = s.a.result(reply, target)
+		return true
+	}
+	s.note(c, reply.Refusal)
+	return false
 }
 
 // insist asks for a place in a line, or for a gray target, whichever costs
 // less by what the gates have just told.
-func (a *attempt) insist(ctx context.Context, refused []offer) attemptResult {
-	now := time.Now()
+func (s *search) insist(ctx context.Context) bool {
 	var open []offer
-	for _, o := range refused {
+	for _, o := range s.refused {
 		switch o.refusal.Reason {
 		case wire.ReasonBusy, wire.ReasonGray, wire.ReasonCold:
-			o.c.Report = a.e.in.reports.get(o.c.Target)
+			o.c.Report = s.a.e.in.reports.get(o.c.Target)
 			open = append(open, o)
 		}
 	}
+	now := time.Now()
+	placed := s.a.placed()
 	slices.SortStableFunc(open, func(x, y offer) int {
-		if placing.Cost(now, x.c, a.placed()) < placing.Cost(now, y.c, a.placed()) {
-			return -1
-		}
-		return 1
+		return cmp.Compare(placing.Cost(now, x.c, placed), placing.Cost(now, y.c, placed))
 	})
-	last := refused[len(refused)-1].refusal
-	for _, o := range open[:min(len(open), maxWaits)] {
-		reply, target := a.offer(ctx, o.c, true)
-		if a.settled(reply) || ctx.Err() != nil {
-			return a.result(reply, target)
+	any := terms{maxWait: time.Until(s.a.e.deadline), maxGray: 1}
+	for _, o := range open[:min(len(open), maxInsists)] {
+		if s.ask(ctx, o.c, any) {
+			return true
 		}
-		last = reply.Refusal
 	}
-	return a.result(Reply{Refusal: last}, Target{})
+	return false
 }
 
 // settled reports whether a reply ends the search: an answer, a request that
@@ -347,6 +464,9 @@
 		if view.Evacuated(t.DataCentre) || slices.Contains(a.avoid, t.ID) || !a.allowed(t) {
 			continue
 		}
+		if len(a.only) > 0 && !slices.Contains(a.only, t.ID) {
+			continue
+		}
 		out = append(out, placing.Candidate{
 			Target:   t.ID,
 			Host:     t.Host,
@@ -370,7 +490,7 @@
 }
 
 // offer sends the request to the gate of a candidate.
-func (a *attempt) offer(ctx context.Context, c placing.Candidate, insist bool) (Reply, Target) {
+func (a *attempt) offer(ctx context.Context, c placing.Candidate, on terms) (Reply, Target) {
 	t, ok := a.e.in.control.View().TargetOf(c.Host)
 	if !ok || t.ID != c.Target {
 		return Reply{Refusal: wire.Refuse(wire.ReasonNoTarget, "target %s has gone", c.Target)}, t
@@ -391,11 +511,11 @@
 		Priority:      e.priority(),
 		Inner:         e.inner,
 		Repeatable:    e.route.Kind.Repeatable(),
-		MayWait:       insist,
-		Insist:        insist,
+		MaxWaitMs:     on.maxWait.Milliseconds(),
+		MaxGray:       on.maxGray,
 		Revision:      e.revision(),
 	}
-	e.in.log.Decide("offered", "id", f.Attempt, "target", t.ID, "host", t.Host, "near", c.Near, "doubtful", c.Doubtful, "insist", insist,
+	e.in.log.Decide("offered", "id", f.Attempt, "target", t.ID, "host", t.Host, "near", c.Near, "doubtful", c.Doubtful, "max_wait_ms", f.MaxWaitMs, "max_gray", f.MaxGray,
 		"hedge", a.hedge, "time_left_ms", f.TimeLeftMs, "known_gray", c.Report.Gray, "known_running", c.Report.Running,
 		"known_age_ms", ageMillis(c.Report.At), "revision", f.Revision)
 	reply := e.in.gates.Forward(ctx, t, f, a.req)
