Readers of the store in each data centre; stops refuse late requests

Change: two hosts of each data centre ask the store often; the others ask them by datagram, and count the age from before the question. Requests that come 2.9 s after SIGTERM or later are refused, not run.

Ruled out: pushing proofs (a datagram's delay cannot be told from its age).

--- a/h1/conn.go
+++ b/h1/conn.go
@@ -24,6 +24,10 @@
 	// answer might be lost.
 	lingerTime  = time.Second
 	lingerBytes = 1 << 20
+	// crossedPause is how long a connection stays open when a request has crossed
+	// its last answer: long enough for the answer to arrive, short enough for the
+	// caller to see at once that the request was not taken.
+	crossedPause = 50 * time.Millisecond
 	// writeBufferBytes holds a usual answer's header and small body.
 	writeBufferBytes = 4 << 10
 )
@@ -83,7 +87,7 @@
 			return
 		}
 		if !c.begin() {
-			c.awaitEnd()
+			time.Sleep(crossedPause)
 			return
 		}
 		after := make(chan struct{})
@@ -124,21 +128,15 @@
 // awaitEnd reads on until the stream ends or all requests are answered, so
 // that a peer who leaves is noticed.
 func (c *conn) awaitEnd() {
-	finished := make(chan struct{})
+	if c.Conn.SetReadDeadline(time.Time{}) != nil {
+		return
+	}
 	go func() {
 		c.done.Wait()
-		close(finished)
 		c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) //nolint:errcheck // only a closed connection fails
 	}()
-	if c.Conn.SetReadDeadline(time.Time{}) != nil {
-		return
-	}
+	// However it ends, the deferred cancel tells the handlers.
 	io.CopyN(io.Discard, c.br, lingerBytes) //nolint:errcheck // any end will do
-	select {
-	case <-finished:
-	default:
-		// The peer has gone, or sends without end; the deferred cancel tells.
-	}
 }
 
 // read reads one request. On an error, status is what the peer should be told,
--- a/hostd/datagrams.go
+++ b/hostd/datagrams.go
@@ -28,8 +28,9 @@
 	// Yes and Millis are the answer.
 	Yes    bool  `json:"y,omitempty"`
 	Millis int64 `json:"m,omitempty"`
-	// State is the answer's word for the state of something.
-	State string `json:"s,omitempty"`
+	// Config and Hosts are the versions of the last changes that a host knows.
+	Config uint64 `json:"c,omitempty"`
+	Hosts  uint64 `json:"t,omitempty"`
 }
 
 // maxDatagram bounds a datagram in bytes.
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -70,13 +70,13 @@
 		stopped: make(chan struct{}),
 	}
 	h.present.Store(o.Settings)
-	h.control = NewControl(o.Settings.Host, h.store, h.log, h.metrics)
-	h.gate = NewGate(h.present.Load, h.control.View, h.control.Announce, h.log, h.metrics)
 	asks, err := newDatagrams(o.Settings.DatagramListen, h.metrics, h.answer)
 	if err != nil {
 		return nil, err
 	}
 	h.asks = asks
+	h.control = NewControl(o.Settings.Host, o.Settings.DataCentre, h.store, hostPeers{asks, h.client}, h.log, h.metrics)
+	h.gate = NewGate(h.present.Load, h.control.View, h.control.Announce, h.log, h.metrics)
 	h.rates = newFleetRates(o.Settings.Host, h.bounds, h.control.View, asks.ask)
 	h.ingress = NewIngress(h.present.Load, h.control, h, h.rates, h.log, h.metrics)
 	if err := h.open(o.MetricsListen); err != nil {
@@ -150,6 +150,7 @@
 		{Name: "control", Critical: true, Run: h.control.Run},
 		{Name: "config", Run: h.control.RunConfig},
 		{Name: "hosts", Run: h.control.RunHosts},
+		{Name: "news", Run: h.control.RunNews},
 		{Name: "own-row", Run: h.control.RunOwnRow},
 		{Name: "datagrams", Run: h.asks.run},
 		{Name: "sweep", Run: h.runSweep},
@@ -211,15 +212,27 @@
 
 // answer answers a datagram of another daemon.
 func (h *Host) answer(ctx context.Context, q datagram) datagram {
-	if q.Kind == questionRate || q.Kind == questionRepeat {
+	switch q.Kind {
+	case questionRate, questionRepeat:
 		return h.rates.answer(ctx, q)
+	case questionNews:
+		return h.control.tellNews()
 	}
 	h.metrics.Add("datagrams_unknown", 1)
 	return datagram{}
 }
 
-// handleForward answers another daemon's attempt.
+// hostPeers asks other hosts by datagrams and through their gates.
+type hostPeers struct {
+	*datagrams
+	*gateClient
+}
+
+// handleForward answers another daemon's attempt, or its question for hosts.
 func (h *Host) handleForward(ctx context.Context, x *h1.Exchange) {
+	if h.control.serveHosts(&x.Request, &x.Response) {
+		return
+	}
 	f, err := readForward(&x.Request.Header)
 	if err != nil || f.Attempt == "" {
 		x.Response.SetStatusCode(fasthttp.StatusBadRequest)
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -164,31 +164,22 @@
 	e.deadline = e.started.Add(patience)
 }
 
-// lastWork is the share of a route's requests that must end before a host
-// stops, for it to still take one after its callers should have left.
-const lastWork = 0.98
-
-// tooLate refuses requests that come late in a planned stop and would be cut by
-// its end.
+// tooLate refuses requests that come when callers should have left a stopping
+// host: its end might cut them.
 func (e *exchange) tooLate() *wire.Refusal {
 	l := e.in.leaving.Load()
-	now := time.Now()
-	if l == nil || now.Sub(l.since) < callersLeave {
-		return nil
-	}
-	w := e.in.work(e.route)
-	if now.Add(w.Quantile(lastWork)).Before(l.until) {
+	if l == nil || time.Since(l.since) < callersLeave {
 		return nil
 	}
-	return wire.Refuse(wire.ReasonLeaving, "this host stops in %s", l.until.Sub(now).Round(time.Millisecond))
+	return wire.Refuse(wire.ReasonLeaving, "this host stops in %s", time.Until(l.until).Round(time.Millisecond))
 }
 
 // Ages of the configuration's proof.
 const (
 	// staleDenial is the age above which a request that the configuration does
 	// not allow is refused for now rather than denied: a newer one may allow it.
-	// A feed's answer comes every two seconds.
-	staleDenial = 2600 * time.Millisecond
+	// It is above the usual age of a proof from a reader.
+	staleDenial = 2900 * time.Millisecond
 	// proofMargin is kept from the bound for withdrawn keys, for the error of
 	// the clocks.
 	proofMargin = 250 * time.Millisecond
--- a/hostd/reports.go
+++ b/hostd/reports.go
@@ -12,6 +12,8 @@
 	mu       sync.Mutex
 	byTarget map[string]placing.Report
 	paths    map[string]path
+	// absent are targets that their gates do not let have anything.
+	absent map[string]time.Time
 }
 
 // path is the state of the way to a host.
@@ -28,7 +30,7 @@
 )
 
 func newReports() *reports {
-	return &reports{byTarget: map[string]placing.Report{}, paths: map[string]path{}}
+	return &reports{byTarget: map[string]placing.Report{}, paths: map[string]path{}, absent: map[string]time.Time{}}
 }
 
 func (r *reports) set(target string, rep placing.Report) {
@@ -78,6 +80,29 @@
 	return ok && now.Before(p.retryAt)
 }
 
+// absentFor is how long a target is passed over that its gate said is leaving
+// or not there; by then the hosts' rows tell.
+const absentFor = 1500 * time.Millisecond
+
+// setAbsent records that a target gets nothing from its gate.
+func (r *reports) setAbsent(target string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.absent[target] = now.Add(absentFor)
+}
+
+// isAbsent reports whether a target gets nothing from its gate.
+func (r *reports) isAbsent(target string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until, ok := r.absent[target]
+	if ok && now.After(until) {
+		delete(r.absent, target)
+		return false
+	}
+	return ok
+}
+
 // keep drops the reports on targets that are no longer there.
 func (r *reports) keep(known func(target string) bool) {
 	r.mu.Lock()
--- a/hostd/stop.go
+++ b/hostd/stop.go
@@ -6,10 +6,9 @@
 
 // Times of a planned stop.
 const (
-	// callersLeave is how long callers may still come after the first question
-	// that found the host not ready: two questions a second apart, and the time
-	// of their requests to arrive.
-	callersLeave = 2600 * time.Millisecond
+	// callersLeave is how long callers may still come: the platform asks once a
+	// second whether a host is ready, and sends no more after two refusals.
+	callersLeave = 2900 * time.Millisecond
 	// killMargin is kept from the platform's kill.
 	killMargin = 300 * time.Millisecond
 	// stopPoll is how often the end of the work is looked for.
--- a/hostd/trial.go
+++ b/hostd/trial.go
@@ -288,9 +288,11 @@
 )
 
 // Likelihoods of a gray target up to which a request goes there while others
-// may be sounder. Those that cannot be repeated are lost there.
+// may be sounder. Those that cannot be repeated are lost there; their limit is
+// just above what is held of a target that nothing is known of, so that new
+// targets get work.
 const (
-	grayFirstOnce       = 0.15
+	grayFirstOnce       = 0.27
 	grayFirstRepeatable = 0.5
 )
 
@@ -464,6 +466,9 @@
 		if view.Evacuated(t.DataCentre) || slices.Contains(a.avoid, t.ID) || !a.allowed(t) {
 			continue
 		}
+		if a.e.in.reports.isAbsent(t.ID, now) {
+			continue
+		}
 		if len(a.only) > 0 && !slices.Contains(a.only, t.ID) {
 			continue
 		}
@@ -538,6 +543,13 @@
 		return
 	}
 	a.e.in.reports.reached(t.Host)
+	if r.Refusal == nil {
+		return
+	}
+	switch r.Refusal.Reason {
+	case wire.ReasonNoTarget, wire.ReasonLeaving, wire.ReasonDataCentreOut, wire.ReasonWrongTarget:
+		a.e.in.reports.setAbsent(t.ID, time.Now())
+	}
 }
 
 // random is the source of randomness of traffic.
--- a/hostd/view.go
+++ b/hostd/view.go
@@ -55,6 +55,13 @@
 	byService map[string][]Target
 	byHost    map[string]Target
 	names     []string
+	// operatorChange and hostsChange are the versions of the last changes of the
+	// operators' table and of the hosts.
+	operatorChange, hostsChange uint64
+	// hostVersions are those of the hosts' rows, of dropped ones too as far back
+	// as horizon.
+	hostVersions map[string]uint64
+	horizon      uint64
 	// hostsSince is when the set of hosts last changed.
 	hostsSince time.Time
 }
@@ -76,6 +83,17 @@
 // the list.
 func (v *View) hostNames() []string { return v.names }
 
+// inDataCentre lists the hosts of a data centre, sorted.
+func (v *View) inDataCentre(name string) []string {
+	var out []string
+	for _, host := range v.names {
+		if v.byHost[host].DataCentre == name {
+			out = append(out, host)
+		}
+	}
+	return out
+}
+
 // Ready reports whether requests can be served.
 func (v *View) Ready() bool { return v.Config != nil && v.KnowsHosts }
 
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -58,6 +58,9 @@
 	doubtCost = 0.7
 	// coldCost keeps requests from targets that bear little.
 	coldCost = 0.3
+	// explored draws requests that can be repeated to targets of which nothing
+	// was heard for a while: new ones, and those that were gray.
+	explored = 0.15
 	// noise spreads requests over targets of the same cost.
 	noise = 0.04
 	// usualLoad is assumed where nothing is known.
@@ -76,6 +79,9 @@
 	cost += queueCost * max(load-1, 0)
 	if r.Repeatable {
 		cost += grayDelayed * belief
+		if now.Sub(c.Report.At) > loadFades {
+			cost -= explored
+		}
 	} else {
 		cost += grayLost * belief
 	}
