Attempts can be withdrawn at their gates

Change: gates say with an interim answer that they send, and withdraw attempts by datagram, through other hosts if need be. What nobody works on is refused, not run, 0.8 s before a planned stop ends; a stopping gate refuses its line.

--- a/hostd/datagrams.go
+++ b/hostd/datagrams.go
@@ -25,6 +25,8 @@
 	Name string `json:"w,omitempty"`
 	// Host is the host meant by a question that is passed on.
 	Host string `json:"h,omitempty"`
+	// Known is set when the answer is that of the host that was meant.
+	Known bool `json:"o,omitempty"`
 	// Yes and Millis are the answer.
 	Yes    bool  `json:"y,omitempty"`
 	Millis int64 `json:"m,omitempty"`
--- a/hostd/exchange.go
+++ b/hostd/exchange.go
@@ -121,8 +121,6 @@
 // start again within seconds.
 const downTime = 200 * time.Millisecond
 
-func (s sentAttempts) remove(id string) { delete(s, id) }
-
 func (g *Gate) record(tk *ticket, a *Answer, e ending, now time.Time, gray float64) {
 	took := now.Sub(tk.started)
 	g.metrics.Observe("target_time", took)
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -150,13 +150,15 @@
 }
 
 // Forward sends an attempt to the gate of a target. It writes headers of req.
-func (c *gateClient) Forward(ctx context.Context, t Target, f Forward, req *fasthttp.Request) Reply {
+// onSend is called when the gate says that it sends the request to the target.
+func (c *gateClient) Forward(ctx context.Context, t Target, f Forward, req *fasthttp.Request, onSend func()) Reply {
 	req.Header.Set(headerForward, encodeHeader(f))
 	left := time.Duration(f.TimeLeftMs) * time.Millisecond
 	resp, err := c.links.Do(ctx, t.Gate, req, link.Exchange{
 		Deadline:    time.Now().Add(left + replyGrace),
 		FirstByte:   left + replyGrace,
 		IdleTimeout: bodyIdle,
+		OnInterim:   onSend,
 	})
 	if err != nil {
 		return Reply{Refusal: refusalOfLink(err, t)}
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -27,11 +27,14 @@
 	metrics  *metrics.Registry
 	links    *link.Pool
 
-	mu       sync.Mutex
-	target   *local
-	works    map[string]*gray.Work
-	sent     sentAttempts
-	stopping bool
+	mu     sync.Mutex
+	target *local
+	works  map[string]*gray.Work
+	// sent are the attempts that went to the target, withdrawn those that must
+	// not, and waiting those in the line.
+	sent, withdrawn attemptTimes
+	waiting         map[string]*admission.Item
+	stopping        bool
 }
 
 // targetIdle is how long a connection to the target may wait for reuse: well
@@ -48,13 +51,15 @@
 // target, or nil, whenever others should know.
 func NewGate(set func() *karpithaz.Settings, view func() *View, announce func(*Target), l *decisions.Log, m *metrics.Registry) *Gate {
 	return &Gate{
-		set:      set,
-		view:     view,
-		announce: announce,
-		log:      l,
-		metrics:  m,
-		works:    map[string]*gray.Work{},
-		sent:     sentAttempts{},
+		set:       set,
+		view:      view,
+		announce:  announce,
+		log:       l,
+		metrics:   m,
+		works:     map[string]*gray.Work{},
+		sent:      attemptTimes{},
+		withdrawn: attemptTimes{},
+		waiting:   map[string]*admission.Item{},
 		links: link.New(link.Options{
 			DialTimeout: targetDialTimeout,
 			UserTimeout: targetUserTimeout,
@@ -63,11 +68,30 @@
 	}
 }
 
-// Stop makes the gate refuse new work. What runs or waits goes on.
+// Stop makes the gate refuse new work and what waits, so that it can go
+// elsewhere. What runs goes on.
 func (g *Gate) Stop() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.stopping = true
+	if g.target != nil {
+		g.flush(g.target, "host "+g.set().Host+" is stopping")
+	}
+}
+
+// Withdraw makes sure that an attempt will not go to the target, unless it has
+// already, and reports whether it did.
+func (g *Gate) Withdraw(id string) (sent bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.sent.has(id) {
+		return true
+	}
+	g.withdrawn.add(id, time.Now())
+	if it := g.waiting[id]; it != nil && g.target != nil && g.target.line.Leave(it) {
+		grant(it, wire.Refuse(wire.ReasonSettled, "withdrawn"))
+	}
+	return false
 }
 
 // Close drops idle connections.
@@ -75,7 +99,8 @@
 
 // Forward takes an attempt to the target and returns the whole answer, or a
 // refusal that says whether the request ran.
-func (g *Gate) Forward(ctx context.Context, f Forward, req *fasthttp.Request) Reply {
+// onSend, if not nil, is called when the request is about to go to the target.
+func (g *Gate) Forward(ctx context.Context, f Forward, req *fasthttp.Request, onSend func()) Reply {
 	arrived := time.Now()
 	tk, refusal := g.admit(ctx, f, arrived)
 	if refusal != nil {
@@ -84,6 +109,9 @@
 		g.metrics.Add("gate_refused_"+string(refusal.Reason), 1)
 		return Reply{Refusal: refusal, Report: g.report()}
 	}
+	if onSend != nil {
+		onSend()
+	}
 	reply := g.exchange(ctx, tk, req)
 	reply.Report = g.report()
 	return reply
@@ -149,6 +177,7 @@
 		}
 		return nil, nil
 	case admission.Wait:
+		g.waiting[tk.f.Attempt] = it
 		return it, nil
 	case admission.Late:
 		return nil, g.busy(t, "the wait would leave too little time")
@@ -173,6 +202,8 @@
 		return wire.Refuse(wire.ReasonDataCentreOut, "data centre %s is out", g.set().DataCentre)
 	case now.Before(t.downUntil):
 		return wire.Refuse(wire.ReasonUnreachable, "target %s refused a connection a moment ago", t.id)
+	case g.withdrawn.has(f.Attempt):
+		return wire.Refuse(wire.ReasonSettled, "the attempt has been withdrawn")
 	case !f.Repeatable && g.sent.has(f.Attempt):
 		return wire.RefuseUnknown(wire.ReasonDuplicateOrder, "the attempt was sent before")
 	}
@@ -198,9 +229,7 @@
 		r.RetryAfter = t.pace.ClearsIn(now)
 		return r
 	}
-	if !tk.f.Repeatable {
-		g.sent.add(tk.f.Attempt, now)
-	}
+	g.sent.add(tk.f.Attempt, now)
 	tk.started = now
 	tk.request = t.filter.Start(now, g.work(tk.f))
 	return nil
@@ -233,6 +262,7 @@
 func (g *Gate) await(ctx context.Context, tk *ticket, it *admission.Item) *wire.Refusal {
 	timer := time.NewTimer(time.Until(tk.deadline))
 	defer timer.Stop()
+	defer g.forgetWaiting(tk.f.Attempt)
 	granted := it.Value.(chan *wire.Refusal)
 	select {
 	case refusal := <-granted:
@@ -252,6 +282,12 @@
 	return wire.Refuse(wire.ReasonTimeout, "the caller left or its deadline passed in the line")
 }
 
+func (g *Gate) forgetWaiting(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.waiting, id)
+}
+
 func (g *Gate) granted(tk *ticket, refusal *wire.Refusal) *wire.Refusal {
 	if refusal != nil {
 		return refusal
@@ -281,25 +317,32 @@
 	}
 }
 
-// sentAttempts remembers the attempts that must not run again.
-type sentAttempts map[string]time.Time
+// attemptTimes remembers attempts for a time.
+type attemptTimes map[string]time.Time
 
-// attemptMemory is how long an attempt is remembered: longer than any caller
-// waits.
-const attemptMemory = 2 * time.Minute
+const (
+	// attemptMemory is how long an attempt is remembered: longer than any caller
+	// waits.
+	attemptMemory = 2 * time.Minute
+	// attemptSweep is how many attempts come between two looks for old ones.
+	attemptSweep = 1024
+)
 
-func (s sentAttempts) has(id string) bool {
+func (s attemptTimes) has(id string) bool {
 	_, ok := s[id]
 	return ok
 }
 
-func (s sentAttempts) add(id string, now time.Time) {
+func (s attemptTimes) add(id string, now time.Time) {
 	s[id] = now
-	if len(s)%1024 == 0 {
-		for old, at := range s {
-			if now.Sub(at) > attemptMemory {
-				delete(s, old)
-			}
+	if len(s)%attemptSweep != 0 {
+		return
+	}
+	for old, at := range s {
+		if now.Sub(at) > attemptMemory {
+			delete(s, old)
 		}
 	}
 }
+
+func (s attemptTimes) remove(id string) { delete(s, id) }
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -42,9 +42,11 @@
 	client  *gateClient
 	ingress *Ingress
 	rates   *fleetRates
-	asks    *datagrams
-	servers servers
-	stopped chan struct{}
+	// withdrawals take back attempts at the gates of all hosts.
+	withdrawals *withdrawals
+	asks        *datagrams
+	servers     servers
+	stopped     chan struct{}
 }
 
 // servers are the doors of a host.
@@ -78,6 +80,7 @@
 	h.control = NewControl(o.Settings.Host, o.Settings.DataCentre, h.store, hostPeers{asks, h.client}, h.log, h.metrics)
 	h.gate = NewGate(h.present.Load, h.control.View, h.control.Announce, h.log, h.metrics)
 	h.rates = newFleetRates(o.Settings.Host, h.bounds, h.control.View, asks.ask)
+	h.withdrawals = &withdrawals{host: o.Settings.Host, gate: h.gate, view: h.control.View, ask: asks.ask}
 	h.ingress = NewIngress(h.present.Load, h.control, h, h.rates, h.log, h.metrics)
 	if err := h.open(o.MetricsListen); err != nil {
 		h.close()
@@ -200,12 +203,17 @@
 	return nil
 }
 
+// Withdraw implements gates.
+func (h *Host) Withdraw(ctx context.Context, host, attempt string) (bool, error) {
+	return h.withdrawals.withdraw(ctx, host, attempt)
+}
+
 // Forward implements gates.
-func (h *Host) Forward(ctx context.Context, t Target, f Forward, req *fasthttp.Request) Reply {
+func (h *Host) Forward(ctx context.Context, t Target, f Forward, req *fasthttp.Request, onSend func()) Reply {
 	if t.Host == h.set.Host {
-		return h.gate.Forward(ctx, f, req)
+		return h.gate.Forward(ctx, f, req, onSend)
 	}
-	return h.client.Forward(ctx, t, f, req)
+	return h.client.Forward(ctx, t, f, req, onSend)
 }
 
 func (h *Host) bounds() karpithaz.Bounds { return h.present.Load().Bounds }
@@ -217,6 +225,8 @@
 		return h.rates.answer(ctx, q)
 	case questionNews:
 		return h.control.tellNews()
+	case questionWithdraw:
+		return h.withdrawals.answer(ctx, q)
 	}
 	h.metrics.Add("datagrams_unknown", 1)
 	return datagram{}
@@ -238,7 +248,12 @@
 		x.Response.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
-	writeReply(&x.Response, h.gate.Forward(ctx, f, &x.Request))
+	onSend := func() {
+		if err := x.Interim(); err != nil {
+			h.metrics.Add("interim_failed", 1) // the answer will fail as well
+		}
+	}
+	writeReply(&x.Response, h.gate.Forward(ctx, f, &x.Request, onSend))
 }
 
 func (h *Host) callerLimits() h1.Limits {
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -23,8 +23,12 @@
 
 // gates reaches the gates of all hosts.
 type gates interface {
-	// Forward takes an attempt to a target through its host's gate.
-	Forward(ctx context.Context, t Target, f Forward, req *fasthttp.Request) Reply
+	// Forward takes an attempt to a target through its host's gate, and calls
+	// onSend when it goes to the target.
+	Forward(ctx context.Context, t Target, f Forward, req *fasthttp.Request, onSend func()) Reply
+	// Withdraw reports whether an attempt has gone to the target of a host. When
+	// it has not, it never will.
+	Withdraw(ctx context.Context, host, attempt string) (sent bool, err error)
 }
 
 // rates takes tokens of what is bounded over the fleet.
@@ -48,6 +52,8 @@
 
 	// leaving is set when a planned stop has begun.
 	leaving atomic.Pointer[leaving]
+	// ending is closed shortly before the end of a planned stop.
+	ending chan struct{}
 
 	mu      sync.Mutex
 	works   map[string]*gray.Work
@@ -60,6 +66,9 @@
 // Leave begins a planned stop that ends at a time.
 func (in *Ingress) Leave(now, until time.Time) { in.leaving.Store(&leaving{now, until}) }
 
+// End makes requests that no target works on be refused.
+func (in *Ingress) End() { close(in.ending) }
+
 // NewIngress returns an ingress.
 func NewIngress(set func() *karpithaz.Settings, c *Control, g gates, r rates, l *decisions.Log, m *metrics.Registry) *Ingress {
 	return &Ingress{
@@ -70,6 +79,7 @@
 		log:     l,
 		metrics: m,
 		reports: newReports(),
+		ending:  make(chan struct{}),
 		works:   map[string]*gray.Work{},
 		budgets: map[string]*retry.Budget{},
 	}
--- a/hostd/stop.go
+++ b/hostd/stop.go
@@ -11,6 +11,9 @@
 	callersLeave = 2900 * time.Millisecond
 	// killMargin is kept from the platform's kill.
 	killMargin = 300 * time.Millisecond
+	// lastRefusals is how long before the end requests are refused that no target
+	// works on: time to withdraw them at their gates and to answer.
+	lastRefusals = 800 * time.Millisecond
 	// stopPoll is how often the end of the work is looked for.
 	stopPoll = 20 * time.Millisecond
 )
@@ -25,6 +28,8 @@
 	h.gate.Stop()
 	h.ingress.Leave(started, last)
 	h.log.Logger().Info("stopping", "callers", h.servers.callers.Active(), "gate", h.servers.gates.Active())
+	ending := time.AfterFunc(time.Until(last)-lastRefusals, h.ingress.End)
+	defer ending.Stop()
 	for now := started; now.Before(last); now = time.Now() {
 		idle := h.servers.callers.Active() == 0 && h.servers.gates.Active() == 0
 		if idle && now.Sub(started) >= callersLeave {
--- a/hostd/trial.go
+++ b/hostd/trial.go
@@ -73,29 +73,54 @@
 // places are the targets that attempts of one request have been offered to and
 // have not been refused by.
 type places struct {
-	mu  sync.Mutex
-	ids []string
+	mu   sync.Mutex
+	list []place
+}
+
+type place struct {
+	target, host string
+	// sent is set when the gate has said that the request goes to the target.
+	sent bool
 }
 
 // enter takes a place unless another attempt has it.
-func (p *places) enter(id string) bool {
+func (p *places) enter(t Target) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if slices.Contains(p.ids, id) {
+	if p.find(t.ID) >= 0 {
 		return false
 	}
-	p.ids = append(p.ids, id)
+	p.list = append(p.list, place{target: t.ID, host: t.Host})
 	return true
 }
 
-func (p *places) leave(id string) {
+func (p *places) find(target string) int {
+	return slices.IndexFunc(p.list, func(x place) bool { return x.target == target })
+}
+
+func (p *places) sent(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := p.find(target); i >= 0 {
+		p.list[i].sent = true
+	}
+}
+
+func (p *places) leave(target string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if i := slices.Index(p.ids, id); i >= 0 {
-		p.ids = slices.Delete(p.ids, i, i+1)
+	if i := p.find(target); i >= 0 {
+		p.list = slices.Delete(p.list, i, i+1)
 	}
 }
 
+// now lists the places taken.
+func (p *places) now() []place {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.list)
+}
+
 // hedgeQuantile is the share of requests that end before a second attempt
 // starts beside the first.
 const hedgeQuantile = 0.9
@@ -108,6 +133,7 @@
 	defer deadline.Stop()
 	hedge := time.NewTimer(t.hedgeAfter())
 	defer hedge.Stop()
+	ending := t.e.in.ending
 	for {
 		select {
 		case r := <-t.results:
@@ -118,6 +144,12 @@
 			if t.mayRepeat(ctx) {
 				t.launch(ctx, true)
 			}
+		case <-ending:
+			ending = nil
+			if t.withdrawn(ctx) {
+				r := wire.Refuse(wire.ReasonLeaving, "this host stops, and no target has taken the request yet")
+				return outcome{refusal: r, attempts: t.sent}
+			}
 		case <-deadline.C:
 			return t.timedOut()
 		case <-ctx.Done():
@@ -126,6 +158,24 @@
 	}
 }
 
+// withdrawn takes the request back from all gates that have it. It reports false
+// when a target works on it, has worked on it, or may have.
+func (t *trial) withdrawn(ctx context.Context) bool {
+	if t.mayRun {
+		return false
+	}
+	for _, p := range t.at.now() {
+		if p.sent {
+			return false
+		}
+		sent, err := t.e.in.gates.Withdraw(ctx, p.host, t.e.caller.Attempt)
+		if err != nil || sent {
+			return false
+		}
+	}
+	return true
+}
+
 func (t *trial) cancelAll() {
 	for _, cancel := range t.cancels {
 		cancel()
@@ -500,7 +550,7 @@
 	if !ok || t.ID != c.Target {
 		return Reply{Refusal: wire.Refuse(wire.ReasonNoTarget, "target %s has gone", c.Target)}, t
 	}
-	if !a.at.enter(t.ID) {
+	if !a.at.enter(t) {
 		return Reply{Refusal: wire.Refuse(wire.ReasonBusy, "another attempt of the request is at target %s", t.ID)}, t
 	}
 	defer a.at.leave(t.ID)
@@ -523,11 +573,23 @@
 	e.in.log.Decide("offered", "id", f.Attempt, "target", t.ID, "host", t.Host, "near", c.Near, "doubtful", c.Doubtful, "max_wait_ms", f.MaxWaitMs, "max_gray", f.MaxGray,
 		"hedge", a.hedge, "time_left_ms", f.TimeLeftMs, "known_gray", c.Report.Gray, "known_running", c.Report.Running,
 		"known_age_ms", ageMillis(c.Report.At), "revision", f.Revision)
-	reply := e.in.gates.Forward(ctx, t, f, a.req)
+	reply := e.in.gates.Forward(ctx, t, f, a.req, func() { a.at.sent(t.ID) })
 	a.learn(t, reply)
+	if r := reply.Refusal; r != nil && r.Reason == wire.ReasonUnreachable && r.Run != wire.NotRun && ctx.Err() == nil {
+		a.settle(ctx, t, r)
+	}
 	return reply, t
 }
 
+// settle finds out whether a request has run whose way to the gate broke.
+func (a *attempt) settle(ctx context.Context, t Target, r *wire.Refusal) {
+	sent, err := a.e.in.gates.Withdraw(ctx, t.Host, a.e.caller.Attempt)
+	if err == nil && !sent {
+		r.Run = wire.NotRun
+	}
+	a.e.in.log.Decide("settled", "id", a.e.caller.Attempt, "target", t.ID, "sent", sent, "err", err)
+}
+
 func ageMillis(at time.Time) int64 {
 	if at.IsZero() {
 		return -1
