Calls come first in sound lines, and are not risked on gray targets

The orders that waited for them held the sound slots. Failures that followed from calls made their targets look gray.

Change: the cost of a target knows its expected wait; a call may wait half of its objective near, and costs as much on a gray target as a request that cannot be repeated; second attempts may wait in sound lines; a gray target is tried with one repeatable request a second; a failed call excuses one failure of its target.

--- a/hostd/exchange.go
+++ b/hostd/exchange.go
@@ -90,6 +90,9 @@
 	now := time.Now()
 	g.mu.Lock()
 	t := tk.target
+	if e.blame == blameFailed && err == nil && !tk.f.Inner && t.excused(now) {
+		e.blame = blameNotRun // it says nothing of the target
+	}
 	switch e.blame {
 	case blameNone:
 		t.filter.Good(now, tk.request)
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -62,6 +62,7 @@
 	Running int     `json:"r"`
 	Waiting int     `json:"w,omitempty"`
 	Slots   int     `json:"s"`
+	WaitMs  int64   `json:"m,omitempty"`
 	Gray    float64 `json:"g"`
 	Cold    bool    `json:"c,omitempty"`
 }
@@ -90,6 +91,7 @@
 		Running: r.Running,
 		Waiting: r.Waiting,
 		Slots:   r.Slots,
+		WaitMs:  r.Wait.Milliseconds(),
 		Gray:    float64(int(r.Gray*grayScale)) / grayScale,
 		Cold:    r.Cold,
 	}))
@@ -100,7 +102,8 @@
 	if json.Unmarshal(h.Peek(headerReport), &w) != nil {
 		return placing.Report{}
 	}
-	return placing.Report{At: now, Running: w.Running, Waiting: w.Waiting, Slots: w.Slots, Gray: w.Gray, Cold: w.Cold}
+	return placing.Report{At: now, Running: w.Running, Waiting: w.Waiting, Slots: w.Slots,
+		Wait: time.Duration(w.WaitMs) * time.Millisecond, Gray: w.Gray, Cold: w.Cold}
 }
 
 // writeReply fills the HTTP response of a gate to another daemon.
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -79,6 +79,18 @@
 	}
 }
 
+// CallFailed tells that a call which the target made has failed.
+func (g *Gate) CallFailed() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.target != nil && len(g.target.failedCalls) < maxFailedCalls {
+		g.target.failedCalls = append(g.target.failedCalls, time.Now())
+	}
+}
+
+// maxFailedCalls bounds the failures that are remembered at once.
+const maxFailedCalls = 64
+
 // Withdraw makes sure that an attempt will not go to the target, unless it has
 // already, and reports whether it did.
 func (g *Gate) Withdraw(id string) (sent bool) {
@@ -207,7 +219,7 @@
 	case !f.Repeatable && g.sent.has(f.Attempt):
 		return wire.RefuseUnknown(wire.ReasonDuplicateOrder, "the attempt was sent before")
 	}
-	if p := t.filter.Probability(now); p > f.MaxGray {
+	if p := t.filter.Probability(now); p > f.MaxGray && !(f.Repeatable && t.mayTry(now)) {
 		return wire.Refuse(wire.ReasonGray, "target %s is gray with probability %.2f", t.id, p)
 	}
 	return nil
@@ -230,6 +242,10 @@
 		return r
 	}
 	g.sent.add(tk.f.Attempt, now)
+	if tk.f.Repeatable && t.filter.Probability(now) > tk.f.MaxGray {
+		t.triedAt = now
+		g.log.Decide("gray-tried", "id", tk.f.Attempt, "target", t.id, "gray", t.filter.Probability(now))
+	}
 	tk.started = now
 	tk.request = t.filter.Start(now, g.work(tk.f))
 	return nil
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -81,7 +81,7 @@
 	h.gate = NewGate(h.present.Load, h.control.View, h.control.Announce, h.log, h.metrics)
 	h.rates = newFleetRates(o.Settings.Host, h.bounds, h.control.View, asks.ask)
 	h.withdrawals = &withdrawals{host: o.Settings.Host, gate: h.gate, view: h.control.View, ask: asks.ask}
-	h.ingress = NewIngress(h.present.Load, h.control, h, h.rates, h.log, h.metrics)
+	h.ingress = NewIngress(h.present.Load, h.control, h, h.rates, h.gate.CallFailed, h.log, h.metrics)
 	if err := h.open(o.MetricsListen); err != nil {
 		h.close()
 		return nil, err
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -50,6 +50,8 @@
 	metrics *metrics.Registry
 	reports *reports
 
+	// callFailed is told when a call of this host's target fails.
+	callFailed func()
 	// leaving is set when a planned stop has begun.
 	leaving atomic.Pointer[leaving]
 	// ending is closed shortly before the end of a planned stop.
@@ -70,18 +72,19 @@
 func (in *Ingress) End() { close(in.ending) }
 
 // NewIngress returns an ingress.
-func NewIngress(set func() *karpithaz.Settings, c *Control, g gates, r rates, l *decisions.Log, m *metrics.Registry) *Ingress {
+func NewIngress(set func() *karpithaz.Settings, c *Control, g gates, r rates, callFailed func(), l *decisions.Log, m *metrics.Registry) *Ingress {
 	return &Ingress{
-		set:     set,
-		control: c,
-		gates:   g,
-		rates:   r,
-		log:     l,
-		metrics: m,
-		reports: newReports(),
-		ending:  make(chan struct{}),
-		works:   map[string]*gray.Work{},
-		budgets: map[string]*retry.Budget{},
+		set:        set,
+		control:    c,
+		gates:      g,
+		rates:      r,
+		log:        l,
+		metrics:    m,
+		reports:    newReports(),
+		callFailed: callFailed,
+		ending:     make(chan struct{}),
+		works:      map[string]*gray.Work{},
+		budgets:    map[string]*retry.Budget{},
 	}
 }
 
@@ -113,7 +116,11 @@
 		return
 	}
 	e.prepare()
-	e.finish(ctx, newTrial(e).run(ctx))
+	out := newTrial(e).run(ctx)
+	if e.inner && ctx.Err() == nil && out.failed() {
+		in.callFailed()
+	}
+	e.finish(ctx, out)
 }
 
 // admit matches route and key, and takes a token of the workspace.
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -27,6 +27,35 @@
 	line      *admission.Line
 	filter    *gray.Filter
 	pace      admission.Pace
+	// triedAt is when a gray target was last tried.
+	triedAt time.Time
+	// failedCalls are the times at which calls made by the target failed.
+	failedCalls []time.Time
+}
+
+const (
+	// tryEvery is how often a target that seems gray gets a request that can be
+	// repeated, to find out whether it still is.
+	tryEvery = time.Second
+	// excuseFor is how long after a call has failed the target's failure of the
+	// request that made it is expected.
+	excuseFor = 500 * time.Millisecond
+)
+
+// mayTry reports whether a request may go to the target although it seems gray.
+func (t *local) mayTry(now time.Time) bool { return now.Sub(t.triedAt) >= tryEvery }
+
+// excused reports whether a failure follows from that of a call, each of which
+// excuses one failure.
+func (t *local) excused(now time.Time) bool {
+	for len(t.failedCalls) > 0 {
+		at := t.failedCalls[0]
+		t.failedCalls = t.failedCalls[1:]
+		if now.Sub(at) <= excuseFor {
+			return true
+		}
+	}
+	return false
 }
 
 func newLocal(h karpithaz.Heartbeat) *local {
@@ -84,6 +113,7 @@
 		Running: t.line.Running(),
 		Waiting: t.line.Waiting(),
 		Slots:   t.line.Slots(),
+		Wait:    t.line.ExpectedWait(),
 		Gray:    t.filter.Probability(now),
 		Cold:    t.cold(now),
 	}
--- a/hostd/trial.go
+++ b/hostd/trial.go
@@ -25,6 +25,11 @@
 	attempts int
 }
 
+// failed reports whether the request got no good answer.
+func (o outcome) failed() bool {
+	return o.answer == nil || o.answer.Header.StatusCode() >= fasthttp.StatusInternalServerError
+}
+
 // trial makes attempts until a request has an outcome. A request that may be
 // repeated gets a second attempt beside one that takes too long.
 type trial struct {
@@ -40,6 +45,8 @@
 	tried, shed []string
 	// at is where the attempts under way are.
 	at *places
+	// risky is told when an attempt goes to a target that seems gray.
+	risky chan struct{}
 	// failure is the last answer that tells of a failure; it is passed on when
 	// nothing better comes.
 	failure *outcome
@@ -67,7 +74,7 @@
 func newTrial(e *exchange) *trial {
 	b := e.in.budget(e.service)
 	b.Deposit()
-	return &trial{e: e, budget: b, results: make(chan attemptResult, maxParallel), at: &places{}}
+	return &trial{e: e, budget: b, results: make(chan attemptResult, maxParallel), at: &places{}, risky: make(chan struct{}, 1)}
 }
 
 // places are the targets that attempts of one request have been offered to and
@@ -125,6 +132,10 @@
 // starts beside the first.
 const hedgeQuantile = 0.9
 
+// riskyQuantile replaces hedgeQuantile for a request at a target that seems
+// gray.
+const riskyQuantile = 0.6
+
 // run makes attempts until there is an outcome.
 func (t *trial) run(ctx context.Context) outcome {
 	defer t.cancelAll()
@@ -144,6 +155,9 @@
 			if t.mayRepeat(ctx) {
 				t.launch(ctx, true)
 			}
+		case <-t.risky:
+			w := t.e.in.work(t.e.route)
+			hedge.Reset(w.Quantile(riskyQuantile))
 		case <-ending:
 			ending = nil
 			if t.withdrawn(ctx) {
@@ -218,7 +232,7 @@
 	req := &fasthttp.Request{}
 	t.e.x.Request.Header.CopyTo(&req.Header)
 	req.SetBodyRaw(t.e.x.Request.Body())
-	a := &attempt{e: t.e, req: req, avoid: slices.Clone(t.tried), at: t.at, hedge: hedge}
+	a := &attempt{e: t.e, req: req, avoid: slices.Clone(t.tried), at: t.at, risky: t.risky, hedge: hedge}
 	if t.sent+t.running+distinct(t.shed) > t.e.route.MaxAttempts {
 		a.only = slices.Clone(t.shed)
 	}
@@ -318,6 +332,7 @@
 	// only, when not empty, lists the targets that the request may go to.
 	only  []string
 	at    *places
+	risky chan<- struct{}
 	hedge bool
 }
 
@@ -332,9 +347,11 @@
 	// without asking again.
 	knownFor = 100 * time.Millisecond
 	// shortWait is the share of a route's objective that a request rather waits
-	// near than goes far; for large answers it is shortWaitLarge.
+	// near than goes far. It is larger where distance costs more, and for calls,
+	// which come first in lines.
 	shortWait      = 0.08
 	shortWaitLarge = 0.4
+	shortWaitInner = 0.5
 )
 
 // Likelihoods of a gray target up to which a request goes there while others
@@ -374,7 +391,7 @@
 	if s.round(ctx, near, first) || s.round(ctx, near, short) || s.round(ctx, far, first) {
 		return s.result
 	}
-	if !a.hedge && s.insist(ctx) {
+	if s.insist(ctx) {
 		return s.result
 	}
 	return a.result(Reply{Refusal: s.last}, Target{})
@@ -400,7 +417,10 @@
 
 func (a *attempt) shortWait() time.Duration {
 	share := shortWait
-	if a.e.route.Kind == routes.Download {
+	switch {
+	case a.e.inner:
+		share = shortWaitInner
+	case a.e.route.Kind == routes.Download:
 		share = shortWaitLarge
 	}
 	return time.Duration(share * float64(a.e.route.Objective))
@@ -467,7 +487,8 @@
 }
 
 // insist asks for a place in a line, or for a gray target, whichever costs
-// less by what the gates have just told.
+// less by what the gates have just told. A second attempt beside another does
+// not go to a gray target.
 func (s *search) insist(ctx context.Context) bool {
 	var open []offer
 	for _, o := range s.refused {
@@ -483,6 +504,9 @@
 		return cmp.Compare(placing.Cost(now, x.c, placed), placing.Cost(now, y.c, placed))
 	})
 	any := terms{maxWait: time.Until(s.a.e.deadline), maxGray: 1}
+	if s.a.hedge {
+		any.maxGray = s.a.grayFirst()
+	}
 	for _, o := range open[:min(len(open), maxInsists)] {
 		if s.ask(ctx, o.c, any) {
 			return true
@@ -503,7 +527,7 @@
 }
 
 func (a *attempt) placed() placing.Request {
-	return placing.Request{Repeatable: a.e.route.Kind.Repeatable(), Large: a.e.route.Kind == routes.Download}
+	return placing.Request{Repeatable: a.e.route.Kind.Repeatable(), Inner: a.e.inner, Large: a.e.route.Kind == routes.Download, Objective: a.e.route.Objective}
 }
 
 // candidates lists the targets that may be chosen.
@@ -573,7 +597,7 @@
 	e.in.log.Decide("offered", "id", f.Attempt, "target", t.ID, "host", t.Host, "near", c.Near, "doubtful", c.Doubtful, "max_wait_ms", f.MaxWaitMs, "max_gray", f.MaxGray,
 		"hedge", a.hedge, "time_left_ms", f.TimeLeftMs, "known_gray", c.Report.Gray, "known_running", c.Report.Running,
 		"known_age_ms", ageMillis(c.Report.At), "revision", f.Revision)
-	reply := e.in.gates.Forward(ctx, t, f, a.req, func() { a.at.sent(t.ID) })
+	reply := e.in.gates.Forward(ctx, t, f, a.req, func() { a.sent(t, on) })
 	a.learn(t, reply)
 	if r := reply.Refusal; r != nil && r.Reason == wire.ReasonUnreachable && r.Run != wire.NotRun && ctx.Err() == nil {
 		a.settle(ctx, t, r)
@@ -581,6 +605,18 @@
 	return reply, t
 }
 
+// sent takes the gate's word that the request goes to the target.
+func (a *attempt) sent(t Target, on terms) {
+	a.at.sent(t.ID)
+	if r := a.e.in.reports.get(t.ID); a.hedge || r.Gray <= min(on.maxGray, a.grayFirst()) {
+		return
+	}
+	select {
+	case a.risky <- struct{}{}:
+	default:
+	}
+}
+
 // settle finds out whether a request has run whose way to the gate broke.
 func (a *attempt) settle(ctx context.Context, t Target, r *wire.Refusal) {
 	sent, err := a.e.in.gates.Withdraw(ctx, t.Host, a.e.caller.Attempt)
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -14,6 +14,8 @@
 	At time.Time
 	// Running and Waiting count requests; Slots is how many run at once.
 	Running, Waiting, Slots int
+	// Wait is the expected wait of a new request for a slot.
+	Wait time.Duration
 	// Gray is the gate's belief that the target fails much of its work.
 	Gray float64
 	// Cold is set while the target bears little.
@@ -35,8 +37,12 @@
 type Request struct {
 	// Repeatable requests can be saved by a second target.
 	Repeatable bool
+	// Inner requests are calls of work that fails with them.
+	Inner bool
 	// Large answers make distance dear.
 	Large bool
+	// Objective is the latency that earns full credit.
+	Objective time.Duration
 }
 
 // Costs in units of one request's worth.
@@ -44,12 +50,14 @@
 	// grayLost and grayDelayed weigh the chance that a target is gray, for
 	// requests that cannot and that can be repeated.
 	grayLost    = 1.0
-	grayDelayed = 0.4
+	grayDelayed = 0.6
 	// loadCost multiplies the square of the share of slots in use: targets
 	// slow down when they are nearly full.
 	loadCost = 0.2
-	// queueCost is added for each slot's worth of work beyond the slots.
-	queueCost = 0.5
+	// waitCost is that of a wait as long as the objective.
+	waitCost = 0.5
+	// mostWait bounds the cost of waiting, in objectives.
+	mostWait = 2.0
 	// farCost is the price of the bytes of a usual request between data
 	// centres, farLargeCost that of a large answer.
 	farCost      = 0.06
@@ -76,9 +84,12 @@
 func Cost(now time.Time, c Candidate, r Request) float64 {
 	belief, load := known(now, c.Report)
 	cost := loadCost * min(load, 1) * min(load, 1)
-	cost += queueCost * max(load-1, 0)
+	cost += waitCost * waited(now, c.Report, r.Objective)
 	if r.Repeatable {
 		cost += grayDelayed * belief
+		if r.Inner {
+			cost += (grayLost - grayDelayed) * belief
+		}
 		if now.Sub(c.Report.At) > loadFades {
 			cost -= explored
 		}
@@ -101,6 +112,15 @@
 	return cost
 }
 
+// waited is the expected wait in objectives; what is known of it fades.
+func waited(now time.Time, r Report, objective time.Duration) float64 {
+	if r.Wait <= 0 || objective <= 0 {
+		return 0
+	}
+	fresh := max(0, 1-now.Sub(r.At).Seconds()/loadFades.Seconds())
+	return fresh * min(r.Wait.Seconds()/objective.Seconds(), mostWait)
+}
+
 // known is what a report is worth at its age.
 func known(now time.Time, r Report) (belief, load float64) {
 	if r.At.IsZero() || r.Slots <= 0 {
