Readers drop the rows of hosts that have fallen silent

Change: each reader hears of all hosts of its data centre, and drops the row of one that has not asked for 5 s, under the row's version; a host whose row is missing writes it again.

Ruled out: full rates from the second owner (a cut between data centres would double the rate).

--- a/hostd/announce.go
+++ b/hostd/announce.go
@@ -77,6 +77,7 @@
 func (g *Gate) begin(h karpithaz.Heartbeat, now time.Time) {
 	old := g.target
 	g.target = newLocal(h)
+	g.target.known = now
 	g.target.hear(h, now)
 	if old != nil {
 		g.flush(old, "target "+old.id+" has been replaced")
@@ -101,6 +102,20 @@
 	}
 }
 
+// confirm announces the target again unless its row is listed as it should be.
+func (g *Gate) confirm(row Target, listed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.target
+	if t == nil || t.leaving || time.Since(t.known) < ownRowEvery {
+		return
+	}
+	if want := g.row(t); !listed || row != *want {
+		g.log.Decide("own-row-missing", "target", t.id, "listed", listed)
+		g.announce(want)
+	}
+}
+
 // leave takes a target's word that it has gone.
 func (g *Gate) leave(id string) {
 	g.mu.Lock()
--- a/hostd/control.go
+++ b/hostd/control.go
@@ -40,6 +40,7 @@
 	configAt, hostsAt atomic.Uint64
 	news              chan news
 	own               chan *Target
+	heard             heardOf
 
 	// The fields below belong to the goroutine of Run.
 	config    *routes.Config
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -157,6 +157,7 @@
 		{Name: "own-row", Run: h.control.RunOwnRow},
 		{Name: "datagrams", Run: h.asks.run},
 		{Name: "sweep", Run: h.runSweep},
+		{Name: "own-row-watch", Run: h.runOwnRowWatch},
 	}, h.servers.children...)
 	failed := make(chan error, 1)
 	go func() { failed <- supervise.New(supervise.Options{Logger: h.log.Logger()}, children...).Run(treeCtx) }()
@@ -208,6 +209,21 @@
 	return h.withdrawals.withdraw(ctx, host, attempt)
 }
 
+// ownRowEvery is how often the own row is looked for; it is longer than a row
+// takes to come back through the readers.
+const ownRowEvery = 3 * time.Second
+
+// runOwnRowWatch writes the own row again when it is missing or out of date.
+func (h *Host) runOwnRowWatch(ctx context.Context) error {
+	for pause.For(ctx, ownRowEvery) {
+		if view := h.control.View(); view.Ready() && !h.stopping() {
+			row, listed := view.TargetOf(h.set.Host)
+			h.gate.confirm(row, listed)
+		}
+	}
+	return nil
+}
+
 // Forward implements gates.
 func (h *Host) Forward(ctx context.Context, t Target, f Forward, req *fasthttp.Request, onSend func()) Reply {
 	if t.Host == h.set.Host {
@@ -224,7 +240,7 @@
 	case questionRate, questionRepeat:
 		return h.rates.answer(ctx, q)
 	case questionNews:
-		return h.control.tellNews()
+		return h.control.tellNews(q.Host)
 	case questionWithdraw:
 		return h.withdrawals.answer(ctx, q)
 	}
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -146,7 +146,7 @@
 	}
 	if e.holder != nil {
 		if ok, after := e.in.rates.Take(ctx, e.holder); !ok {
-			r := wire.Refuse(wire.ReasonRate, "workspace %s exceeds its rate", e.holder.Name)
+			r := wire.Refuse(wire.ReasonRate, "workspace %s exceeds its rate of %g a second with bursts of %g", e.holder.Name, e.holder.Rate, e.holder.Burst)
 			r.RetryAfter = after
 			return r
 		}
@@ -306,7 +306,7 @@
 	resp.SetBodyRaw(out.answer.Body)
 	e.in.metrics.Add("served", 1)
 	e.in.metrics.Observe("request_time", took)
-	e.in.log.Decide("answered", "id", e.caller.Attempt, "route", e.route.Name, "status", resp.StatusCode(), "target", out.target,
+	e.in.log.Decide("answered", "id", e.caller.Attempt, "route", e.route.Name, "workspace", e.workspace(), "status", resp.StatusCode(), "target", out.target,
 		"attempts", out.attempts, "took_ms", took.Milliseconds(), "objective_ms", e.route.Objective.Milliseconds(), "late", took > e.route.Objective)
 }
 
@@ -330,7 +330,7 @@
 	karpithaz.WriteOwnAnswer(&resp.Header, e.caller.Attempt, after)
 	e.in.metrics.Add(decision, 1)
 	e.in.metrics.Add(decision+"_"+string(r.Reason), 1)
-	e.in.log.Decide(decision, "id", e.caller.Attempt, "status", status, "reason", r.Reason, "run", r.Run, "detail", r.Detail,
+	e.in.log.Decide(decision, "id", e.caller.Attempt, "workspace", e.workspace(), "status", status, "reason", r.Reason, "run", r.Run, "detail", r.Detail,
 		"retry_after_ms", after.Milliseconds(), "after_ms", time.Since(e.started).Milliseconds(),
 		"revision", e.revision(), "proof_age_ms", e.in.control.ProofAge().Milliseconds())
 }
--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -80,14 +80,20 @@
 	return len(readers) < readersPerDataCentre || slices.Contains(readers, c.host)
 }
 
-// RunNews asks readers until ctx ends.
+// RunNews asks readers until ctx ends. Readers ask each other as well, so that
+// each hears of all hosts of the data centre that live.
 func (c *Control) RunNews(ctx context.Context) error {
 	own := &feed{c: c, table: karpithaz.OperatorTable, at: &c.configAt, started: true}
-	for pause.For(ctx, newsEvery/2+rand.N(newsEvery)) {
-		if c.isReader() || c.View().Config == nil {
+	for turn := 0; pause.For(ctx, newsEvery/2+rand.N(newsEvery)); turn++ {
+		if c.View().Config == nil {
 			continue
 		}
-		if behind := c.askReaders(ctx); behind || c.ProofAge() > proofOld {
+		behind := c.askReaders(ctx, turn)
+		if c.isReader() {
+			c.dropSilent(ctx, time.Now())
+			continue
+		}
+		if behind || c.ProofAge() > proofOld {
 			c.metrics.Add("store_asked_out_of_turn", 1)
 			if err := own.read(ctx, 0); err != nil && ctx.Err() == nil {
 				c.metrics.Add("store_failures", 1)
@@ -98,17 +104,16 @@
 	return nil
 }
 
-// askReaders takes in the news of the first reader that has some. It reports
-// whether a reader knows a configuration that this host does not.
-func (c *Control) askReaders(ctx context.Context) (behind bool) {
+// askReaders takes in the news of the first reader that has some; the readers
+// take turns to be asked first. It reports whether a reader knows a
+// configuration that this host does not.
+func (c *Control) askReaders(ctx context.Context, turn int) (behind bool) {
 	view := c.View()
 	readers := view.readers(c.dataCentre)
-	if rand.N(2) == 0 {
-		slices.Reverse(readers)
-	}
-	for _, host := range readers {
+	for i := range readers {
+		host := readers[(turn+i)%len(readers)]
 		t, ok := view.TargetOf(host)
-		if !ok {
+		if !ok || host == c.host {
 			continue
 		}
 		asked := boottime.Now()
@@ -151,7 +156,8 @@
 }
 
 // tellNews answers another host's question for news.
-func (c *Control) tellNews() datagram {
+func (c *Control) tellNews(host string) datagram {
+	c.heard.note(host, time.Now())
 	view := c.View()
 	return datagram{
 		Yes:    view.Ready(),
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -19,6 +19,8 @@
 	dc      string
 	// born and sequence order what the target says of itself.
 	born, sequence int64
+	// known is when this life was first heard of.
+	known time.Time
 	// leaving targets get nothing more.
 	leaving   bool
 	coldUntil time.Time
