Withdrawals name the life of the gate; quiet near targets are explored

Change: reports carry the life of the gate's process, and a gate of another life answers that the attempt may have run. A repeatable request is offered first to the near target of which nothing was heard for 1.2 s.

--- a/hostd/datagrams.go
+++ b/hostd/datagrams.go
@@ -25,6 +25,8 @@
 	Name string `json:"w,omitempty"`
 	// Host is the host meant by a question that is passed on.
 	Host string `json:"h,omitempty"`
+	// Life is that of the gate's process which is meant.
+	Life int64 `json:"l,omitempty"`
 	// Known is set when the answer is that of the host that was meant.
 	Known bool `json:"o,omitempty"`
 	// Yes and Millis are the answer.
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -59,6 +59,7 @@
 
 // wireReport is a placing.Report between daemons.
 type wireReport struct {
+	Life    int64   `json:"l"`
 	Running int     `json:"r"`
 	Waiting int     `json:"w,omitempty"`
 	Slots   int     `json:"s"`
@@ -88,6 +89,7 @@
 
 func writeReport(h *fasthttp.ResponseHeader, r placing.Report) {
 	h.Set(headerReport, encodeHeader(wireReport{
+		Life:    r.Life,
 		Running: r.Running,
 		Waiting: r.Waiting,
 		Slots:   r.Slots,
@@ -102,7 +104,7 @@
 	if json.Unmarshal(h.Peek(headerReport), &w) != nil {
 		return placing.Report{}
 	}
-	return placing.Report{At: now, Running: w.Running, Waiting: w.Waiting, Slots: w.Slots,
+	return placing.Report{At: now, Life: w.Life, Running: w.Running, Waiting: w.Waiting, Slots: w.Slots,
 		Wait: time.Duration(w.WaitMs) * time.Millisecond, Gray: w.Gray, Cold: w.Cold}
 }
 
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -26,6 +26,8 @@
 	log      *decisions.Log
 	metrics  *metrics.Registry
 	links    *link.Pool
+	// life tells this process's gate from earlier ones of the host.
+	life int64
 
 	mu     sync.Mutex
 	target *local
@@ -56,6 +58,7 @@
 		announce:  announce,
 		log:       l,
 		metrics:   m,
+		life:      time.Now().UnixNano(),
 		works:     map[string]*gray.Work{},
 		sent:      attemptTimes{},
 		withdrawn: attemptTimes{},
@@ -92,11 +95,12 @@
 const maxFailedCalls = 64
 
 // Withdraw makes sure that an attempt will not go to the target, unless it has
-// already, and reports whether it did.
-func (g *Gate) Withdraw(id string) (sent bool) {
+// already, and reports whether it did or may have: what was sent to an earlier
+// process, of another life, is not known here.
+func (g *Gate) Withdraw(id string, life int64) (sent bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.sent.has(id) {
+	if life != g.life || g.sent.has(id) {
 		return true
 	}
 	g.withdrawn.add(id, time.Now())
@@ -133,9 +137,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.target == nil {
-		return placing.Report{}
+		return placing.Report{Life: g.life}
 	}
-	return g.target.report(time.Now())
+	r := g.target.report(time.Now())
+	r.Life = g.life
+	return r
 }
 
 // ticket is an attempt that holds a slot.
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -205,8 +205,8 @@
 }
 
 // Withdraw implements gates.
-func (h *Host) Withdraw(ctx context.Context, host, attempt string) (bool, error) {
-	return h.withdrawals.withdraw(ctx, host, attempt)
+func (h *Host) Withdraw(ctx context.Context, host, attempt string, life int64) (bool, error) {
+	return h.withdrawals.withdraw(ctx, host, attempt, life)
 }
 
 // ownRowEvery is how often the own row is looked for; it is longer than a row
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -26,9 +26,10 @@
 	// Forward takes an attempt to a target through its host's gate, and calls
 	// onSend when it goes to the target.
 	Forward(ctx context.Context, t Target, f Forward, req *fasthttp.Request, onSend func()) Reply
-	// Withdraw reports whether an attempt has gone to the target of a host. When
-	// it has not, it never will.
-	Withdraw(ctx context.Context, host, attempt string) (sent bool, err error)
+	// Withdraw reports whether an attempt has gone to the target of a host, or
+	// may have. When it has not, it never will. life is that of the gate's
+	// process when the attempt was sent.
+	Withdraw(ctx context.Context, host, attempt string, life int64) (sent bool, err error)
 }
 
 // rates takes tokens of what is bounded over the fleet.
--- a/hostd/reports.go
+++ b/hostd/reports.go
@@ -12,6 +12,8 @@
 	mu       sync.Mutex
 	byTarget map[string]placing.Report
 	paths    map[string]path
+	// lives are those of the hosts' gates.
+	lives map[string]int64
 	// absent are targets that their gates do not let have anything.
 	absent map[string]time.Time
 }
@@ -30,7 +32,7 @@
 )
 
 func newReports() *reports {
-	return &reports{byTarget: map[string]placing.Report{}, paths: map[string]path{}, absent: map[string]time.Time{}}
+	return &reports{byTarget: map[string]placing.Report{}, paths: map[string]path{}, absent: map[string]time.Time{}, lives: map[string]int64{}}
 }
 
 func (r *reports) set(target string, rep placing.Report) {
@@ -42,6 +44,23 @@
 	r.byTarget[target] = rep
 }
 
+// setLife records the life of a host's gate.
+func (r *reports) setLife(host string, life int64) {
+	if life == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lives[host] = life
+}
+
+// life is the last known life of a host's gate, or 0.
+func (r *reports) life(host string) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lives[host]
+}
+
 func (r *reports) get(target string) placing.Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/hostd/trial.go
+++ b/hostd/trial.go
@@ -86,18 +86,20 @@
 
 type place struct {
 	target, host string
+	// life is that of the gate when the request was offered.
+	life int64
 	// sent is set when the gate has said that the request goes to the target.
 	sent bool
 }
 
 // enter takes a place unless another attempt has it.
-func (p *places) enter(t Target) bool {
+func (p *places) enter(t Target, life int64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.find(t.ID) >= 0 {
 		return false
 	}
-	p.list = append(p.list, place{target: t.ID, host: t.Host})
+	p.list = append(p.list, place{target: t.ID, host: t.Host, life: life})
 	return true
 }
 
@@ -182,7 +184,7 @@
 		if p.sent {
 			return false
 		}
-		sent, err := t.e.in.gates.Withdraw(ctx, p.host, t.e.caller.Attempt)
+		sent, err := t.e.in.gates.Withdraw(ctx, p.host, t.e.caller.Attempt, p.life)
 		if err != nil || sent {
 			return false
 		}
@@ -384,6 +386,9 @@
 		return a.result(Reply{Refusal: wire.Refuse(wire.ReasonNoTarget, "no target of service %s is known and may be chosen", a.e.service)}, Target{})
 	}
 	placing.Order(time.Now(), cands, a.placed(), random{})
+	if a.placed().Repeatable {
+		exploreFirst(cands, time.Now())
+	}
 	near, far := split(cands[:min(len(cands), maxOffers)])
 	first := terms{maxGray: a.grayFirst()}
 	short := terms{maxGray: a.grayFirst(), maxWait: a.shortWait()}
@@ -397,6 +402,30 @@
 	return a.result(Reply{Refusal: s.last}, Target{})
 }
 
+// exploreAfter is how long nothing was heard of a near target before a request
+// that can be repeated is offered to it first. Targets that seem gray would
+// otherwise get nothing while others have room, and never be found sound again.
+const exploreAfter = 1200 * time.Millisecond
+
+// exploreFirst moves the near candidate of which nothing was heard for longest
+// to the front.
+func exploreFirst(cands []placing.Candidate, now time.Time) {
+	oldest := -1
+	for i, c := range cands {
+		if !c.Near || c.Doubtful || now.Sub(c.Report.At) < exploreAfter {
+			continue
+		}
+		if oldest < 0 || c.Report.At.Before(cands[oldest].Report.At) {
+			oldest = i
+		}
+	}
+	if oldest > 0 {
+		c := cands[oldest]
+		copy(cands[1:oldest+1], cands[:oldest])
+		cands[0] = c
+	}
+}
+
 func split(cands []placing.Candidate) (near, far []placing.Candidate) {
 	for _, c := range cands {
 		if c.Near && !c.Doubtful {
@@ -574,7 +603,8 @@
 	if !ok || t.ID != c.Target {
 		return Reply{Refusal: wire.Refuse(wire.ReasonNoTarget, "target %s has gone", c.Target)}, t
 	}
-	if !a.at.enter(t) {
+	life := a.e.in.reports.life(t.Host)
+	if !a.at.enter(t, life) {
 		return Reply{Refusal: wire.Refuse(wire.ReasonBusy, "another attempt of the request is at target %s", t.ID)}, t
 	}
 	defer a.at.leave(t.ID)
@@ -600,7 +630,7 @@
 	reply := e.in.gates.Forward(ctx, t, f, a.req, func() { a.sent(t, on) })
 	a.learn(t, reply)
 	if r := reply.Refusal; r != nil && r.Reason == wire.ReasonUnreachable && r.Run != wire.NotRun && ctx.Err() == nil {
-		a.settle(ctx, t, r)
+		a.settle(ctx, t, life, r)
 	}
 	return reply, t
 }
@@ -618,8 +648,8 @@
 }
 
 // settle finds out whether a request has run whose way to the gate broke.
-func (a *attempt) settle(ctx context.Context, t Target, r *wire.Refusal) {
-	sent, err := a.e.in.gates.Withdraw(ctx, t.Host, a.e.caller.Attempt)
+func (a *attempt) settle(ctx context.Context, t Target, life int64, r *wire.Refusal) {
+	sent, err := a.e.in.gates.Withdraw(ctx, t.Host, a.e.caller.Attempt, life)
 	if err == nil && !sent {
 		r.Run = wire.NotRun
 	}
@@ -636,6 +666,7 @@
 // learn takes what a reply tells of target and path.
 func (a *attempt) learn(t Target, r Reply) {
 	a.e.in.reports.set(t.ID, r.Report)
+	a.e.in.reports.setLife(t.Host, r.Report.Life)
 	if r.Refusal != nil && r.Report.At.IsZero() && r.Refusal.Reason == wire.ReasonUnreachable {
 		a.e.in.reports.failed(t.Host, time.Now())
 		return
--- a/hostd/withdraw.go
+++ b/hostd/withdraw.go
@@ -20,13 +20,15 @@
 	ask  func(ctx context.Context, addr string, q datagram) (datagram, error)
 }
 
-// withdraw reports whether an attempt has gone to the target of a host. When it
-// has not, it never will. The error tells that the gate cannot be reached.
-func (w *withdrawals) withdraw(ctx context.Context, host, attempt string) (sent bool, err error) {
+// withdraw reports whether an attempt has gone to the target of a host, or may
+// have. When it has not, it never will. life is that of the gate's process when
+// the attempt was sent: a later one knows nothing of it. The error tells that
+// the gate cannot be reached.
+func (w *withdrawals) withdraw(ctx context.Context, host, attempt string, life int64) (sent bool, err error) {
 	if host == w.host {
-		return w.gate.Withdraw(attempt), nil
+		return w.gate.Withdraw(attempt, w.gate.life), nil
 	}
-	q := datagram{Kind: questionWithdraw, Name: attempt, Host: host}
+	q := datagram{Kind: questionWithdraw, Name: attempt, Host: host, Life: life}
 	view := w.view()
 	t, ok := view.TargetOf(host)
 	if !ok {
@@ -61,7 +63,7 @@
 // answer answers another host's question, or passes it on.
 func (w *withdrawals) answer(ctx context.Context, q datagram) datagram {
 	if q.Host == w.host {
-		return datagram{Known: true, Yes: w.gate.Withdraw(q.Name)}
+		return datagram{Known: true, Yes: w.gate.Withdraw(q.Name, q.Life)}
 	}
 	t, ok := w.view().TargetOf(q.Host)
 	if !ok {
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -12,6 +12,8 @@
 type Report struct {
 	// At is when the report arrived; zero means that there was none.
 	At time.Time
+	// Life is that of the gate's process.
+	Life int64
 	// Running and Waiting count requests; Slots is how many run at once.
 	Running, Waiting, Slots int
 	// Wait is the expected wait of a new request for a slot.
