explain: the story of one request from the hosts' logs

Cause: on-call engineers have only logs; following one id through many hosts by hand took a script.

Change: gooseberryshed explain ID reads any number of logs and prints decisions about the request and the calls made for it in order of time, and the cause of its end.

TestSecondAttemptStartsInTime fails without the bound.

--- a/cli/root.go
+++ b/cli/root.go
@@ -54,7 +54,7 @@
 	})
 	root.PersistentFlags().StringVar(&g.platform, "platform", "", "URL of the platform, like http://10.0.0.9:7070")
 	root.PersistentFlags().DurationVar(&g.timeout, "timeout", defaultTimeout, "bound on the work with the platform")
-	root.AddCommand(configCommand(g), keyCommand(g), dataCentreCommand(g), statusCommand(g), reportCommand(g))
+	root.AddCommand(configCommand(g), keyCommand(g), dataCentreCommand(g), statusCommand(g), reportCommand(g), explainCommand())
 	root.AddCommand(extra...)
 	markFailures(root)
 	return root
--- a/decisions/decisions.go
+++ b/decisions/decisions.go
@@ -1,7 +1,7 @@
 // Package decisions writes a structured line for each decision that touches a
 // request or changes what the process believes.
 //
-// Lines are JSON objects with the keys ts, level and msg (the decision) and
+// Lines are JSON objects with the keys time, level and msg (the decision) and
 // then those of the decision; docs/OPERATIONS.md lists them. Writing never
 // waits: lines go through a bounded buffer to one goroutine, each kind of
 // decision has a rate, and what is left out is counted and reported.
--- /dev/null
+++ b/explain/explain.go
@@ -0,0 +1,187 @@
+// Package explain tells the story of one request from the decision logs of many
+// hosts.
+package explain
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Line is one decision.
+type Line struct {
+	// Source names the log that it comes from.
+	Source string
+	// At is the host's time of day; hosts' clocks may differ a little.
+	At       time.Time
+	Decision string
+	// Fields are the inputs and the outcome, as they were written.
+	Fields map[string]any
+}
+
+// maxLine bounds a line of a log in bytes.
+const maxLine = 1 << 20
+
+// Keys of a log line that are not fields of the decision.
+const (
+	keyTime     = "time"
+	keyLevel    = "level"
+	keyDecision = "msg"
+	keyID       = "id"
+)
+
+// Read returns the decisions of a log about an id, and about the calls that were
+// made for it, whose ids start with it and a dot. What stands before the first
+// brace of a line, and lines that are no decisions, are passed over.
+func Read(source string, r io.Reader, id string) ([]Line, error) {
+	var out []Line
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, maxLine)
+	for sc.Scan() {
+		text := sc.Text()
+		if !strings.Contains(text, id) {
+			continue
+		}
+		if line, ok := parse(source, text); ok && about(line, id) {
+			out = append(out, line)
+		}
+	}
+	return out, errors.Wrapf(sc.Err(), "read %s", source)
+}
+
+func parse(source, text string) (Line, bool) {
+	start := strings.IndexByte(text, '{')
+	if start < 0 {
+		return Line{}, false
+	}
+	fields := map[string]any{}
+	if json.Unmarshal([]byte(text[start:]), &fields) != nil {
+		return Line{}, false
+	}
+	if prefix := strings.Fields(text[:start]); len(prefix) > 0 {
+		source = prefix[len(prefix)-1]
+	}
+	stamp, _ := fields[keyTime].(string)
+	decision, _ := fields[keyDecision].(string)
+	at, err := time.Parse(time.RFC3339, stamp)
+	if err != nil || decision == "" {
+		return Line{}, false
+	}
+	for _, key := range []string{keyTime, keyLevel, keyDecision} {
+		delete(fields, key)
+	}
+	return Line{Source: source, At: at, Decision: decision, Fields: fields}, true
+}
+
+func about(l Line, id string) bool {
+	s, _ := l.Fields[keyID].(string)
+	return s == id || strings.HasPrefix(s, id+".")
+}
+
+// Tell writes the story in order of time, and the cause of its end if the
+// decisions tell it.
+func Tell(w io.Writer, lines []Line, id string) error {
+	if len(lines) == 0 {
+		return errors.Errorf("no decision about %q was found; look at more hosts' logs, and for \"log lines omitted\" or \"dropped\" in them", id)
+	}
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.At.Compare(b.At) })
+	first := lines[0].At
+	for _, l := range lines {
+		if _, err := fmt.Fprintf(w, "%7.3f s  %-24s %-16s %s\n", l.At.Sub(first).Seconds(), l.Source, l.Decision, describe(l, id)); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(w, "\n%s\n", Cause(lines, id))
+	return err
+}
+
+func describe(l Line, id string) string {
+	keys := make([]string, 0, len(l.Fields))
+	for k := range l.Fields {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	var parts []string
+	for _, k := range keys {
+		if k == keyID && l.Fields[k] == id {
+			continue
+		}
+		parts = append(parts, fmt.Sprintf("%s=%v", k, l.Fields[k]))
+	}
+	return strings.Join(parts, " ")
+}
+
+// Cause names what ended the request as it did.
+func Cause(lines []Line, id string) string {
+	end := last(lines, id, "answered", "failed", "refused", "caller-left")
+	if end == nil {
+		return "cause: not in these logs; the ingress has written no end, so its log is missing or its host has died"
+	}
+	switch end.Decision {
+	case "refused", "failed":
+		return fmt.Sprintf("cause: %v, run state %v: %v%s", end.Fields["reason"], end.Fields["run"], end.Fields["detail"], behind(lines, id))
+	case "caller-left":
+		return "cause: the caller left before the answer"
+	}
+	status, _ := end.Fields["status"].(float64)
+	switch {
+	case status >= 500:
+		return fmt.Sprintf("cause: target %v answered %v%s", end.Fields["target"], status, behind(lines, id))
+	case end.Fields["late"] == true:
+		return "cause of the lateness" + slowest(lines, id)
+	}
+	return fmt.Sprintf("answered %v by target %v", status, end.Fields["target"])
+}
+
+func last(lines []Line, id string, decisions ...string) *Line {
+	for i := len(lines) - 1; i >= 0; i-- {
+		if lines[i].Fields[keyID] == id && slices.Contains(decisions, lines[i].Decision) {
+			return &lines[i]
+		}
+	}
+	return nil
+}
+
+// behind names what a target did with the request, or the call that failed.
+func behind(lines []Line, id string) string {
+	for _, l := range lines {
+		call, _ := l.Fields[keyID].(string)
+		status, _ := l.Fields["status"].(float64)
+		if strings.HasPrefix(call, id+".") && (l.Decision == "failed" || l.Decision == "refused" || l.Decision == "answered" && status >= 500) {
+			return fmt.Sprintf("\n  since its call %s ended with %v: %v", call, l.Fields["status"], strings.TrimPrefix(Cause(lines, call), "cause: "))
+		}
+	}
+	var told []string
+	for _, l := range lines {
+		if l.Fields[keyID] == id && (l.Decision == "target-failed" || l.Decision == "target-answered") {
+			told = append(told, fmt.Sprintf("\n  target %v had it for %v ms, gray with probability %.2f afterwards (%v)",
+				l.Fields["target"], l.Fields["took_ms"], l.Fields["gray"], l.Decision))
+		}
+	}
+	return strings.Join(told, "")
+}
+
+// slowest names the longest step of a late request.
+func slowest(lines []Line, id string) string {
+	var own []Line
+	for _, l := range lines {
+		if l.Fields[keyID] == id {
+			own = append(own, l)
+		}
+	}
+	step, longest := "", time.Duration(0)
+	for i := 1; i < len(own); i++ {
+		if d := own[i].At.Sub(own[i-1].At); d > longest {
+			longest = d
+			step = fmt.Sprintf(": %s passed between %s at %s and %s at %s", d, own[i-1].Decision, own[i-1].Source, own[i].Decision, own[i].Source)
+		}
+	}
+	return step + behind(lines, id)
+}
--- a/hostd/trial.go
+++ b/hostd/trial.go
@@ -208,10 +208,15 @@
 	}
 }
 
+// hedgeLatest is the share of a request's time after which a second attempt
+// starts at the latest, so that time is left for it.
+const hedgeLatest = 0.45
+
 // hedgeAfter is when a second attempt starts beside the first.
 func (t *trial) hedgeAfter() time.Duration {
 	w := t.e.in.work(t.e.route)
-	return w.Quantile(hedgeQuantile)
+	latest := time.Duration(hedgeLatest * float64(t.e.deadline.Sub(t.e.started)))
+	return min(w.Quantile(hedgeQuantile), latest)
 }
 
 // mayRepeat reports whether a request that may have run may be sent again.
--- a/hostd/trial_test.go
+++ b/hostd/trial_test.go
@@ -176,3 +176,25 @@
 		assert.Equal(t, len(g.offered()), 3)
 	}
 }
+
+// Where a route's time is short against its usual work, the second attempt still
+// starts in time to help.
+func TestSecondAttemptStartsInTime(t *testing.T) {
+	g := &scriptedGates{}
+	g.forward = func(ctx context.Context, _ Target, _ Forward, onSend func()) Reply {
+		if len(g.offered()) > 1 {
+			return answerOf(200)
+		}
+		onSend()
+		<-ctx.Done()
+		return Reply{Refusal: wire.RefuseUnknown(wire.ReasonTimeout, "")}
+	}
+	in := newTestIngress(t, g, "h1", "h2")
+	route, _ := in.control.View().Config.Match(testHost, "/read/1")
+	for range 50 {
+		in.learn(route, 2*time.Second)
+	}
+	x := exchangeOf("a", "GET", "/read/1", time.Second)
+	in.Handle(context.Background(), x)
+	assert.Equal(t, x.Response.StatusCode(), 200)
+}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -328,7 +328,7 @@
 // answer to this one.
 func TestAnswersToOthersArePassedOver(t *testing.T) {
 	p := listen(t, answering(
-		"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong" +
+		"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong"+
 			"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 5\r\n\r\nright"))
 	pool := link.New(link.Options{})
 	defer pool.Close()
