--- /dev/null
+++ b/internal/soak/fleet_test.go
@@ -0,0 +1,181 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
+	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz/standin"
+)
+
+// fleet is the processes of one run and what is played for them.
+type fleet struct {
+	t       *testing.T
+	dir     string
+	program string
+	store   *standin.Store
+	hosts   []*host
+	// net begins the hosts' addresses, so that runs beside each other have
+	// their own.
+	net string
+}
+
+// host is one daemon's process and its target.
+type host struct {
+	f        *fleet
+	set      *karpithaz.Settings
+	settings string
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	target  *standin.Target
+	targets []*standin.Target
+	lives   int
+	logs    *os.File
+}
+
+func build(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "gooseberryshedd")
+	out, err := exec.Command("go", "build", "-o", program, "github.com/gooseberryshed/gooseberryshed/cmd/gooseberryshedd").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	return program
+}
+
+func port(t *testing.T, ip string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", ip+":0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return strconv.Itoa(l.Addr().(*net.TCPAddr).Port)
+}
+
+func newFleet(t *testing.T, program string, seed uint64, hosts int) *fleet {
+	t.Helper()
+	store, err := standin.StartStore()
+	assert.NilError(t, err)
+	t.Cleanup(store.Close)
+	f := &fleet{t: t, dir: t.TempDir(), program: program, store: store, net: fmt.Sprintf("127.%d.%d", 2+seed%200, seed/200%250)}
+	f.configure(1, firstKey)
+	for i := range hosts {
+		f.hosts = append(f.hosts, f.newHost(i+1))
+	}
+	return f
+}
+
+// Keys of the workspace; the second replaces the first in the middle of a run.
+const (
+	firstKey  = "key-one"
+	secondKey = "key-two"
+	shopHost  = "shop.example"
+)
+
+func (f *fleet) configure(revision int, key string) {
+	routes := []standin.Route{
+		{Name: "read", Host: shopHost, Prefix: "/read/", Kind: "idempotent", Service: "svc", Timeout: 3 * time.Second, Objective: 500 * time.Millisecond},
+		{Name: "order", Host: shopHost, Prefix: "/order/", Kind: "non_idempotent", Service: "svc", Timeout: 3 * time.Second, Objective: 500 * time.Millisecond},
+	}
+	f.store.Put(karpithaz.OperatorTable, karpithaz.ConfigKey,
+		standin.Config(revision, []string{"svc"}, routes, []standin.Workspace{{Name: "ws", Key: key}}))
+}
+
+func (f *fleet) newHost(n int) *host {
+	ip := fmt.Sprintf("%s.%d", f.net, n)
+	addr := func() string { return net.JoinHostPort(ip, port(f.t, ip)) }
+	set := &karpithaz.Settings{
+		Host: fmt.Sprintf("host-%d", n), DataCentre: fmt.Sprintf("dc-%d", n%2), Region: "r", IP: ip,
+		CallerListen: addr(), GateListen: addr(), ReadyListen: addr(), AnnounceListen: addr(), DatagramListen: addr(), TargetAddress: addr(),
+		Service: "svc", StoreAddress: f.store.Addr(), MemoryBytes: 128 << 20,
+		Bounds: karpithaz.Bounds{RevokeWithin: revokeWithin, StopWithin: stopWithin},
+	}
+	h := &host{f: f, set: set, settings: filepath.Join(f.dir, set.Host+".conf")}
+	assert.NilError(f.t, os.WriteFile(h.settings, []byte(standin.SettingsFile(set)), 0o600))
+	var err error
+	h.logs, err = os.Create(filepath.Join(f.dir, set.Host+".log"))
+	assert.NilError(f.t, err)
+	h.renewTarget()
+	h.start()
+	f.t.Cleanup(h.end)
+	return h
+}
+
+// renewTarget starts a new life of the target.
+func (h *host) renewTarget() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.target != nil {
+		h.target.Close()
+	}
+	h.lives++
+	target, err := standin.StartTarget(fmt.Sprintf("i-%s-%d", h.set.Host, h.lives), "svc", h.set.TargetAddress, 6, 30*time.Millisecond)
+	if err != nil {
+		h.f.t.Errorf("start a target: %v", err)
+		return
+	}
+	h.target = target
+	h.targets = append(h.targets, target)
+}
+
+func (h *host) start() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cmd != nil {
+		return
+	}
+	cmd := exec.Command(h.f.program, "host")
+	cmd.Env = append(os.Environ(), karpithaz.SettingsVariable+"="+h.settings)
+	cmd.Stdout, cmd.Stderr = h.logs, h.logs
+	if err := cmd.Start(); err != nil {
+		h.f.t.Errorf("start %s: %v", h.set.Host, err)
+		return
+	}
+	h.cmd = cmd
+	go func() {
+		cmd.Wait() //nolint:errcheck // it is killed more often than not
+		h.mu.Lock()
+		h.cmd = nil
+		h.mu.Unlock()
+	}()
+}
+
+// signal signals the host's process, if it runs.
+func (h *host) signal(s syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cmd != nil {
+		h.cmd.Process.Signal(s) //nolint:errcheck // it may have ended
+	}
+}
+
+func (h *host) end() {
+	h.signal(syscall.SIGCONT)
+	h.signal(syscall.SIGKILL)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.target.Close()
+}
+
+// beat announces the target until done is closed.
+func (h *host) beat(done <-chan struct{}) {
+	for {
+		h.mu.Lock()
+		target := h.target
+		h.mu.Unlock()
+		target.Announce(h.set.AnnounceListen, h.set.DataCentre, "ready") //nolint:errcheck // the daemon may be down
+		select {
+		case <-done:
+			return
+		case <-time.After(500 * time.Millisecond):
+		}
+	}
+}
