--- a/h1/server.go
+++ b/h1/server.go
@@ -62,9 +62,6 @@
 // answers to earlier requests must be out.
 func (x *Exchange) Interim() error { return x.conn.interim() }
 
-// Abort closes the connection without an answer.
-func (x *Exchange) Abort() { x.conn.Conn.Close() }
-
 // Options configure a Server. Handle is required.
 type Options struct {
 	// Handle answers a request by filling its response. ctx ends when the peer
--- a/hostd/fleet_test.go
+++ b/hostd/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -178,5 +177,3 @@
 	}
 	return n
 }
-
-var _ io.Writer = (*logBuffer)(nil)
--- a/hostd/host_test.go
+++ b/hostd/host_test.go
@@ -146,8 +146,8 @@
 	readers := f.hosts[0].control.View().readers("dc-a")
 	for _, h := range f.hosts {
 		if h.set.Host != readers[0] && h.set.Host != readers[1] {
-			f.store.Put(hostsTable, "host-9", []byte(fmt.Sprintf(
-				`{"target":"i-9","service":"svc","host":"host-9","data_centre":"dc-a","gate":"127.0.1.99:1","control":"127.0.1.99:2","slots":4}`)))
+			f.store.Put(hostsTable, "host-9", []byte(
+				`{"target":"i-9","service":"svc","host":"host-9","data_centre":"dc-a","gate":"127.0.1.99:1","control":"127.0.1.99:2","slots":4}`))
 			break
 		}
 	}
