Requests that crash targets are refused after the third; breaks in mid-work may have run

Cause: nothing kept a request that ends its targets from going to the next one.

A break counts as idle only within 20 ms of sending, and what was sent once is never called not run.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -20,6 +20,9 @@
 		Example: "  gooseberryshed explain 9c41d07be2a35f68 host-*.log\n  cat host-*.log | gooseberryshed explain 9c41d07be2a35f68",
 		Args:    cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if args[0] == "" {
+				return usageError{errors.New("the id is empty; pass that of one request")}
+			}
 			lines, err := readLogs(cmd.InOrStdin(), args[0], args[1:])
 			if err != nil {
 				return err
--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -311,6 +311,7 @@
 		MaxWaitMs:     on.maxWait.Milliseconds(),
 		MaxGray:       on.maxGray,
 		Revision:      e.revision(),
+		Fingerprint:   e.fingerprint,
 	}
 	e.in.log.Decide("offered", "id", f.Attempt, "target", t.ID, "host", t.Host, "near", c.Near, "doubtful", c.Doubtful, "max_wait_ms", f.MaxWaitMs, "max_gray", f.MaxGray,
 		"hedge", a.hedge, "time_left_ms", f.TimeLeftMs, "known_gray", c.Report.Gray, "known_running", c.Report.Running,
--- a/hostd/exchange.go
+++ b/hostd/exchange.go
@@ -20,13 +20,20 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, tk.deadline.Add(answerGrace))
 	defer cancel()
+	sent := time.Now()
 	answer, err := g.roundTrip(ctx, tk, req, false)
-	if err != nil && tk.f.Repeatable && closedWhileIdle(err) {
-		// The target closed a connection as it was about to be used again.
-		g.metrics.Add("target_stale_connections", 1)
-		answer, err = g.roundTrip(ctx, tk, req, true)
+	if err == nil || !tk.f.Repeatable || !closedWhileIdle(err, time.Since(sent)) {
+		return g.conclude(tk, answer, err)
 	}
-	return g.conclude(tk, answer, err)
+	// The target closed a connection as it was about to be used again.
+	g.metrics.Add("target_stale_connections", 1)
+	answer, err = g.roundTrip(ctx, tk, req, true)
+	reply := g.conclude(tk, answer, err)
+	if r := reply.Refusal; r != nil && r.Run == wire.NotRun {
+		// Nobody can tell whether the first sending ran.
+		r.Run = wire.Unknown
+	}
+	return reply
 }
 
 // answerGrace is how much later than the deadline a target's answer may come:
@@ -63,9 +70,13 @@
 	return a, nil
 }
 
-func closedWhileIdle(err error) bool {
+// idleClose is how soon after sending a connection breaks that the target had
+// closed while it was idle; later than that, the request may have been at work.
+const idleClose = 20 * time.Millisecond
+
+func closedWhileIdle(err error, after time.Duration) bool {
 	le := link.AsError(err)
-	return le != nil && le.Reused && le.Stage == link.StageSent && le.Cause == link.CauseClosed
+	return le != nil && le.Reused && le.Stage == link.StageSent && le.Cause == link.CauseClosed && after <= idleClose
 }
 
 // ending is how an exchange with the target ended.
@@ -103,8 +114,8 @@
 	case blameNotRun:
 		t.filter.Forget(tk.request)
 	}
-	if le := link.AsError(err); le != nil && le.Stage == link.StageDial {
-		t.downUntil = now.Add(downTime)
+	if le := link.AsError(err); le != nil {
+		g.noteBreak(tk, le, now)
 	}
 	if e.refusal != nil && e.refusal.Run == wire.NotRun {
 		g.sent.remove(tk.f.Attempt)
@@ -120,6 +131,25 @@
 	return Reply{Answer: a}
 }
 
+// noteBreak notes what a failed exchange tells of the target's life; the lock is
+// held.
+func (g *Gate) noteBreak(tk *ticket, le *link.Error, now time.Time) {
+	t := tk.target
+	switch {
+	case le.Stage == link.StageDial:
+		t.downUntil = now.Add(downTime)
+	case le.Cause == link.CauseClosed && len(t.broken) < maxBroken:
+		t.broken = append(t.broken, tk.f.Fingerprint)
+		if !t.looking {
+			t.looking = true
+			go g.lookForDeath(t)
+		}
+	}
+}
+
+// maxBroken bounds the requests that may be told of with one death.
+const maxBroken = 64
+
 // downTime keeps requests from a target that refused a connection; targets
 // start again within seconds.
 const downTime = 200 * time.Millisecond
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -42,6 +42,8 @@
 	// MaxGray is how likely the target may be gray for the request to be sent.
 	MaxGray  float64 `json:"g"`
 	Revision uint64  `json:"v"`
+	// Fingerprint identifies the request's sender and content.
+	Fingerprint uint64 `json:"k,omitempty"`
 }
 
 // Reply is a gate's reply to an attempt: an answer of the target or a refusal.
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -23,9 +23,11 @@
 	set      func() *karpithaz.Settings
 	view     func() *View
 	announce func(*Target)
-	log      *decisions.Log
-	metrics  *metrics.Registry
-	links    *link.Pool
+	// died is told of the target's death with the requests in flight.
+	died    func(ctx context.Context, target string, life int64, fingerprints []uint64)
+	log     *decisions.Log
+	metrics *metrics.Registry
+	links   *link.Pool
 	// life tells this process's gate from earlier ones of the host.
 	life int64
 
--- a/hostd/gate_test.go
+++ b/hostd/gate_test.go
@@ -1,7 +1,10 @@
 package hostd
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -28,6 +31,49 @@
 	return karpithaz.Heartbeat{Target: id, Service: "svc", Address: "127.0.0.1:1", DataCentre: "dc", Slots: 1, Born: born, Sequence: sequence, Leaving: leaving}
 }
 
+// A target whose kept connection broke in the middle of its work may have run the
+// request: it was once sent again, and then said not to have run.
+func TestBreakInTheMiddleOfWorkMayHaveRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	requests := make(chan string, 8)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		br := bufio.NewReader(c)
+		for n := 0; ; n++ {
+			var req fasthttp.Request
+			if req.Read(br) != nil {
+				return
+			}
+			requests <- string(req.Header.RequestURI())
+			if n == 1 {
+				time.Sleep(100 * time.Millisecond)
+				l.Close()
+				c.Close()
+				return
+			}
+			io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n") //nolint:errcheck // seen by the gate
+		}
+	}()
+	g, _ := newTestGate(t)
+	b := beat("a", 1, 1, false)
+	b.Address = l.Addr().String()
+	g.hear(b, time.Now())
+	send := func(attempt string) Reply {
+		req := &fasthttp.Request{}
+		req.Header.SetRequestURI("/" + attempt)
+		req.Header.SetHost("h")
+		return g.Forward(context.Background(), Forward{Attempt: attempt, Target: "a", TimeLeftMs: 2000, MaxGray: 1, Repeatable: true, Route: "r", ObjectiveMs: 100}, req, nil)
+	}
+	assert.Assert(t, send("first").Answer != nil)
+	r := send("second")
+	assert.Assert(t, r.Refusal != nil && r.Refusal.Run != wire.NotRun, "%+v", r.Refusal)
+	assert.Equal(t, len(requests), 2)
+}
+
 func TestHeartbeatsOrderByLifeAndSequence(t *testing.T) {
 	cases := []struct {
 		name    string
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -42,6 +42,7 @@
 	client  *gateClient
 	ingress *Ingress
 	rates   *fleetRates
+	crashes *crashes
 	// withdrawals take back attempts at the gates of all hosts.
 	withdrawals *withdrawals
 	asks        *datagrams
@@ -84,6 +85,9 @@
 	h.rates = newFleetRates(o.Settings.Host, h.bounds, h.control.View, asks.ask)
 	h.withdrawals = &withdrawals{host: o.Settings.Host, gate: h.gate, view: h.control.View, ask: asks.ask}
 	h.ingress = NewIngress(h.present.Load, h.control, h, h.rates, h.gate.CallFailed, h.log, h.metrics)
+	h.crashes = newCrashes(o.Settings.Host, h.control.View, asks.ask, h.log)
+	h.gate.died = h.crashes.died
+	h.ingress.quarantined = h.crashes.quarantined
 	if err := h.open(o.MetricsListen); err != nil {
 		h.close()
 		return nil, err
@@ -200,6 +204,7 @@
 		h.client.links.Sweep(now)
 		h.gate.links.Sweep(now)
 		h.rates.sweep(now)
+		h.crashes.sweep(now)
 		view := h.control.View()
 		h.ingress.reports.keep(func(target string) bool { return view.knows(target) })
 	}
@@ -243,6 +248,8 @@
 		return h.rates.answer(ctx, q)
 	case questionNews:
 		return h.control.tellNews(q.Host)
+	case questionCrash, questionQuarantine:
+		return h.crashes.answer(ctx, q)
 	case questionWithdraw:
 		return h.withdrawals.answer(ctx, q)
 	}
--- a/hostd/host_test.go
+++ b/hostd/host_test.go
@@ -247,6 +247,57 @@
 	assert.Equal(t, r.Status, 200)
 }
 
+// A request that ends each target which runs it is refused everywhere after the
+// third, and others go on.
+func TestRequestThatCrashesTargetsIsRefused(t *testing.T) {
+	f := newFleet(t, 3)
+	var all []*standin.Target
+	runs := func() int {
+		n := 0
+		for _, target := range all {
+			for _, r := range target.Runs() {
+				if strings.Contains(r.Body, standin.CrashBody) {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	for _, h := range f.hosts {
+		all = append(all, h.target)
+	}
+	refused := 0
+	for i := 0; i < 12 && refused < 2; i++ {
+		h := f.hosts[i%len(f.hosts)]
+		r, err := h.call(standin.Call{Attempt: fmt.Sprintf("c%d", i), Method: "POST", URI: "/order/1", Key: testKey, Body: standin.CrashBody, Patience: time.Second})
+		assert.NilError(t, err)
+		if r.Status == 503 && strings.Contains(r.Body, "quarantined") {
+			refused++
+		}
+		time.Sleep(200 * time.Millisecond) // the death is found and told
+		for n, h := range f.hosts {
+			if conn, err := net.Dial("tcp", h.set.TargetAddress); err == nil {
+				conn.Close()
+				continue
+			}
+			target, err := standin.StartTarget(fmt.Sprintf("i-%d-%d", n+1, i), "svc", h.set.TargetAddress, 4, 20*time.Millisecond)
+			assert.NilError(t, err)
+			t.Cleanup(target.Close)
+			all = append(all, target)
+			h.target = target
+			status, err := target.Announce(h.set.AnnounceListen, "dc-a", "ready")
+			assert.NilError(t, err)
+			assert.Equal(t, status, 200)
+		}
+	}
+	assert.Equal(t, refused, 2, "after %d runs", runs())
+	assert.Assert(t, runs() <= crashDeaths, "%d runs", runs())
+	f.await("others are served", func() bool {
+		r, err := f.hosts[0].call(standin.Call{Attempt: "fine", Method: "POST", URI: "/order/1", Key: testKey, Body: "a bed"})
+		return err == nil && r.Status == 200
+	})
+}
+
 func TestLeavingTargetGetsNothingMore(t *testing.T) {
 	f := newFleet(t, 2)
 	h := f.hosts[0]
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -51,6 +51,8 @@
 	metrics *metrics.Registry
 	reports *reports
 
+	// quarantined tells which requests are refused for crashing targets.
+	quarantined func(fingerprint uint64, now time.Time) bool
 	// callFailed is told when a call of this host's target fails.
 	callFailed func()
 	// leaving is when a planned stop began; nil while there is none.
@@ -72,17 +74,18 @@
 // NewIngress returns an ingress.
 func NewIngress(set func() *karpithaz.Settings, c *Control, g gates, r rates, callFailed func(), l *decisions.Log, m *metrics.Registry) *Ingress {
 	return &Ingress{
-		set:        set,
-		control:    c,
-		gates:      g,
-		rates:      r,
-		log:        l,
-		metrics:    m,
-		reports:    newReports(),
-		callFailed: callFailed,
-		ending:     make(chan struct{}),
-		works:      map[string]*gray.Work{},
-		budgets:    map[string]*retry.Budget{},
+		set:         set,
+		control:     c,
+		gates:       g,
+		rates:       r,
+		log:         l,
+		metrics:     m,
+		reports:     newReports(),
+		callFailed:  callFailed,
+		quarantined: func(uint64, time.Time) bool { return false },
+		ending:      make(chan struct{}),
+		works:       map[string]*gray.Work{},
+		budgets:     map[string]*retry.Budget{},
 	}
 }
 
@@ -96,6 +99,8 @@
 	service string
 	holder  *routes.Workspace
 	inner   bool
+	// fingerprint identifies the request's sender and content.
+	fingerprint uint64
 	// deadline is when the caller must have an answer.
 	deadline time.Time
 	started  time.Time
@@ -113,6 +118,11 @@
 		e.refuse(refusal, "refused")
 		return
 	}
+	e.fingerprint = fingerprintOf(&x.Request, e.workspace())
+	if in.quarantined(e.fingerprint, time.Now()) {
+		e.refuse(wire.Refuse(wire.ReasonQuarantined, "requests like this one have crashed %d targets", crashDeaths), "refused")
+		return
+	}
 	e.prepare()
 	out := newTrial(e).run(ctx)
 	if e.inner && ctx.Err() == nil && out.failed() {
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -31,6 +31,10 @@
 	pace      admission.Pace
 	// triedAt is when a gray target was last tried.
 	triedAt time.Time
+	// broken are the fingerprints of requests whose connection broke a moment
+	// ago; looking is set while the target is looked for.
+	broken  []uint64
+	looking bool
 	// failedCalls are the times at which calls made by the target failed.
 	failedCalls []time.Time
 }
--- a/suspect/registry.go
+++ b/suspect/registry.go
@@ -34,6 +34,8 @@
 	// QuarantineFor is the quarantine after the second death; it doubles with
 	// each further one. Default 5 min.
 	QuarantineFor time.Duration
+	// Deaths is how many deaths lead to quarantine. Default 2.
+	Deaths int
 	// MaxEntries bounds the memory; the entries longest without news go
 	// first. Default 4,096.
 	MaxEntries int
@@ -44,8 +46,8 @@
 	defaultQuarantineFor = 5 * time.Minute
 	defaultMaxEntries    = 4096
 
-	// quarantineDeaths is how many deaths lead to quarantine.
-	quarantineDeaths = 2
+	defaultDeaths = 2
+
 	// keepCleared is how long a success is remembered, so that late news of
 	// an earlier death changes nothing.
 	keepCleared = time.Minute
@@ -71,6 +73,7 @@
 func NewRegistry(opt Options) *Registry {
 	opt.SuspectFor = cmp.Or(opt.SuspectFor, defaultSuspectFor)
 	opt.QuarantineFor = cmp.Or(opt.QuarantineFor, defaultQuarantineFor)
+	opt.Deaths = cmp.Or(opt.Deaths, defaultDeaths)
 	opt.MaxEntries = cmp.Or(opt.MaxEntries, defaultMaxEntries)
 	return &Registry{opt: opt, entries: map[uint64]*tracked{}}
 }
@@ -118,7 +121,7 @@
 		return Verdict{}
 	}
 	last := e.Deaths[0].At
-	if n >= quarantineDeaths {
+	if n >= r.opt.Deaths {
 		until := last.Add(r.quarantine(n))
 		if now.Before(until) {
 			return Verdict{Quarantined, until}
@@ -132,13 +135,13 @@
 }
 
 func (r *Registry) quarantine(deaths int) time.Duration {
-	return r.opt.QuarantineFor << (deaths - quarantineDeaths)
+	return r.opt.QuarantineFor << (deaths - r.opt.Deaths)
 }
 
 // keep is how long deaths count: a request that has been in quarantine stays
 // under suspicion for as long again, and a further death renews it.
 func (r *Registry) keep(deaths int) time.Duration {
-	if deaths < quarantineDeaths {
+	if deaths < r.opt.Deaths {
 		return r.opt.SuspectFor
 	}
 	return 2*r.quarantine(deaths) + r.opt.SuspectFor
