--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -316,7 +316,12 @@
 	e.in.log.Decide("offered", "id", f.Attempt, "target", t.ID, "host", t.Host, "near", c.Near, "doubtful", c.Doubtful, "max_wait_ms", f.MaxWaitMs, "max_gray", f.MaxGray,
 		"hedge", a.hedge, "time_left_ms", f.TimeLeftMs, "known_gray", c.Report.Gray, "known_running", c.Report.Running,
 		"known_age_ms", ageMillis(c.Report.At), "revision", f.Revision)
-	reply := e.in.gates.Forward(ctx, t, f, a.req, func() { a.sent(t, on) })
+	heard := a.listen(t, on)
+	reply := e.in.gates.Forward(ctx, t, f, a.req, func() {
+		heard()
+		a.sent(t, on)
+	})
+	heard()
 	a.learn(t, reply)
 	if r := reply.Refusal; r != nil && r.Reason == wire.ReasonUnreachable && r.Run != wire.NotRun && ctx.Err() == nil {
 		a.settle(ctx, t, life, r)
@@ -324,16 +329,39 @@
 	return reply, t
 }
 
+// gateSilentAfter is how long a gate may take to say that it sends a request or
+// refuses it, beyond the wait that it was allowed: many round trips between data
+// centres, and one repetition of a lost packet.
+const gateSilentAfter = 350 * time.Millisecond
+
+// listen watches for a gate that says nothing: its host stands still or cannot be
+// reached, and others should be chosen meanwhile. The function that it returns
+// ends the watch.
+func (a *attempt) listen(t Target, on terms) (heard func()) {
+	timer := time.AfterFunc(on.maxWait+gateSilentAfter, func() {
+		a.e.in.reports.failed(t.Host, time.Now())
+		a.e.in.metrics.Add("gates_silent", 1)
+		a.e.in.log.Decide("gate-silent", "id", a.e.caller.Attempt, "host", t.Host, "target", t.ID)
+		a.urge()
+	})
+	return func() { timer.Stop() }
+}
+
+// urge asks for a second attempt soon.
+func (a *attempt) urge() {
+	select {
+	case a.risky <- struct{}{}:
+	default:
+	}
+}
+
 // sent takes the gate's word that the request goes to the target.
 func (a *attempt) sent(t Target, on terms) {
 	a.at.sent(t.ID)
 	if r := a.e.in.reports.get(t.ID); a.hedge || r.Gray <= min(on.maxGray, a.grayFirst()) {
 		return
 	}
-	select {
-	case a.risky <- struct{}{}:
-	default:
-	}
+	a.urge()
 }
 
 // settle finds out whether a request has run whose way to the gate broke.
--- a/hostd/trial_test.go
+++ b/hostd/trial_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -198,3 +199,27 @@
 	in.Handle(context.Background(), x)
 	assert.Equal(t, x.Response.StatusCode(), 200)
 }
+
+// A gate that says nothing is avoided by the next requests, and a read does not
+// wait for it.
+func TestSilentGateIsAvoided(t *testing.T) {
+	g := &scriptedGates{}
+	g.forward = func(ctx context.Context, tg Target, _ Forward, onSend func()) Reply {
+		if tg.Host != "h1" {
+			onSend()
+			return answerOf(200)
+		}
+		<-ctx.Done() // stands still
+		return Reply{Refusal: wire.RefuseUnknown(wire.ReasonTimeout, "")}
+	}
+	in := newTestIngress(t, g, "h1", "h2")
+	for i := range 4 {
+		in.Handle(context.Background(), exchangeOf(fmt.Sprintf("r%d", i), "GET", "/read/1", 2*time.Second))
+	}
+	assert.Assert(t, in.reports.doubtful("h1", time.Now()))
+	before := len(g.offered())
+	x := exchangeOf("o", "POST", "/order/1", time.Second)
+	in.Handle(context.Background(), x)
+	assert.Equal(t, x.Response.StatusCode(), 200)
+	assert.DeepEqual(t, g.offered()[before:], []string{"h2"})
+}
