A gate works without anybody to tell of deaths

Cause: in a whole run of the tests the look for a dead target, begun by one test, ended in the next with nobody to tell and crashed the test's process; the program itself sets the receiver before it runs.

Change: NewGate sets one that does nothing.

--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -58,6 +58,7 @@
 		set:       set,
 		view:      view,
 		announce:  announce,
+		died:      func(context.Context, string, int64, []uint64) {},
 		log:       l,
 		metrics:   m,
 		life:      time.Now().UnixNano(),
