--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -220,12 +220,12 @@
 	slices.SortStableFunc(open, func(x, y offer) int {
 		return cmp.Compare(placing.Cost(now, x.c, placed), placing.Cost(now, y.c, placed))
 	})
-	any := terms{maxWait: time.Until(s.a.e.deadline), maxGray: 1}
+	last := terms{maxWait: time.Until(s.a.e.deadline), maxGray: 1}
 	if s.a.hedge {
-		any.maxGray = s.a.grayFirst()
+		last.maxGray = s.a.grayFirst()
 	}
 	for _, o := range open[:min(len(open), maxInsists)] {
-		if s.ask(ctx, o.c, any) {
+		if s.ask(ctx, o.c, last) {
 			return true
 		}
 	}
