--- a/hostd/fleet_test.go
+++ b/hostd/fleet_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,12 +62,23 @@
 	return strings.Count(l.String(), `"msg":"`+decision+`"`)
 }
 
+// nextPort is below the ports that the system gives to outgoing connections: one
+// of a host's own connections once took a port that it was about to listen on.
+var nextPort atomic.Int64
+
+const firstPort = 20000
+
 func freePort(t *testing.T, ip string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", ip+":0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return strconv.Itoa(l.Addr().(*net.TCPAddr).Port)
+	for range 100 {
+		p := strconv.FormatInt(firstPort+nextPort.Add(1), 10)
+		if l, err := net.Listen("tcp", net.JoinHostPort(ip, p)); err == nil {
+			l.Close()
+			return p
+		}
+	}
+	t.Fatalf("no free port on %s", ip)
+	return ""
 }
 
 func defaultRoutes() []standin.Route {
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -161,11 +161,10 @@
 	tk := &ticket{f: f, deadline: now.Add(time.Duration(f.TimeLeftMs) * time.Millisecond)}
 	g.mu.Lock()
 	it, refusal := g.offer(tk, now)
+	g.mu.Unlock()
 	if refusal != nil || it == nil {
-		g.mu.Unlock()
 		return tk, refusal
 	}
-	g.mu.Unlock()
 	return tk, g.await(ctx, tk, it)
 }
 
@@ -251,9 +250,9 @@
 		return r
 	}
 	g.sent.add(tk.f.Attempt, now)
-	if tk.f.Repeatable && t.filter.Probability(now) > tk.f.MaxGray {
+	if p := t.filter.Probability(now); tk.f.Repeatable && p > tk.f.MaxGray {
 		t.triedAt = now
-		g.log.Decide("gray-tried", "id", tk.f.Attempt, "target", t.id, "gray", t.filter.Probability(now))
+		g.log.Decide("gray-tried", "id", tk.f.Attempt, "target", t.id, "gray", p)
 	}
 	tk.started = now
 	tk.request = t.filter.Start(now, g.work(tk.f))
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -16,7 +16,6 @@
 	id      string
 	service string
 	address string
-	dc      string
 	// born and sequence order what the target says of itself.
 	born, sequence int64
 	// known is when this life was first heard of.
@@ -69,7 +68,6 @@
 		id:      h.Target,
 		service: h.Service,
 		address: h.Address,
-		dc:      h.DataCentre,
 		line:    admission.New(h.Slots),
 		filter:  gray.NewFilter(gray.Options{}),
 	}
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -52,12 +53,23 @@
 	return program
 }
 
+// nextPort is below the ports that the system gives to outgoing connections: one
+// of a host's own connections once took a port that it was about to listen on.
+var nextPort atomic.Int64
+
+const firstPort = 20000
+
 func port(t *testing.T, ip string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", ip+":0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return strconv.Itoa(l.Addr().(*net.TCPAddr).Port)
+	for range 100 {
+		p := strconv.FormatInt(firstPort+nextPort.Add(1), 10)
+		if l, err := net.Listen("tcp", net.JoinHostPort(ip, p)); err == nil {
+			l.Close()
+			return p
+		}
+	}
+	t.Fatalf("no free port on %s", ip)
+	return ""
 }
 
 func newFleet(t *testing.T, program string, seed uint64, hosts int) *fleet {
