One client of the store and one stand-in for both daemons

Ruled out: two transports behind one interface, which keeps two sets of rules for lost answers.

Tests: those of the client moved to the new protocol. A commit answered with 200 and a body that is no answer of the store is now uncertain, where it was taken as done; versions of rows come from one counter of the store, so a row written after a removal has version 3, not 2, and the test says so. https addresses are refused with the remedy, as the platform has none.

--- a/cli/root.go
+++ b/cli/root.go
@@ -14,7 +14,7 @@
 	"github.com/spf13/pflag"
 
 	"github.com/gooseberryshed/gooseberryshed/configstore"
-	"github.com/gooseberryshed/gooseberryshed/platform/httpplatform"
+	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 )
 
 // defaultTimeout bounds a command's work with the platform.
@@ -110,7 +110,7 @@
 	if g.platform == "" {
 		return nil, usageError{errors.New("no platform; pass --platform URL or set " + envPrefix + "PLATFORM")}
 	}
-	client, err := httpplatform.New(httpplatform.Options{URL: g.platform})
+	client, err := karpithaz.OpenTable(karpithaz.TableOptions{URL: g.platform})
 	if err != nil {
 		return nil, usageError{err}
 	}
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -3,17 +3,15 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/gooseberryshed/gooseberryshed/platform/httpplatform"
+	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/settings"
 )
 
@@ -24,9 +22,6 @@
 	exitUsage  = 2
 )
 
-// platformDialTimeout bounds connecting to the platform.
-const platformDialTimeout = time.Second
-
 // errUsage marks a command line that could not be read.
 var errUsage = errors.New("see --help")
 
@@ -92,7 +87,7 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	client, err := httpplatform.New(httpplatform.Options{URL: set.Platform, Dial: dialFrom(set.Source())})
+	client, err := karpithaz.OpenTable(karpithaz.TableOptions{URL: set.Platform, LocalIP: sourceIP(set)})
 	if err != nil {
 		return err
 	}
@@ -109,13 +104,13 @@
 	return d.Run(ctx)
 }
 
-// dialFrom dials from a source address; nil leaves the choice to the system.
-func dialFrom(source net.IP) func(addr string) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: platformDialTimeout}
-	if source != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: source}
+// sourceIP is the source of connections, or empty to leave the choice to the
+// system.
+func sourceIP(set settings.Settings) string {
+	if ip := set.Source(); ip != nil {
+		return ip.String()
 	}
-	return func(addr string) (net.Conn, error) { return dialer.Dial("tcp", addr) }
+	return ""
 }
 
 func newLogger(set settings.Settings) *log.Logger {
--- a/hostd/fleet_test.go
+++ b/hostd/fleet_test.go
@@ -14,7 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
-	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz/standin"
+	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 )
 
 const (
@@ -26,7 +26,7 @@
 // testFleet is hosts in this process with a store and targets played for them.
 type testFleet struct {
 	t      *testing.T
-	store  *standin.Store
+	store  *standin.Platform
 	hosts  []*testHostd
 	routes []standin.Route
 	ws     []standin.Workspace
@@ -92,7 +92,7 @@
 
 func newFleet(t *testing.T, hosts int) *testFleet {
 	t.Helper()
-	store, err := standin.StartStore()
+	store, err := standin.Start()
 	assert.NilError(t, err)
 	f := &testFleet{t: t, store: store, routes: defaultRoutes(), ws: []standin.Workspace{{Name: testWorkspace, Key: testKey}}}
 	t.Cleanup(store.Close)
--- a/hostd/host_test.go
+++ b/hostd/host_test.go
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
-	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz/standin"
+	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 	"github.com/gooseberryshed/gooseberryshed/quota"
 )
 
@@ -61,7 +61,7 @@
 func TestKeysEndWithTheProof(t *testing.T) {
 	f := newFleet(t, 1)
 	h := f.hosts[0]
-	f.store.Fail("", standin.Silent)
+	f.store.Fail("", standin.ModeSilent)
 	lost := time.Now()
 	f.ws = []standin.Workspace{{Name: testWorkspace, Key: "another-key"}}
 	f.configure(2) // the host does not hear of it
@@ -104,18 +104,18 @@
 
 func TestHistoryDroppedIsReadAnew(t *testing.T) {
 	f := newFleet(t, 1)
-	f.store.Fail("", standin.Busy)
+	f.store.Fail("", standin.ModeDown)
 	time.Sleep(200 * time.Millisecond)
 	f.routes[0].Prefix = "/other/"
 	f.configure(9)
 	f.store.Forget()
-	f.store.Fail("", standin.None)
+	f.store.Fail("", standin.ModeOK)
 	f.await("configuration after a gap", func() bool { return f.hosts[0].control.View().Config.Revision == 9 })
 }
 
 // An empty store was once read in a loop without a pause.
 func TestEmptyStoreIsNotReadInALoop(t *testing.T) {
-	store, err := standin.StartStore()
+	store, err := standin.Start()
 	assert.NilError(t, err)
 	defer store.Close()
 	f := &testFleet{t: t, store: store}
@@ -125,16 +125,16 @@
 	defer target.Close()
 	f.start(set, target)
 	time.Sleep(time.Second)
-	assert.Assert(t, store.Calls(standin.PathRange) <= 6, "%d reads in a second", store.Calls(standin.PathRange))
+	assert.Assert(t, store.Calls(karpithaz.PathRange) <= 6, "%d reads in a second", store.Calls(karpithaz.PathRange))
 }
 
 // Hosts that are not readers learn of configurations and of hosts, with few
 // calls to the store.
 func TestReadersSpareTheStore(t *testing.T) {
 	f := newFleet(t, 5)
-	before := f.store.Calls(standin.PathFeed)
+	before := f.store.Calls(karpithaz.PathFeed)
 	time.Sleep(4 * time.Second)
-	calls := f.store.Calls(standin.PathFeed) - before
+	calls := f.store.Calls(karpithaz.PathFeed) - before
 	// Two readers ask every 1.5 s, and each host at most twice besides.
 	assert.Assert(t, calls <= 2*4+2*5, "%d feeds in 4 s", calls)
 	for _, h := range f.hosts {
@@ -371,7 +371,7 @@
 		}
 		return true
 	})
-	f.store.Fail("", standin.Reset)
+	f.store.Fail("", standin.ModeReset)
 	owners := quota.Owners(questionRate+" "+testWorkspace, f.hosts[0].control.View().hostNames())
 	var other *testHostd
 	for _, h := range f.hosts {
--- a/hostd/trial_test.go
+++ b/hostd/trial_test.go
@@ -16,7 +16,7 @@
 	"github.com/gooseberryshed/gooseberryshed/metrics"
 	"github.com/gooseberryshed/gooseberryshed/placing"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
-	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz/standin"
+	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 	"github.com/gooseberryshed/gooseberryshed/routes"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 )
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -16,7 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
-	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz/standin"
+	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 )
 
 // fleet is the processes of one run and what is played for them.
@@ -24,7 +24,7 @@
 	t       *testing.T
 	dir     string
 	program string
-	store   *standin.Store
+	store   *standin.Platform
 	hosts   []*host
 	// net begins the hosts' addresses, so that runs beside each other have
 	// their own.
@@ -74,7 +74,7 @@
 
 func newFleet(t *testing.T, program string, seed uint64, hosts int) *fleet {
 	t.Helper()
-	store, err := standin.StartStore()
+	store, err := standin.Start()
 	assert.NilError(t, err)
 	t.Cleanup(store.Close)
 	f := &fleet{t: t, dir: t.TempDir(), program: program, store: store, net: fmt.Sprintf("127.%d.%d", 2+seed%200, seed/200%250)}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -14,7 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz/standin"
+	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 )
 
 var (
@@ -190,16 +190,16 @@
 			other.start()
 		}
 	case 5:
-		fault := standin.Fault(r.rnd.IntN(int(standin.Slow) + 1))
-		r.note("store: fault %d for %s", fault, h.set.IP)
+		fault := standin.Modes[r.rnd.IntN(len(standin.Modes))]
+		r.note("store: fault %s for %s", fault, h.set.IP)
 		r.f.store.Fail(h.set.IP, fault)
 	case 6:
-		fault := standin.Fault(r.rnd.IntN(int(standin.Slow) + 1))
-		r.note("store: fault %d for all", fault)
+		fault := standin.Modes[r.rnd.IntN(len(standin.Modes))]
+		r.note("store: fault %s for all", fault)
 		r.f.store.Fail("", fault)
 	case 7:
 		r.note("store: whole again")
-		r.f.store.Fail("", standin.None)
+		r.f.store.Fail("", standin.ModeOK)
 	case 8:
 		on := r.rnd.IntN(2) == 0
 		r.note("target of %s hangs: %v", h.set.Host, on)
@@ -231,9 +231,9 @@
 // calm ends all faults.
 func (r *run) calm() {
 	r.note("calm")
-	r.f.store.Fail("", standin.None)
+	r.f.store.Fail("", standin.ModeOK)
 	for _, h := range r.f.hosts {
-		r.f.store.Fail(h.set.IP, standin.None)
+		r.f.store.Fail(h.set.IP, standin.ModeOK)
 		h.signal(syscall.SIGCONT)
 		h.current().Hang(false)
 	}
