Lines serve those who can still meet their objective; waits count calls to come

The expected wait was too short besides: it took a slot to be free for the item after the mean time of calls and other work together, though calls pass all other work, and a slot given back unused counted as work of no length.

Change: among requests of one rank those that can still meet their objective come first, the nearest objective before others; who would miss it by waiting is refused at once and may come back; who has missed it waits only while nobody in time is ahead. Expected waits leave out the slots that calls take. The advice when to come back moved from hostd to admission.

Ruled out: a bound on the line in shares of the objective (0.1 to 1.0): no difference in the player, the wrong expected wait was the cause.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -21,7 +21,7 @@
 		v, _ := l.Offer(t0, item(false, 1, time.Minute, 0))
 		assert.Equal(t, v, Run)
 	}
-	l.Done(hold)
+	l.Done(hold, false)
 	v, _ := l.Offer(t0, item(false, 1, time.Minute, 0))
 	assert.Equal(t, v, Run)
 	return l
@@ -38,7 +38,7 @@
 		assert.Equal(t, v, Wait)
 	}
 	for _, want := range []*Item{call, first, second, late} {
-		l.Done(10 * time.Millisecond)
+		l.Done(10*time.Millisecond, false)
 		run, dropped := l.Next(t0)
 		assert.Equal(t, len(dropped), 0)
 		assert.Assert(t, len(run) == 1 && run[0] == want)
@@ -102,7 +102,7 @@
 					MaxWait: time.Duration(rapid.IntRange(0, 3000).Draw(t, "wait")) * time.Millisecond}
 				l.Offer(now, it)
 			} else if l.Running() > 0 {
-				l.Done(time.Duration(rapid.IntRange(0, 2000).Draw(t, "held")) * time.Millisecond)
+				l.Done(time.Duration(rapid.IntRange(0, 2000).Draw(t, "held"))*time.Millisecond, false)
 				l.Next(now)
 			}
 			if l.Running() > l.Slots() || l.Running() < 0 {
--- /dev/null
+++ b/admission/comeback_test.go
@@ -0,0 +1,15 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestComeBackIsSpreadAndRanked(t *testing.T) {
+	assert.Equal(t, ComeBack(0, 0, 0), leastComeBack)
+	assert.Assert(t, ComeBack(time.Second, 0, 0.99) < ComeBack(time.Second, 3, 0.99))
+	assert.Assert(t, ComeBack(time.Second, 1, 0) < ComeBack(time.Second, 1, 0.9))
+	assert.Assert(t, ComeBack(time.Hour, 99, 1) <= (mostComeBack+LastPriority*priorityStep)*3/2)
+}
--- a/admission/doc.go
+++ b/admission/doc.go
@@ -2,17 +2,21 @@
 // which are refused at once.
 //
 // Load it answers: more work than the target's slots for seconds at a time,
-// with requests of several ranks and times to live.
+// with requests of several ranks, objectives and times to live.
 //
-// Algorithm: a request takes a free slot, else it waits in one bounded line
-// ordered by rank. Calls made by work that is already running come first, since
-// their parents' work is spent if they fail; then the more urgent priority;
-// then who came first. A request is refused at once, when it arrives or when
-// another passes it, if the work ahead of it leaves too little time for its
-// own. What has waited in vain is dropped before it takes a slot.
+// Algorithm: a request takes a free slot, else it waits in one bounded line.
+// Calls made by work that is already running come first, since their parents'
+// work is spent if they fail; then the more urgent priority; then those that can
+// still meet their objective, the nearest objective first; then who came first.
+// A request is refused at once, when it arrives or when another passes it, if
+// the work ahead of it leaves too little time for its own, or if it would miss
+// its objective by waiting. One that has missed it already may wait as long as
+// nobody of its rank can still meet his. Expected waits count the slots that
+// calls usually take, as calls that are yet to come pass all other work.
 //
-// Weighed: earliest deadline first serves the callers who waited longest and
-// under overload lets all of them miss; newest first serves more of them but
-// starves the patient. Order of arrival with refusal at the door keeps waits
-// short and equal, and lets a refused caller try elsewhere while it has time.
+// Weighed, by the load player of internal/measure and on heavy days: order of
+// arrival keeps a line as long as its bound, in which everybody waits to be late
+// (0.27 in time where the slots bear 0.53; this order 0.51). Nearest objective
+// first without refusals lets all of them miss. The latest possible start first
+// did no better than the nearest objective. Newest first starves the patient.
 package admission
--- a/admission/line.go
+++ b/admission/line.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -15,6 +16,9 @@
 	Expected time.Duration
 	// Until is when the answer is of no more use.
 	Until time.Time
+	// Aim is when the answer loses part of its worth; zero means that it never
+	// does.
+	Aim time.Time
 	// MaxWait bounds the expected wait for a slot; 0 allows none.
 	MaxWait time.Duration
 	// Value is the caller's.
@@ -51,9 +55,35 @@
 	running int
 	waiting []*Item
 	order   uint64
-	hold    time.Duration
+	// others is the mean time for which work that is no call holds a slot.
+	others mean
+	// callTime and slotTime are the means over all work of the time in slots,
+	// that of calls alone and that of all.
+	callTime, slotTime mean
 }
 
+// mean is a mean that forgets old samples.
+type mean struct {
+	value float64
+	known bool
+}
+
+func (m *mean) add(x float64) {
+	if !m.known {
+		m.value, m.known = x, true
+		return
+	}
+	m.value += meanWeight * (x - m.value)
+}
+
+// meanWeight is the weight of a new sample: some ten requests, about a second
+// of a busy target, tell of a change.
+const meanWeight = 0.1
+
+// mostCalls bounds the share of the slots that calls are taken to need, so that
+// a burst of them does not seem to stop all other work.
+const mostCalls = 0.8
+
 // New returns a line for a target with the given slots.
 func New(slots int) *Line { return &Line{slots: max(slots, 1)} }
 
@@ -69,15 +99,37 @@
 // Waiting is the number of items in the line.
 func (l *Line) Waiting() int { return len(l.waiting) }
 
-// before reports whether a comes before b.
-func before(a, b *Item) bool {
+// inTime reports whether work that began now would usually end by its aim.
+func (it *Item) inTime(now time.Time) bool {
+	return it.Aim.IsZero() || !now.Add(it.Expected).After(it.Aim)
+}
+
+// compare orders items by who comes first.
+func compare(now time.Time, a, b *Item) int {
 	if a.Inner != b.Inner {
-		return a.Inner
+		return first(a.Inner)
 	}
 	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
+		return cmp.Compare(a.Priority, b.Priority)
 	}
-	return a.order < b.order
+	if in := a.inTime(now); in != b.inTime(now) {
+		return first(in)
+	} else if in && !a.Aim.Equal(b.Aim) {
+		return a.Aim.Compare(b.Aim)
+	}
+	return cmp.Compare(a.order, b.order)
+}
+
+func first(a bool) int {
+	if a {
+		return -1
+	}
+	return 1
+}
+
+// sort brings the line into its order of now: time takes items past their aims.
+func (l *Line) sort(now time.Time) {
+	slices.SortFunc(l.waiting, func(a, b *Item) int { return compare(now, a, b) })
 }
 
 // Offer takes an item in or refuses it. dropped lists items that waited and
@@ -92,12 +144,13 @@
 	if it.MaxWait <= 0 {
 		return Busy, nil
 	}
-	at, _ := slices.BinarySearchFunc(l.waiting, it, compare)
-	wait := l.waitAt(at)
+	l.sort(now)
+	at, _ := slices.BinarySearchFunc(l.waiting, it, func(a, b *Item) int { return compare(now, a, b) })
+	wait := l.waitAt(at, it.Inner)
 	if wait > it.MaxWait {
 		return Busy, nil
 	}
-	if now.Add(wait + it.Expected).After(it.Until) {
+	if l.hopeless(now, it, at) || it.inTime(now) && !it.inTime(now.Add(wait)) {
 		return Late, nil
 	}
 	if len(l.waiting) >= maxLine*l.slots {
@@ -109,19 +162,56 @@
 		l.waiting = l.waiting[:last]
 	}
 	l.waiting = slices.Insert(l.waiting, at, it)
-	return Wait, append(dropped, l.dropLate(now)...)
+	return Wait, append(dropped, l.dropHopeless(now)...)
 }
 
-func compare(a, b *Item) int {
-	if before(a, b) {
-		return -1
+// hopeless reports whether an item at a place of the line is not worth its wait:
+// too little time would be left for its work, or its aim has passed and others
+// that can still meet theirs come first.
+func (l *Line) hopeless(now time.Time, it *Item, at int) bool {
+	if now.Add(l.waitAt(at, it.Inner) + it.Expected).After(it.Until) {
+		return true
 	}
-	return 1
+	if at == 0 || it.inTime(now) {
+		return false
+	}
+	ahead := l.waiting[at-1]
+	return !ahead.Inner && ahead.inTime(now)
+}
+
+// dropHopeless takes out the items that are no longer worth their wait.
+func (l *Line) dropHopeless(now time.Time) []*Item {
+	var dropped []*Item
+	for at := 0; at < len(l.waiting); {
+		it := l.waiting[at]
+		if !l.hopeless(now, it, at) {
+			at++
+			continue
+		}
+		dropped = append(dropped, it)
+		l.waiting = slices.Delete(l.waiting, at, at+1)
+	}
+	return dropped
 }
 
-// waitAt is the expected wait of the item at a place of the line.
-func (l *Line) waitAt(at int) time.Duration {
-	return time.Duration(at+1) * l.hold / time.Duration(l.slots)
+// waitAt is the expected wait of an item at a place of the line. Calls that are
+// yet to come pass all other work, which therefore has only the slots that they
+// usually leave.
+func (l *Line) waitAt(at int, inner bool) time.Duration {
+	hold, slots := l.slotTime.value, float64(l.slots)
+	if !inner && l.others.known {
+		hold = l.others.value
+		slots *= 1 - min(l.callShare(), mostCalls)
+	}
+	return time.Duration(float64(at+1) * hold / slots * float64(time.Second))
+}
+
+// callShare is the share of the slots' time that calls take.
+func (l *Line) callShare() float64 {
+	if l.slotTime.value <= 0 {
+		return 0
+	}
+	return l.callTime.value / l.slotTime.value
 }
 
 // ExpectedWait is the expected wait of a new item of the lowest rank.
@@ -129,41 +219,29 @@
 	if l.running < l.slots {
 		return 0
 	}
-	return l.waitAt(len(l.waiting))
+	return l.waitAt(len(l.waiting), false)
 }
 
-// dropLate takes out the items that can no longer be served in time.
-func (l *Line) dropLate(now time.Time) []*Item {
-	var late []*Item
-	kept := l.waiting[:0]
-	for _, it := range l.waiting {
-		if now.Add(l.waitAt(len(kept)) + it.Expected).After(it.Until) {
-			late = append(late, it)
-			continue
-		}
-		kept = append(kept, it)
+// Done gives a slot back after a call or other work held it for a time.
+func (l *Line) Done(held time.Duration, inner bool) {
+	l.Release()
+	seconds, ofCalls := held.Seconds(), 0.0
+	if inner {
+		ofCalls = seconds
+	} else {
+		l.others.add(seconds)
 	}
-	clear(l.waiting[len(kept):])
-	l.waiting = kept
-	return late
+	l.callTime.add(ofCalls)
+	l.slotTime.add(seconds)
 }
 
-// holdWeight is the weight of a new sample in the mean time of a slot.
-const holdWeight = 0.1
-
-// Done gives a slot back after it was held for a time.
-func (l *Line) Done(held time.Duration) {
-	l.running--
-	if l.hold == 0 {
-		l.hold = held
-		return
-	}
-	l.hold += time.Duration(holdWeight * float64(held-l.hold))
-}
+// Release gives back a slot that was not used.
+func (l *Line) Release() { l.running-- }
 
 // Next gives free slots to those who wait. late lists items that are dropped,
 // since too little time is left for their work.
 func (l *Line) Next(now time.Time) (run, late []*Item) {
+	l.sort(now)
 	for l.running < l.slots && len(l.waiting) > 0 {
 		it := l.waiting[0]
 		l.waiting = slices.Delete(l.waiting, 0, 1)
--- a/hostd/advice.go
+++ b/hostd/advice.go
@@ -8,21 +8,6 @@
 	"github.com/gooseberryshed/gooseberryshed/routes"
 )
 
-// Bounds of the advice when to come back.
-const (
-	leastComeBack = 200 * time.Millisecond
-	mostComeBack  = 3 * time.Second
-	// priorityStep lets more urgent callers come back first.
-	priorityStep = 150 * time.Millisecond
-)
-
-// comeBack chooses when a refused caller should try again: after the hint, the
-// urgent before others, and not all at once.
-func comeBack(hint time.Duration, priority int, spread float64) time.Duration {
-	base := min(max(hint, leastComeBack), mostComeBack) + time.Duration(min(max(priority, 0), lastPriority))*priorityStep
-	return base + time.Duration(spread*float64(base)/2)
-}
-
 // work is the distribution of the time that a route's requests take from here.
 func (in *Ingress) work(r *routes.Route) gray.Work {
 	in.mu.Lock()
--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -209,6 +209,7 @@
 		CallerService: e.in.set().Service,
 		Route:         e.route.Name,
 		ObjectiveMs:   e.route.Objective.Milliseconds(),
+		AimMs:         time.Until(e.started.Add(e.route.Objective)).Milliseconds(),
 		Priority:      e.priority(),
 		Inner:         e.inner,
 		Repeatable:    e.route.Kind.Repeatable(),
--- a/hostd/exchange.go
+++ b/hostd/exchange.go
@@ -121,7 +121,7 @@
 		g.sent.remove(tk.f.Attempt)
 	}
 	gray := t.filter.Probability(now)
-	t.line.Done(now.Sub(tk.started))
+	t.line.Done(now.Sub(tk.started), tk.f.Inner)
 	g.pump(t, now)
 	g.mu.Unlock()
 	g.record(tk, a, e, now, gray)
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -31,8 +31,10 @@
 	Workspace     string `json:"w,omitempty"`
 	CallerService string `json:"c"`
 	Route         string `json:"r"`
-	// ObjectiveMs is the route's latency objective in milliseconds.
+	// ObjectiveMs is the route's latency objective in milliseconds, AimMs what is
+	// left of it.
 	ObjectiveMs int64 `json:"o"`
+	AimMs       int64 `json:"m,omitempty"`
 	Priority    int   `json:"p,omitempty"`
 	Inner       bool  `json:"i,omitempty"`
 	Repeatable  bool  `json:"a,omitempty"`
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -182,6 +182,7 @@
 		Priority: tk.f.Priority,
 		Expected: work.Mean(),
 		Until:    tk.deadline,
+		Aim:      aim(tk.f, now),
 		MaxWait:  time.Duration(tk.f.MaxWaitMs) * time.Millisecond,
 		Value:    make(chan *wire.Refusal, 1),
 	}
@@ -192,7 +193,7 @@
 	switch verdict {
 	case admission.Run:
 		if refusal := g.send(tk, now); refusal != nil {
-			t.line.Done(0)
+			t.line.Release()
 			return nil, refusal
 		}
 		return nil, nil
@@ -207,6 +208,15 @@
 	return nil, g.busy(t, "no free slot")
 }
 
+// aim is when the answer loses part of its worth. Calls have none: the work
+// that made them waits.
+func aim(f Forward, now time.Time) time.Time {
+	if f.Inner {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(f.AimMs) * time.Millisecond)
+}
+
 // check runs the checks that need no slot; the lock is held.
 func (g *Gate) check(f Forward, now time.Time) *wire.Refusal {
 	t := g.target
@@ -300,7 +310,7 @@
 		if refusal := <-granted; refusal != nil {
 			return refusal
 		}
-		tk.target.line.Done(0)
+		tk.target.line.Release()
 		g.pump(tk.target, time.Now())
 	}
 	return wire.Refuse(wire.ReasonTimeout, "the caller left or its deadline passed in the line")
@@ -324,7 +334,7 @@
 		refusal = g.send(tk, now)
 	}
 	if refusal != nil {
-		tk.target.line.Done(0)
+		tk.target.line.Release()
 		g.pump(tk.target, now)
 	}
 	return refusal
--- a/hostd/gate_test.go
+++ b/hostd/gate_test.go
@@ -189,10 +189,3 @@
 		assert.Equal(t, promises, c.promise, "%s (%s) is answered %d", c.refusal.Reason, c.refusal.Run, status)
 	}
 }
-
-func TestComeBackIsSpreadAndRanked(t *testing.T) {
-	assert.Equal(t, comeBack(0, 0, 0), leastComeBack)
-	assert.Assert(t, comeBack(time.Second, 0, 0.99) < comeBack(time.Second, 3, 0.99))
-	assert.Assert(t, comeBack(time.Second, 1, 0) < comeBack(time.Second, 1, 0.9))
-	assert.Assert(t, comeBack(time.Hour, 99, 1) <= (mostComeBack+lastPriority*priorityStep)*3/2)
-}
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/gooseberryshed/gooseberryshed/admission"
 	"github.com/gooseberryshed/gooseberryshed/decisions"
 	"github.com/gooseberryshed/gooseberryshed/gray"
 	"github.com/gooseberryshed/gooseberryshed/h1"
@@ -326,7 +327,7 @@
 	resp.SetStatusCode(status)
 	var after time.Duration
 	if status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests {
-		after = comeBack(r.RetryAfter, e.priorityOrLast(), rand.Float64())
+		after = admission.ComeBack(r.RetryAfter, e.priorityOrLast(), rand.Float64())
 	}
 	karpithaz.WriteOwnAnswer(&resp.Header, e.caller.Attempt, after)
 	e.in.metrics.Add(decision, 1)
@@ -356,12 +357,9 @@
 	return e.view.Config.Revision
 }
 
-// lastPriority ranks requests whose route is not known.
-const lastPriority = 3
-
 func (e *exchange) priorityOrLast() int {
 	if e.route == nil {
-		return lastPriority
+		return admission.LastPriority
 	}
 	return e.priority()
 }
