--- a/explain/explain.go
+++ b/explain/explain.go
@@ -118,9 +118,12 @@
 	return strings.Join(parts, " ")
 }
 
+// ends are the decisions that end a request.
+var ends = []string{"answered", "failed", "refused", "caller-left"}
+
 // Cause names what ended the request as it did.
 func Cause(lines []Line, id string) string {
-	end := last(lines, id, "answered", "failed", "refused", "caller-left")
+	end := last(lines, id, ends...)
 	if end == nil {
 		return "cause: not in these logs; the ingress has written no end, so its log is missing or its host has died"
 	}
@@ -151,12 +154,9 @@
 
 // behind names what a target did with the request, or the call that failed.
 func behind(lines []Line, id string) string {
-	for _, l := range lines {
+	if l := failedCall(lines, id); l != nil {
 		call, _ := l.Fields[keyID].(string)
-		status, _ := l.Fields["status"].(float64)
-		if strings.HasPrefix(call, id+".") && (l.Decision == "failed" || l.Decision == "refused" || l.Decision == "answered" && status >= 500) {
-			return fmt.Sprintf("\n  since its call %s ended with %v: %v", call, l.Fields["status"], strings.TrimPrefix(Cause(lines, call), "cause: "))
-		}
+		return fmt.Sprintf("\n  since its call %s ended with %v: %v", call, l.Fields["status"], strings.TrimPrefix(Cause(lines, call), "cause: "))
 	}
 	var told []string
 	for _, l := range lines {
@@ -168,20 +168,41 @@
 	return strings.Join(told, "")
 }
 
+// failedCall is the end of the first call of a request that failed.
+func failedCall(lines []Line, id string) *Line {
+	for i, l := range lines {
+		call, _ := l.Fields[keyID].(string)
+		status, _ := l.Fields["status"].(float64)
+		if strings.HasPrefix(call, id+".") && (l.Decision == "failed" || l.Decision == "refused" || l.Decision == "answered" && status >= 500) {
+			return &lines[i]
+		}
+	}
+	return nil
+}
+
 // slowest names the longest step of a late request.
 func slowest(lines []Line, id string) string {
-	var own []Line
-	for _, l := range lines {
-		if l.Fields[keyID] == id {
-			own = append(own, l)
-		}
+	step := ""
+	if from, to, d := longestStep(lines, id); from != nil {
+		step = fmt.Sprintf(": %s passed between %s at %s and %s at %s", d, from.Decision, from.Source, to.Decision, to.Source)
 	}
-	step, longest := "", time.Duration(0)
-	for i := 1; i < len(own); i++ {
-		if d := own[i].At.Sub(own[i-1].At); d > longest {
-			longest = d
-			step = fmt.Sprintf(": %s passed between %s at %s and %s at %s", d, own[i-1].Decision, own[i-1].Source, own[i].Decision, own[i].Source)
+	return step + behind(lines, id)
+}
+
+// longestStep is the pair of decisions about a request with the most time
+// between them; it is nil for fewer than two decisions.
+func longestStep(lines []Line, id string) (from, to *Line, took time.Duration) {
+	var previous *Line
+	for i := range lines {
+		if lines[i].Fields[keyID] != id {
+			continue
 		}
+		if previous != nil {
+			if d := lines[i].At.Sub(previous.At); from == nil || d > took {
+				from, to, took = previous, &lines[i], d
+			}
+		}
+		previous = &lines[i]
 	}
-	return step + behind(lines, id)
+	return from, to, took
 }
