soak: links between daemons and to the store fail too; callers keep connections open

Cause: the soak only killed, stopped and froze processes and made the store and targets fail; what happens between processes was not played. Callers also keep connections open until the process is gone, pipeline up to three reads and leave early; answers must come in order and be their own.

--- a/hostd/host.go
+++ b/hostd/host.go
@@ -1,6 +1,7 @@
 package hostd
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -24,6 +25,10 @@
 	Settings *karpithaz.Settings
 	// MetricsListen is the address of the metrics page; empty has none.
 	MetricsListen string
+	// GateBind and DatagramBind are the addresses to listen on for other
+	// daemons, where they are not those of the settings, which the others use:
+	// something in between passes their traffic on. Empty takes the settings'.
+	GateBind, DatagramBind string
 	// Output takes the log lines.
 	Output io.Writer
 }
@@ -75,7 +80,7 @@
 		stopped: make(chan struct{}),
 	}
 	h.present.Store(o.Settings)
-	asks, err := newDatagrams(o.Settings.DatagramListen, h.metrics, h.answer)
+	asks, err := newDatagrams(cmp.Or(o.DatagramBind, o.Settings.DatagramListen), h.metrics, h.answer)
 	if err != nil {
 		return nil, err
 	}
@@ -88,7 +93,7 @@
 	h.crashes = newCrashes(o.Settings.Host, h.control.View, asks.ask, h.log)
 	h.gate.died = h.crashes.died
 	h.ingress.quarantined = h.crashes.quarantined
-	if err := h.open(o.MetricsListen); err != nil {
+	if err := h.open(o); err != nil {
 		h.close()
 		return nil, err
 	}
@@ -96,7 +101,7 @@
 }
 
 // open builds the servers and opens their listeners.
-func (h *Host) open(metricsListen string) error {
+func (h *Host) open(o Options) error {
 	s := &h.servers
 	s.callers = h1.New(h1.Options{Handle: h.ingress.Handle, Reject: h.rejectCaller, Limits: h.callerLimits, Stopping: h.stopping})
 	s.gates = h1.New(h1.Options{Handle: h.handleForward, Stopping: h.stopping})
@@ -109,8 +114,8 @@
 	}{
 		{"announcements", h.set.AnnounceListen, s.announcements},
 		{"ready", h.set.ReadyListen, s.ready},
-		{"metrics", metricsListen, s.metrics},
-		{"gates", h.set.GateListen, s.gates},
+		{"metrics", o.MetricsListen, s.metrics},
+		{"gates", cmp.Or(o.GateBind, h.set.GateListen), s.gates},
 		{"callers", h.set.CallerListen, s.callers},
 	}
 	for _, d := range doors {
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/gooseberryshed/gooseberryshed/internal/e2e/fabric"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 )
@@ -29,13 +30,58 @@
 	// net begins the hosts' addresses, so that runs beside each other have
 	// their own.
 	net string
+	// links stand between the daemons, and between them and the store.
+	links *fabric.Fabric
+	mu    sync.Mutex
+	// cuts are the paths, by the addresses of sender and receiver, on which
+	// datagrams are lost.
+	cuts map[[2]string]bool
 }
 
+// cut cuts what one host sends to another, or heals both ways.
+func (f *fleet) cut(a, b *host, way fabric.Way) {
+	f.links.Cut(a.set.Host, b.set.Host, way)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cuts[[2]string{a.set.IP, b.set.IP}] = true
+	if way == fabric.BothWays {
+		f.cuts[[2]string{b.set.IP, a.set.IP}] = true
+	}
+}
+
+// heal ends all faults between hosts, and between them and the store.
+func (f *fleet) heal() {
+	for i, a := range f.hosts {
+		f.links.Heal(a.set.Host, storeHost)
+		for _, b := range f.hosts[:i] {
+			f.links.Heal(a.set.Host, b.set.Host)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.cuts)
+}
+
+func (f *fleet) isCut(from, to string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cuts[[2]string{from, to}]
+}
+
+// Names of the fabric's ends.
+const (
+	storeHost = "store"
+	gatePort  = "gate"
+)
+
 // host is one daemon's process and its target.
 type host struct {
 	f        *fleet
 	set      *karpithaz.Settings
 	settings string
+	// gate and datagrams are where the daemon listens for the others, who use
+	// the addresses of the settings.
+	gate, datagrams string
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -77,7 +123,8 @@
 	store, err := standin.Start()
 	assert.NilError(t, err)
 	t.Cleanup(store.Close)
-	f := &fleet{t: t, dir: t.TempDir(), program: program, store: store, net: fmt.Sprintf("127.%d.%d", 2+seed%200, seed/200%250)}
+	f := &fleet{t: t, dir: t.TempDir(), program: program, store: store, links: fabric.New(), cuts: map[[2]string]bool{}, net: fmt.Sprintf("127.%d.%d", 2+seed%200, seed/200%250)}
+	t.Cleanup(f.links.Close)
 	f.configure(1, firstKey)
 	for i := range hosts {
 		f.hosts = append(f.hosts, f.newHost(i+1))
@@ -101,16 +148,38 @@
 		standin.Config(revision, []string{"svc"}, routes, []standin.Workspace{{Name: "ws", Key: key}}))
 }
 
+// door is an address at which others reach a port of a host through the fabric.
+func (f *fleet) door(host, port, ip string) string {
+	addr, err := f.links.Advertise(host, port, ip)
+	assert.NilError(f.t, err)
+	return addr
+}
+
+// storeAt serves the store at a host's address, so that it can fail for that
+// host alone.
+func (f *fleet) storeAt(ip string) string {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	assert.NilError(f.t, err)
+	f.t.Cleanup(func() { l.Close() })
+	go f.store.Server().Serve(l) //nolint:errcheck // ends with the listener
+	return l.Addr().String()
+}
+
 func (f *fleet) newHost(n int) *host {
 	ip := fmt.Sprintf("%s.%d", f.net, n)
 	addr := func() string { return net.JoinHostPort(ip, port(f.t, ip)) }
+	name := fmt.Sprintf("host-%d", n)
+	f.links.AddHost(name, ip)
 	set := &karpithaz.Settings{
-		Host: fmt.Sprintf("host-%d", n), DataCentre: fmt.Sprintf("dc-%d", n%2), Region: "r", IP: ip,
-		CallerListen: addr(), GateListen: addr(), ReadyListen: addr(), AnnounceListen: addr(), DatagramListen: addr(), TargetAddress: addr(),
-		Service: "svc", StoreAddress: f.store.Addr(), MemoryBytes: 128 << 20,
+		Host: name, DataCentre: fmt.Sprintf("dc-%d", n%2), Region: "r", IP: ip,
+		CallerListen: addr(), GateListen: f.door(name, gatePort, ip), ReadyListen: addr(), AnnounceListen: addr(), DatagramListen: addr(), TargetAddress: addr(),
+		Service: "svc", StoreAddress: f.door(storeHost, name, ip), MemoryBytes: 128 << 20,
 		Bounds: karpithaz.Bounds{RevokeWithin: revokeWithin, StopWithin: stopWithin},
 	}
-	h := &host{f: f, set: set, settings: filepath.Join(f.dir, set.Host+".conf")}
+	h := &host{f: f, set: set, settings: filepath.Join(f.dir, set.Host+".conf"), gate: addr(), datagrams: addr()}
+	f.links.SetUpstream(name, gatePort, h.gate)
+	f.links.SetUpstream(storeHost, name, f.storeAt(ip))
+	f.newRelay(f.t, ip, set.DatagramListen, h.datagrams)
 	assert.NilError(f.t, os.WriteFile(h.settings, []byte(standin.SettingsFile(set)), 0o600))
 	var err error
 	h.logs, err = os.Create(filepath.Join(f.dir, set.Host+".log"))
@@ -144,7 +213,7 @@
 	if h.cmd != nil {
 		return
 	}
-	cmd := exec.Command(h.f.program, "host")
+	cmd := exec.Command(h.f.program, "host", "--gate-bind", h.gate, "--datagram-bind", h.datagrams)
 	cmd.Env = append(os.Environ(), karpithaz.SettingsVariable+"="+h.settings)
 	cmd.Stdout, cmd.Stderr = h.logs, h.logs
 	if err := cmd.Start(); err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/gooseberryshed/gooseberryshed/internal/e2e/fabric"
 	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 )
 
@@ -78,6 +79,7 @@
 	r.begun = time.Now()
 	for i, h := range r.f.hosts {
 		background.Go(func() { r.callers(h, i, done) })
+		background.Go(func() { r.pipelined(t, h, i, done) })
 	}
 	r.faults()
 	r.calm()
@@ -171,9 +173,13 @@
 	r.schedule = append(r.schedule, fmt.Sprintf("%6.2f s ", time.Since(r.begun).Seconds())+fmt.Sprintf(format, args...))
 }
 
+// linkDelay in milliseconds is several times the way between data centres.
+const linkDelay = 120
+
 // inject makes one thing go wrong, or right again.
 func (r *run) inject(h *host, n int) {
-	switch r.rnd.IntN(12) {
+	other := r.f.hosts[r.rnd.IntN(len(r.f.hosts))]
+	switch r.rnd.IntN(16) {
 	case 0:
 		r.note("kill %s", h.set.Host)
 		h.signal(syscall.SIGKILL)
@@ -185,9 +191,9 @@
 		h.signal(syscall.SIGSTOP)
 	case 3, 4:
 		r.note("wake and start all")
-		for _, other := range r.f.hosts {
-			other.signal(syscall.SIGCONT)
-			other.start()
+		for _, each := range r.f.hosts {
+			each.signal(syscall.SIGCONT)
+			each.start()
 		}
 	case 5:
 		fault := standin.Modes[r.rnd.IntN(len(standin.Modes))]
@@ -211,6 +217,25 @@
 		r.note("configuration %d, history dropped", n)
 		r.f.configure(n, r.currentKey())
 		r.f.store.Forget()
+	case 12:
+		way := fabric.Way(r.rnd.IntN(2))
+		r.note("cut %s and %s (one way: %v)", h.set.Host, other.set.Host, way == fabric.OneWay)
+		r.f.cut(h, other, way)
+	case 13:
+		r.note("cut %s from the store, or delay it", h.set.Host)
+		if r.rnd.IntN(2) == 0 {
+			r.f.links.Cut(h.set.Host, storeHost, fabric.Way(r.rnd.IntN(2)))
+		} else {
+			r.f.links.Delay(storeHost, h.set.Host, linkDelay)
+		}
+	case 14:
+		r.note("connections of %s and %s fall silent, new ones are slow", h.set.Host, other.set.Host)
+		r.f.links.Silence(h.set.Host, other.set.Host)
+		r.f.links.Silence(h.set.Host, storeHost)
+		r.f.links.Delay(h.set.Host, other.set.Host, linkDelay)
+	case 15:
+		r.note("all links whole again")
+		r.f.heal()
 	case 11:
 		r.note("key replaced")
 		r.mu.Lock()
@@ -231,6 +256,7 @@
 // calm ends all faults.
 func (r *run) calm() {
 	r.note("calm")
+	r.f.heal()
 	r.f.store.Fail("", standin.ModeOK)
 	for _, h := range r.f.hosts {
 		r.f.store.Fail(h.set.IP, standin.ModeOK)
