--- a/internal/e2e/fabric/fabric.go
+++ b/internal/e2e/fabric/fabric.go
@@ -14,6 +14,7 @@
 	"net"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/Shopify/toxiproxy"
 	"github.com/pkg/errors"
@@ -117,12 +118,19 @@
 	}
 }
 
+// acceptPause is how long a listener waits for a free descriptor.
+const acceptPause = 50 * time.Millisecond
+
 func (f *Fabric) accept(l net.Listener, host, port string) {
 	for {
 		c, err := l.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			time.Sleep(acceptPause) // no descriptor is free
+			continue
+		}
 		go f.connect(c, host, port)
 	}
 }
