--- a/admission/doc.go
+++ b/admission/doc.go
@@ -11,7 +11,7 @@
 // A request is refused at once, when it arrives or when another passes it, if
 // the work ahead of it leaves too little time for its own, or if it would miss
 // its objective by waiting. One that has missed it already may wait as long as
-// nobody of its rank can still meet his. Expected waits count the slots that
+// none ahead of it can still meet its own. Expected waits count the slots that
 // calls usually take, as calls that are yet to come pass all other work.
 //
 // Weighed, by the load player of internal/measure and on heavy days: order of
--- a/admission/line.go
+++ b/admission/line.go
@@ -90,7 +90,7 @@
 // SetSlots changes the number of slots.
 func (l *Line) SetSlots(slots int) { l.slots = max(slots, 1) }
 
-// Slots, Running and Waiting describe the line.
+// Slots is the number of slots.
 func (l *Line) Slots() int { return l.slots }
 
 // Running is the number of slots in use.
