gate: a target whose listener closes after its connections is seen to have died

Two deaths were answered target-failed, not target-died: the gate looks whether the target still listens as soon as a connection breaks, and a process that ends closes its sockets one after the other, so the look may find the listener. The gate looks a second time 50 ms later. A look that ends because its caller left no longer counts as a death.

Ruled out: the announcements, which the blame does not use.

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gooseberryshed/gooseberryshed/headers"
+	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/link"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 	"github.com/pkg/errors"
@@ -20,6 +21,10 @@
 	// deathProbe bounds the check whether a target that broke a connection
 	// still listens.
 	deathProbe = 200 * time.Millisecond
+	// deathPause comes before a second look at a target that still listens: a
+	// process that ends closes its sockets one after the other, and takes some
+	// milliseconds on a busy machine.
+	deathPause = 50 * time.Millisecond
 )
 
 // answer hands the target's answer on; the slot is kept until its body ends.
@@ -207,11 +212,12 @@
 	g.mu.Lock()
 	tk.t.remember(tk.att.Fingerprint, now)
 	g.mu.Unlock()
-	pctx, cancel := context.WithTimeout(ctx, deathProbe)
-	defer cancel()
-	if g.links.Probe(pctx, tk.t.addr) == nil {
+	if g.listens(ctx, tk.t.addr) && pause.For(ctx, deathPause) && g.listens(ctx, tk.t.addr) {
 		return false
 	}
+	if ctx.Err() != nil {
+		return false // nobody waited for the second look
+	}
 	g.mu.Lock()
 	d, died := g.death(tk.t, now)
 	g.mu.Unlock()
@@ -220,3 +226,10 @@
 	}
 	return true
 }
+
+// listens reports whether a target takes connections.
+func (g *Gate) listens(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, deathProbe)
+	defer cancel()
+	return g.links.Probe(ctx, addr) == nil
+}
--- a/gate/failure_test.go
+++ b/gate/failure_test.go
@@ -155,6 +155,27 @@
 	assert.Equal(t, dead[0]+dead[1], uint64(201))
 }
 
+// TestDeathIsSeenThoughTheListenerEndsLast closes a target's connection some
+// milliseconds before its listener, as the end of a process may: four targets
+// died of one request on a busy machine, since two deaths had not been seen.
+func TestDeathIsSeenThoughTheListenerEndsLast(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f := start(t, &backend{addr: ln.Addr().String()}, "orders", nil)
+	refusals := make(chan *wire.Refusal, 1)
+	go func() {
+		_, ref := f.forward(f.attempt())
+		refusals <- ref
+	}()
+	c, err := ln.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, take(bufio.NewReader(c)))
+	c.Close()
+	time.Sleep(10 * time.Millisecond)
+	ln.Close()
+	refused(t, <-refusals, wire.ReasonTargetDied, wire.Unknown)
+}
+
 // TestSilentConnectionIsReplaced lets a kept connection go silent: an
 // idempotent request is repeated on a new one, and the target is not blamed.
 func TestSilentConnectionIsReplaced(t *testing.T) {
