--- a/hostd/fleet_test.go
+++ b/hostd/fleet_test.go
@@ -3,16 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/gooseberryshed/gooseberryshed/internal/freeport"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 )
@@ -62,23 +60,11 @@
 	return strings.Count(l.String(), `"msg":"`+decision+`"`)
 }
 
-// nextPort is below the ports that the system gives to outgoing connections: one
-// of a host's own connections once took a port that it was about to listen on.
-var nextPort atomic.Int64
-
-const firstPort = 20000
-
-func freePort(t *testing.T, ip string) string {
+func freeAddr(t *testing.T, ip string) string {
 	t.Helper()
-	for range 100 {
-		p := strconv.FormatInt(firstPort+nextPort.Add(1), 10)
-		if l, err := net.Listen("tcp", net.JoinHostPort(ip, p)); err == nil {
-			l.Close()
-			return p
-		}
-	}
-	t.Fatalf("no free port on %s", ip)
-	return ""
+	addr, err := freeport.On(ip)
+	assert.NilError(t, err)
+	return addr
 }
 
 func defaultRoutes() []standin.Route {
@@ -117,7 +103,7 @@
 
 func (f *testFleet) settings(n int) *karpithaz.Settings {
 	ip := fmt.Sprintf("127.0.1.%d", n)
-	addr := func() string { return net.JoinHostPort(ip, freePort(f.t, ip)) }
+	addr := func() string { return freeAddr(f.t, ip) }
 	return &karpithaz.Settings{
 		Host: fmt.Sprintf("host-%d", n), DataCentre: "dc-a", Region: "r", Regions: map[string]string{"dc-a": "r"}, IP: ip,
 		CallerListen: addr(), GateListen: addr(), ReadyListen: addr(), AnnounceListen: addr(), DatagramListen: addr(),
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -6,9 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -16,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/gooseberryshed/gooseberryshed/internal/e2e/fabric"
+	"github.com/gooseberryshed/gooseberryshed/internal/freeport"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 )
@@ -101,25 +100,6 @@
 	return program
 }
 
-// nextPort is below the ports that the system gives to outgoing connections: one
-// of a host's own connections once took a port that it was about to listen on.
-var nextPort atomic.Int64
-
-const firstPort = 20000
-
-func port(t *testing.T, ip string) string {
-	t.Helper()
-	for range 100 {
-		p := strconv.FormatInt(firstPort+nextPort.Add(1), 10)
-		if l, err := net.Listen("tcp", net.JoinHostPort(ip, p)); err == nil {
-			l.Close()
-			return p
-		}
-	}
-	t.Fatalf("no free port on %s", ip)
-	return ""
-}
-
 // maxLinked is how many daemons have the fabric between them: each pair takes
 // some descriptors of the test's process, and 100 daemons took all 20,000.
 const maxLinked = 40
@@ -174,7 +154,11 @@
 
 func (f *fleet) newHost(n int) *host {
 	ip := fmt.Sprintf("%s.%d", f.net, n)
-	addr := func() string { return net.JoinHostPort(ip, port(f.t, ip)) }
+	addr := func() string {
+		free, err := freeport.On(ip)
+		assert.NilError(f.t, err)
+		return free
+	}
 	name := fmt.Sprintf("host-%d", n)
 	f.links.AddHost(name, ip)
 	set := &karpithaz.Settings{
