limit, limiter: two owners of a rate in each data centre

Cause: each (shard, data centre) had one owner. When the owners of all data centres were killed while the table was out, nobody could grant, because a restarted owner may not act on a lease that it cannot read; all six hosts of TestKilledOwnersOfARateServeInAnOutage refused for the whole outage.

Ruled out: resuming the lease from what a peer remembers (a takeover whose write is under way must clear that memory first, on a peer that may be unreachable), and a static part for every host (unused when the table is there).

Change: the share of a data centre is divided between two replicas whose owners prefer different hosts, for workspaces with a burst of at least 16 a holder. All arguments for the sum of the shares stay as they are.

--- a/limit/doc.go
+++ b/limit/doc.go
@@ -5,11 +5,12 @@
 //
 // # Algorithm
 //
-// Workspaces are hashed to shards. Each pair of shard and data centre has one
-// owner daemon, recorded in a row of the platform's table. An owner's bucket of
-// a workspace fills at rate·share·fraction up to burst·share·fraction, where
-// the shares of a workspace sum to 1 over the data centres (Layout) and the
-// fraction is determined by the owner's lease (Lease).
+// Workspaces are hashed to shards. Each shard has Replicas holders in each data
+// centre. Each pair of shard and holder has one owner daemon, recorded in a row
+// of the platform's table. An owner's bucket of a workspace fills at
+// rate·share·fraction up to burst·share·fraction, where the shares of a
+// workspace sum to 1 over its holders (Layout) and the fraction is determined
+// by the owner's lease (Lease).
 //
 // The sum of all levels and of all tokens in transit never exceeds the burst,
 // because
@@ -36,4 +37,9 @@
 // it lasts. Tokens lost in transfers and buckets that start empty cause
 // refusals that an exact central counter would not cause, but never too many
 // grants.
+//
+// The replicas of a data centre double the rows and the fractions of tokens
+// that cannot be granted. In return a workspace whose burst is large enough is
+// served in a table outage as long as one of all their owners has not been
+// restarted: a restarted owner grants nothing before it has read its row.
 package limit
--- a/limit/layout.go
+++ b/limit/layout.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -22,10 +24,57 @@
 	return int(xxhash.Sum64String(workspace) % uint64(shards))
 }
 
-// Layout lists the data centres that hold a workspace's tokens. All of them
-// have equal shares.
+// Replicas is the number of rows, and so of owners on different hosts, among
+// which the share of a data centre is divided if it is large enough. The loss
+// of one host then leaves an owner of the share's other part.
+const Replicas = 2
+
+// MinReplicatedBurst is the minimum burst per holder for dividing the share of a
+// data centre. It is above MinSplitBurst because each holder keeps up to one
+// token as a fraction, and so a workspace of six holders up to six.
+const MinReplicatedBurst = 16.0
+
+// Holder is one of the parts into which the tokens of a workspace are split.
+type Holder struct {
+	DataCentre string `json:"dc"`
+	// Replica is below Replicas.
+	Replica int `json:"replica,omitempty"`
+}
+
+// String returns the name of the holder in keys. That of replica 0 is the data
+// centre.
+func (h Holder) String() string {
+	if h.Replica == 0 {
+		return h.DataCentre
+	}
+	return h.DataCentre + "/" + strconv.Itoa(h.Replica)
+}
+
+// ParseHolder returns the holder with the given name.
+func ParseHolder(name string) Holder {
+	if i := strings.LastIndexByte(name, '/'); i >= 0 {
+		if r, err := strconv.Atoi(name[i+1:]); err == nil && r > 0 && r < Replicas {
+			return Holder{DataCentre: name[:i], Replica: r}
+		}
+	}
+	return Holder{DataCentre: name}
+}
+
+// Holders lists all holders in the given data centres.
+func Holders(dataCentres []string) []Holder {
+	holders := make([]Holder, 0, len(dataCentres)*Replicas)
+	for _, dc := range dataCentres {
+		for r := range Replicas {
+			holders = append(holders, Holder{DataCentre: dc, Replica: r})
+		}
+	}
+	return holders
+}
+
+// Layout lists the holders of a workspace's tokens. All of them have equal
+// shares.
 type Layout struct {
-	DataCentres []string
+	Holders []Holder
 }
 
 // NewLayout returns the layout of a workspace over the given data centres.
@@ -34,21 +83,28 @@
 	if n == 0 {
 		return Layout{}
 	}
+	if float64(burst)/float64(n*Replicas) >= MinReplicatedBurst {
+		return Layout{Holders: Holders(dataCentres)}
+	}
+	first := make([]Holder, 0, n)
+	for _, dc := range dataCentres {
+		first = append(first, Holder{DataCentre: dc})
+	}
 	if float64(burst)/float64(n) >= MinSplitBurst {
-		return Layout{DataCentres: dataCentres}
+		return Layout{Holders: first}
 	}
-	home := slices.MaxFunc(dataCentres, func(a, b string) int {
-		return compareRank(a, b, workspace)
+	home := slices.MaxFunc(first, func(a, b Holder) int {
+		return compareRank(a.String(), b.String(), workspace)
 	})
-	return Layout{DataCentres: []string{home}}
+	return Layout{Holders: []Holder{home}}
 }
 
-// Share returns the share of a data centre.
-func (l Layout) Share(dataCentre string) float64 {
-	if !slices.Contains(l.DataCentres, dataCentre) {
+// Share returns the share of a holder.
+func (l Layout) Share(h Holder) float64 {
+	if !slices.Contains(l.Holders, h) {
 		return 0
 	}
-	return 1 / float64(len(l.DataCentres))
+	return 1 / float64(len(l.Holders))
 }
 
 // Divisible reports whether a former owner and a new one can both serve with
@@ -58,18 +114,18 @@
 	return shareOfBurst*min(p.GraceFraction, 1-p.GraceFraction) >= MinDividedTokens
 }
 
-// Order returns the data centres of the layout with the given one first, if it
-// is included, and the others in an order that differs between workspaces.
-func (l Layout) Order(first, workspace string) []string {
-	order := slices.Clone(l.DataCentres)
-	slices.SortFunc(order, func(a, b string) int {
-		if (a == first) != (b == first) {
-			if a == first {
+// Order returns the holders of the layout, those in the given data centre first
+// and the others in an order that differs between workspaces.
+func (l Layout) Order(first, workspace string) []Holder {
+	order := slices.Clone(l.Holders)
+	slices.SortFunc(order, func(a, b Holder) int {
+		if (a.DataCentre == first) != (b.DataCentre == first) {
+			if a.DataCentre == first {
 				return -1
 			}
 			return 1
 		}
-		return compareRank(b, a, workspace)
+		return compareRank(b.String(), a.String(), workspace)
 	})
 	return order
 }
--- a/limiter/messages.go
+++ b/limiter/messages.go
@@ -16,12 +16,12 @@
 
 // rowID identifies an ownership row.
 type rowID struct {
-	DataCentre string `json:"dc"`
-	Shard      int    `json:"shard"`
+	limit.Holder
+	Shard int `json:"shard"`
 }
 
 // key returns the row's key in the table.
-func (r rowID) key() string { return shardPrefix(r.Shard) + r.DataCentre }
+func (r rowID) key() string { return shardPrefix(r.Shard) + r.Holder.String() }
 
 // takeItem requests N tokens of one workspace.
 type takeItem struct {
--- a/limiter/owner.go
+++ b/limiter/owner.go
@@ -143,7 +143,7 @@
 	if !ok {
 		return 0, false
 	}
-	share := limit.NewLayout(cfg.DataCentres(), workspace, w.Burst).Share(o.row.DataCentre)
+	share := limit.NewLayout(cfg.DataCentres(), workspace, w.Burst).Share(o.row.Holder)
 	return share * o.lease.Fraction(now, o.policy, share*float64(w.Burst)), true
 }
 
--- a/limiter/pull.go
+++ b/limiter/pull.go
@@ -18,9 +18,9 @@
 // limit on the age of replies, so that the reply still arrives in time.
 const maxPullWait = 50 * time.Millisecond
 
-// pull starts requesting the missing tokens from the other data centres, one
-// after the other. The channel is closed when enough have arrived or all data
-// centres have been tried. It is nil if there is no room for tokens.
+// pull starts requesting the missing tokens from the other holders, one
+// after the other. The channel is closed when enough have arrived or all
+// holders have been tried. It is nil if there is no room for tokens.
 func (s *Service) pull(o *owner, limits workspaceLimits, workspace string, missing int) <-chan struct{} {
 	reserved, done := o.startPull(s.opts.Clock(), limits, workspace, missing*pullFactor)
 	if reserved == 0 {
@@ -33,11 +33,11 @@
 
 func (s *Service) runPull(o *owner, limits workspaceLimits, workspace string, reserved, needed int) {
 	got := 0
-	for _, dc := range limits.layout.Order(o.row.DataCentre, workspace) {
-		if dc == o.row.DataCentre {
+	for _, h := range limits.layout.Order(o.row.DataCentre, workspace) {
+		if h == o.row.Holder {
 			continue
 		}
-		got += s.pullFrom(rowID{DataCentre: dc, Shard: o.row.Shard}, workspace, reserved-got)
+		got += s.pullFrom(rowID{Holder: h, Shard: o.row.Shard}, workspace, reserved-got)
 		if got >= needed {
 			break
 		}
--- a/limiter/router.go
+++ b/limiter/router.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -127,8 +128,13 @@
 	if len(local) == 0 {
 		local = all
 	}
-	order := limit.Candidates(local, row.key())
+	first := rowID{Holder: limit.Holder{DataCentre: row.DataCentre}, Shard: row.Shard}
+	order := limit.Candidates(local, first.key())
 	order = order[:min(len(order), maxCandidates)]
+	// The replicas of a data centre share the candidates and prefer different
+	// ones, so that their owners are on different hosts.
+	shift := row.Replica % max(len(order), 1)
+	order = append(slices.Clone(order[shift:]), order[:shift]...)
 	daemons := make([]member.Daemon, 0, len(order))
 	for _, host := range order {
 		daemons = append(daemons, byHost[host])
--- a/limiter/rows.go
+++ b/limiter/rows.go
@@ -106,9 +106,9 @@
 		return nil
 	}
 	rows := s.removedRows()
-	for _, dc := range configs[len(configs)-1].DataCentres() {
+	for _, h := range limit.Holders(configs[len(configs)-1].DataCentres()) {
 		for shard := range s.opts.Shards {
-			row := rowID{DataCentre: dc, Shard: shard}
+			row := rowID{Holder: h, Shard: shard}
 			if s.ownerOf(row) != nil || s.isCandidate(row) {
 				rows = append(rows, row)
 			}
@@ -128,9 +128,9 @@
 		if !slices.Contains(present, o.row.DataCentre) {
 			rows[o.row] = true
 		}
-		for _, dc := range o.shardState().removedDataCentres {
-			if !slices.Contains(present, dc) {
-				rows[rowID{DataCentre: dc, Shard: o.row.Shard}] = true
+		for _, h := range o.shardState().removedHolders {
+			if !slices.Contains(present, h.DataCentre) {
+				rows[rowID{Holder: h, Shard: o.row.Shard}] = true
 			}
 		}
 	}
--- a/limiter/serve.go
+++ b/limiter/serve.go
@@ -84,7 +84,7 @@
 		return nil, false
 	}
 	*out = takeGrant{Granted: g.n, NoShare: g.noShare, RetryAfter: g.retryAfter}
-	if g.n == item.N || g.noShare || len(limits.layout.DataCentres) < 2 {
+	if g.n == item.N || g.noShare || len(limits.layout.Holders) < 2 {
 		return nil, true
 	}
 	if g.canPull {
--- a/limiter/service.go
+++ b/limiter/service.go
@@ -86,8 +86,8 @@
 	}
 	shard := limit.Shard(workspace, s.opts.Shards)
 	var lastErr error
-	for _, dc := range s.dataCentreOrder(limits, workspace) {
-		g, err := s.takeFrom(ctx, rowID{DataCentre: dc, Shard: shard}, workspace)
+	for _, h := range s.holderOrder(limits, workspace) {
+		g, err := s.takeFrom(ctx, rowID{Holder: h, Shard: shard}, workspace)
 		if ctx.Err() != nil {
 			return Decision{}, errors.Wrap(ctx.Err(), "waiting for the owner of the workspace's rate limit")
 		}
@@ -137,14 +137,14 @@
 	}, true
 }
 
-// dataCentreOrder lists the data centres in the order in which their owners are
-// called: those with a share, the local one first, and then those that may
-// still have a share under an earlier configuration.
-func (s *Service) dataCentreOrder(limits workspaceLimits, workspace string) []string {
+// holderOrder lists the holders in the order in which their owners are called:
+// those with a share, the local ones first, and then those that may still have
+// a share under an earlier configuration.
+func (s *Service) holderOrder(limits workspaceLimits, workspace string) []limit.Holder {
 	order := limits.layout.Order(s.opts.Self.DataCentre, workspace)
-	for _, dc := range dataCentres(limits.configs) {
-		if !slices.Contains(order, dc) {
-			order = append(order, dc)
+	for _, h := range limit.Holders(dataCentres(limits.configs)) {
+		if !slices.Contains(order, h) {
+			order = append(order, h)
 		}
 	}
 	return order
--- a/limiter/shares.go
+++ b/limiter/shares.go
@@ -60,9 +60,9 @@
 	minRevision uint64
 	// maxRevision is the highest revision in all rows.
 	maxRevision uint64
-	// removedDataCentres lists the data centres that are no longer configured
-	// but whose rows have not been retired.
-	removedDataCentres []string
+	// removedHolders lists the holders in data centres that are no longer
+	// configured whose rows have not been retired.
+	removedHolders []limit.Holder
 	// reservedFraction is the sum of all reserved fractions.
 	reservedFraction float64
 }
@@ -132,27 +132,27 @@
 // centres known to this daemon, and all others that have not been retired.
 func newShardState(rows []platform.Row, shard int, configs []Config) shardState {
 	lastChanged := configs[len(configs)-1].DataCentresLastChanged()
-	present := configs[len(configs)-1].DataCentres()
-	found := map[string]limit.Record{}
+	present := limit.Holders(configs[len(configs)-1].DataCentres())
+	found := map[limit.Holder]limit.Record{}
 	for _, row := range rows {
 		var rec limit.Record
 		if json.Unmarshal(row.Value, &rec) == nil {
-			found[strings.TrimPrefix(row.Key, shardPrefix(shard))] = rec
+			found[limit.ParseHolder(strings.TrimPrefix(row.Key, shardPrefix(shard)))] = rec
 		}
 	}
-	for _, dc := range present {
-		if _, ok := found[dc]; !ok {
+	for _, h := range present {
+		if _, ok := found[h]; !ok {
 			return shardState{}
 		}
 	}
 	state := shardState{minOwnerRevision: math.MaxUint64, minRevision: math.MaxUint64}
-	for dc, rec := range found {
-		removed := !slices.Contains(present, dc)
+	for h, rec := range found {
+		removed := !slices.Contains(present, h)
 		if removed && rec.Retired && rec.Revision >= lastChanged {
 			continue
 		}
 		if removed {
-			state.removedDataCentres = append(state.removedDataCentres, dc)
+			state.removedHolders = append(state.removedHolders, h)
 		}
 		state.add(rec)
 	}
