hostd: a hedge refused by the retry budget asks again

Cause: the hedge timer fired once.

Change: the hedge asks again after 0.2 to 0.6 s while the route allows another attempt.

--- a/hostd/execution.go
+++ b/hostd/execution.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -97,8 +98,13 @@
 				return *out
 			}
 		case <-hedge.C:
-			if ex.mayRetry(ctx) {
+			if !ex.retryAllowed() {
+				continue
+			}
+			if ex.takeRetry(ctx) {
 				ex.launch(ctx, true)
+			} else {
+				hedge.Reset(jitter(budgetRetryDelay))
 			}
 		case <-ex.hedgeSoon:
 			w := ex.e.in.latency(ex.e.route)
@@ -158,12 +164,27 @@
 	return min(w.Quantile(hedgeQuantile), latest)
 }
 
-// mayRetry reports whether a request that may have run may be sent again.
-func (ex *execution) mayRetry(ctx context.Context) bool {
+// budgetRetryDelay is the mean delay after which a hedge that exceeded the retry
+// budget asks for it again. The budget recovers by several retries a second.
+const budgetRetryDelay = 400 * time.Millisecond
+
+// jitter returns a random duration between half of d and one and a half of it.
+func jitter(d time.Duration) time.Duration {
+	return time.Duration((0.5 + rand.Float64()) * float64(d))
+}
+
+// retryAllowed reports whether a request that may have run may be sent again,
+// apart from the retry budget.
+func (ex *execution) retryAllowed() bool {
 	return ex.e.route.Kind.Repeatable() &&
 		ex.sent+ex.running < ex.e.route.MaxAttempts &&
-		time.Now().Before(ex.e.deadline) &&
-		ex.takeRetry(ctx)
+		time.Now().Before(ex.e.deadline)
+}
+
+// mayRetry reports whether a request that may have run may be sent again. It
+// takes a retry from the budget if so.
+func (ex *execution) mayRetry(ctx context.Context) bool {
+	return ex.retryAllowed() && ex.takeRetry(ctx)
 }
 
 // takeRetry takes one retry from this host's budget or else from the fleet's
--- a/hostd/execution_test.go
+++ b/hostd/execution_test.go
@@ -310,3 +310,39 @@
 		assert.Equal(t, r != nil, c.known, c.host)
 	}
 }
+
+// recoveringBudget refuses the first retries it is asked for.
+type recoveringBudget struct {
+	unlimitedRates
+	mu      sync.Mutex
+	refused int
+}
+
+func (r *recoveringBudget) AllowRetry(context.Context, string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refused--
+	return r.refused < 0
+}
+
+// A request that hangs while the retry budget is exhausted is hedged once the
+// budget has recovered. It used to wait for its deadline, and on a stopping host
+// for the end of the process.
+func TestHedgeWaitsForTheRetryBudget(t *testing.T) {
+	g := &scriptedGates{}
+	g.forward = func(ctx context.Context, _ Target, _ Forward, onSend func()) Reply {
+		onSend()
+		if len(g.offered()) > 1 {
+			return replyWithStatus(200)
+		}
+		<-ctx.Done() // hangs
+		return Reply{Refusal: wire.RefuseUnknown(wire.ReasonTimeout, "cancelled")}
+	}
+	in := newTestIngress(t, g, "h1", "h2")
+	in.limiter = &recoveringBudget{refused: 2}
+	in.budget("svc").Withdraw() // this host's own reserve
+	x := newExchange("a", "GET", "/read/1", 3*time.Second)
+	in.Handle(context.Background(), x)
+	assert.Equal(t, x.Response.StatusCode(), 200)
+	assert.Equal(t, len(g.offered()), 2)
+}
