slowstart: targets that prove warm get more than the cold bound

Cause: every target, warm or cold, got at most the cold bound of requests a second (18 to 21), since a target may turn cold without notice.

Change: package slowstart. Beyond the bound a target gets a request only while its heartbeats say that it is warm and the requests sent since the one that would be counted with it show by their durations that it is (likelihood ratio of 3,000 to 1). Requests wait in the queue for the rate as they do for a slot, instead of being refused (admission.Rate). The record of sent requests outlives a new incarnation of the target. A target that sheds though it has a slot counts as failing (gray evidence).

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -51,11 +51,25 @@
 // wait for more rounds than that exceeds any objective.
 const maxQueuePerSlot = 4
 
+// Rate is the state of a limit on the rate at which requests may start.
+type Rate struct {
+	// Room is the number of requests that may start now; negative means that
+	// there is no limit.
+	Room int
+	// Wait is the time until the next request may start if Room is 0, and
+	// Interval the mean time between further ones.
+	Wait, Interval time.Duration
+}
+
+// unlimited is the rate of a queue without a limit.
+var unlimited = Rate{Room: -1}
+
 // Queue manages the slots of one target and the queue for them. It is not safe
 // for concurrent use.
 type Queue struct {
 	slots    int
 	running  int
+	rate     Rate
 	waiting  []*Item
 	arrivals uint64
 	// otherSlotTime is the mean time for which a request that is not nested
@@ -91,12 +105,35 @@
 const maxNestedShare = 0.8
 
 // NewQueue returns an empty queue for a target with the given number of slots.
-func NewQueue(slots int) *Queue { return &Queue{slots: max(slots, 1)} }
+func NewQueue(slots int) *Queue { return &Queue{slots: max(slots, 1), rate: unlimited} }
 
 func (q *Queue) SetSlots(slots int) { q.slots = max(slots, 1) }
 
 func (q *Queue) Slots() int { return q.slots }
 
+// SetRate sets the state of the rate limit. Each start reduces its room.
+func (q *Queue) SetRate(r Rate) { q.rate = r }
+
+// canStart reports whether there is a free slot and room in the rate.
+func (q *Queue) canStart() bool { return q.running < q.slots && q.rate.Room != 0 }
+
+// start takes a slot.
+func (q *Queue) start() {
+	q.running++
+	if q.rate.Room > 0 {
+		q.rate.Room--
+	}
+}
+
+// rateWait is the time until the rate allows the request at a position of the
+// queue to start.
+func (q *Queue) rateWait(at int) time.Duration {
+	if q.rate.Room != 0 {
+		return 0
+	}
+	return q.rate.Wait + time.Duration(at)*q.rate.Interval
+}
+
 // Running is the number of slots in use.
 func (q *Queue) Running() int { return q.running }
 
@@ -143,8 +180,8 @@
 func (q *Queue) Offer(now time.Time, it *Item) (v Decision, dropped []*Item) {
 	q.arrivals++
 	it.arrival = q.arrivals
-	if q.running < q.slots && len(q.waiting) == 0 {
-		q.running++
+	if q.canStart() && len(q.waiting) == 0 {
+		q.start()
 		return Admitted, nil
 	}
 	if it.MaxWait <= 0 {
@@ -209,7 +246,10 @@
 		hold = q.otherSlotTime.value
 		slots *= 1 - min(q.nestedShare(), maxNestedShare)
 	}
-	return time.Duration(float64(at+1) * hold / slots * float64(time.Second))
+	if q.running < q.slots {
+		return q.rateWait(at)
+	}
+	return max(time.Duration(float64(at+1)*hold/slots*float64(time.Second)), q.rateWait(at))
 }
 
 // nestedShare is the share of slot time that nested requests use.
@@ -222,7 +262,7 @@
 
 // ExpectedWait is the expected wait of a new item of the lowest precedence.
 func (q *Queue) ExpectedWait() time.Duration {
-	if q.running < q.slots {
+	if q.canStart() {
 		return 0
 	}
 	return q.expectedWaitAt(len(q.waiting), false)
@@ -248,14 +288,14 @@
 // because too little time is left before their deadline.
 func (q *Queue) Next(now time.Time) (run, late []*Item) {
 	q.sortWaiting(now)
-	for q.running < q.slots && len(q.waiting) > 0 {
+	for q.canStart() && len(q.waiting) > 0 {
 		it := q.waiting[0]
 		q.waiting = slices.Delete(q.waiting, 0, 1)
 		if now.Add(it.Expected / 2).After(it.Deadline) {
 			late = append(late, it)
 			continue
 		}
-		q.running++
+		q.start()
 		run = append(run, it)
 	}
 	return run, late
--- a/gray/duration.go
+++ b/gray/duration.go
@@ -68,3 +68,12 @@
 	z := math.Sqrt2 * math.Erfinv(2*q-1)
 	return time.Duration(math.Exp(w.mu+z*w.sigma()) * float64(time.Second))
 }
+
+// logRatio is the log-likelihood ratio of a duration for durations that are
+// longer by a factor to those of the model.
+func (w *DurationModel) logRatio(d time.Duration, factor float64) float64 {
+	s := w.sigma()
+	z := (math.Log(max(d, minDuration).Seconds()) - w.mu) / s
+	shift := math.Log(factor) / s
+	return shift*z - shift*shift/2
+}
--- a/gray/filter.go
+++ b/gray/filter.go
@@ -181,3 +181,36 @@
 	s := max(r.durations.Survival(now.Sub(r.start)), minSurvival)
 	return s, (1-failureShare)*s + failureShare
 }
+
+// maxEvidence bounds the evidence of one request in Slowdown, which limits the
+// effect of single outliers.
+const maxEvidence = 2.5
+
+// Slowdown returns the evidence that the target has been slower by a factor since
+// a given time: the log-likelihood ratio of the durations of the requests started
+// since then. It is negative if they were as fast as usual. Requests that failed
+// are no evidence.
+func (f *Filter) Slowdown(now, since time.Time, factor float64) float64 {
+	sum := 0.0
+	for _, r := range f.requests {
+		if r.state != failed && !r.start.Before(since) {
+			sum += min(max(r.slowEvidence(now, factor), -maxEvidence), maxEvidence)
+		}
+	}
+	return sum
+}
+
+// slowEvidence returns the log-likelihood ratio of a slower target to one that
+// is as fast as usual.
+func (r *Request) slowEvidence(now time.Time, factor float64) float64 {
+	if r.state == succeeded {
+		return r.durations.logRatio(r.ended.Sub(r.start), factor)
+	}
+	if r.state == canceled {
+		now = r.ended
+	}
+	age := now.Sub(r.start)
+	usual := max(r.durations.Survival(age), minSurvival)
+	slower := max(r.durations.Survival(time.Duration(float64(age)/factor)), minSurvival)
+	return math.Log(slower / usual)
+}
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -192,19 +192,19 @@
 		MaxWait:   time.Duration(tk.f.MaxWaitMs) * time.Millisecond,
 		Value:     make(chan *wire.Refusal, 1),
 	}
+	g.updateRate(t, now)
 	verdict, dropped := t.queue.Offer(now, it)
 	for _, d := range dropped {
 		answerWaiting(d, g.busy(t, "requests with precedence leave too little time"))
 	}
 	switch verdict {
 	case admission.Admitted:
-		if refusal := g.dispatch(tk, now); refusal != nil {
-			t.queue.Release()
-			return nil, refusal
-		}
+		t.startLimit.Sent(now)
+		g.dispatch(tk, now)
 		return nil, nil
 	case admission.Queued:
 		g.waiting[tk.f.Attempt] = it
+		g.scheduleGrants(t, now)
 		return it, nil
 	case admission.TooLate:
 		return nil, g.busy(t, "the expected wait leaves too little time")
@@ -235,6 +235,7 @@
 	case t.leaving:
 		return wire.Refuse(wire.ReasonLeaving, "target %s is leaving", t.id)
 	case view.Evacuated(g.settings().DataCentre):
+		t.startLimit.Restarted(now) // its targets may turn cold meanwhile
 		return wire.Refuse(wire.ReasonDataCentreOut, "data centre %s is evacuated", g.settings().DataCentre)
 	case now.Before(t.downUntil):
 		return wire.Refuse(wire.ReasonUnreachable, "target %s recently refused a connection", t.id)
@@ -253,20 +254,17 @@
 // must be held.
 func (g *Gate) busy(t *localTarget, why string) *wire.Refusal {
 	r := wire.Refuse(wire.ReasonBusy, "target %s: %s", t.id, why)
+	if t.queue.Running() < t.queue.Slots() {
+		r = wire.Refuse(wire.ReasonTargetCold, "target %s has reached its cold-start rate limit: %s", t.id, why)
+	}
 	r.RetryAfter = t.queue.ExpectedWait()
 	return r
 }
 
-// dispatch performs the last checks before the request is sent and marks it as
-// sent. The ticket must have a slot and g.mu must be held.
-func (g *Gate) dispatch(tk *ticket, now time.Time) *wire.Refusal {
+// dispatch marks a request as sent. The ticket must have a slot and g.mu must be
+// held.
+func (g *Gate) dispatch(tk *ticket, now time.Time) {
 	t := tk.target
-	svc := g.service(t.service)
-	if !t.rateLimit.Allow(now, t.coldLimit(svc, g.settings().Bounds)) {
-		r := wire.Refuse(wire.ReasonTargetCold, "target %s has reached its cold-start rate limit", t.id)
-		r.RetryAfter = t.rateLimit.RetryAfter(now)
-		return r
-	}
 	g.sent.add(tk.f.Attempt, now)
 	if p := t.filter.Probability(now); tk.f.Repeatable && p > tk.f.MaxGray {
 		t.grayProbedAt = now
@@ -274,7 +272,6 @@
 	}
 	tk.started = now
 	tk.request = t.filter.Start(now, g.latency(tk.f))
-	return nil
 }
 
 func (g *Gate) service(name string) *routes.Service {
@@ -337,26 +334,55 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	refusal = g.precheck(tk.f, now)
-	if refusal == nil {
-		refusal = g.dispatch(tk, now)
-	}
-	if refusal != nil {
+	if refusal := g.precheck(tk.f, now); refusal != nil {
 		tk.target.queue.Release()
 		g.grantSlots(tk.target, now)
+		return refusal
 	}
-	return refusal
+	g.dispatch(tk, now)
+	return nil
+}
+
+// updateRate updates the rate limit of the target. It returns the number of
+// requests that may start now, negative if there is no limit, and the time until
+// one may. g.mu must be held.
+func (g *Gate) updateRate(t *localTarget, now time.Time) (room int, wait time.Duration) {
+	return t.updateRate(now, t.coldLimit(g.service(t.service), g.settings().Bounds))
+}
+
+// scheduleGrants grants slots again when the rate limit allows the next request,
+// if requests wait for that alone. g.mu must be held.
+func (g *Gate) scheduleGrants(t *localTarget, now time.Time) {
+	room, wait := g.updateRate(t, now)
+	if room != 0 || t.grantsScheduled || t.queue.Waiting() == 0 || t.queue.Running() >= t.queue.Slots() {
+		return
+	}
+	t.grantsScheduled = true
+	time.AfterFunc(wait, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		t.grantsScheduled = false
+		g.grantSlots(t, time.Now())
+	})
 }
 
 // grantSlots gives free slots to queued attempts. g.mu must be held.
 func (g *Gate) grantSlots(t *localTarget, now time.Time) {
-	run, late := t.queue.Next(now)
-	for _, it := range run {
-		answerWaiting(it, nil)
-	}
-	for _, it := range late {
-		answerWaiting(it, g.busy(t, "too little time left to run"))
+	for {
+		g.updateRate(t, now)
+		run, late := t.queue.Next(now)
+		for _, it := range run {
+			t.startLimit.Sent(now)
+			answerWaiting(it, nil)
+		}
+		for _, it := range late {
+			answerWaiting(it, g.busy(t, "too little time left to run"))
+		}
+		if len(run)+len(late) == 0 {
+			break
+		}
 	}
+	g.scheduleGrants(t, now)
 }
 
 // attemptTimes is a set of attempts with the times at which they were added.
--- a/hostd/gate_test.go
+++ b/hostd/gate_test.go
@@ -14,6 +14,7 @@
 	"github.com/gooseberryshed/gooseberryshed/decisions"
 	"github.com/gooseberryshed/gooseberryshed/metrics"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
+	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 )
 
@@ -190,3 +191,29 @@
 		assert.Equal(t, promises, c.promise, "%s (%s) is answered %d", c.refusal.Reason, c.refusal.Run, status)
 	}
 }
+
+// A target that sheds requests although the gate, its only caller, has left it a
+// slot is failing like one that answers with errors.
+func TestShedRequestsAreEvidenceOfAGrayTarget(t *testing.T) {
+	g, _ := newTestGate(t)
+	g.applyHeartbeat(newHeartbeat("a", 1, 1, false), time.Now())
+	shed := &Answer{}
+	standin.WriteShed(&shed.Header)
+	before := g.target.filter.Probability(time.Now())
+	for _, late := range []bool{true, false} {
+		now := time.Now()
+		tk, refusal := g.admit(context.Background(), Forward{Attempt: "r", Target: "a", TimeLeftMs: 1000, MaxGray: 1, Repeatable: true, Route: "r", ObjectiveMs: 100}, now)
+		assert.Assert(t, refusal == nil)
+		if late {
+			tk.deadline = now
+		}
+		reply := g.finishExchange(tk, shed, nil)
+		assert.Equal(t, reply.Refusal.Reason, wire.ReasonTargetShed)
+		assert.Equal(t, reply.Refusal.Run, wire.NotRun)
+		if p := g.target.filter.Probability(time.Now()); late {
+			assert.Assert(t, p < before+0.05, "a request that was too late is no evidence: %.2f", p)
+		} else {
+			assert.Assert(t, p > grayLimitOnce, "%.2f", p)
+		}
+	}
+}
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -62,6 +62,9 @@
 	default:
 		left := t.leaving
 		cold := t.cold(now)
+		if g.view().Evacuated(g.settings().DataCentre) {
+			t.startLimit.Restarted(now)
+		}
 		t.update(h, now)
 		if t.leaving && !left {
 			g.publishDeparture(t, "announced")
@@ -77,6 +80,11 @@
 func (g *Gate) startIncarnation(h karpithaz.Heartbeat, now time.Time) {
 	old := g.target
 	g.target = newLocalTarget(h)
+	if old != nil {
+		// What was sent in the last second may have reached this incarnation.
+		g.target.startLimit = old.startLimit
+	}
+	g.target.startLimit.Restarted(now)
 	g.target.firstSeen = now
 	g.target.update(h, now)
 	if old != nil {
--- a/hostd/roundtrip.go
+++ b/hostd/roundtrip.go
@@ -28,6 +28,7 @@
 	}
 	// The target closed an idle connection just as it was reused.
 	g.metrics.Add("target_stale_connections", 1)
+	g.doubtWarmth(tk.target)
 	answer, err = g.roundTrip(ctx, tk, req, true)
 	reply := g.finishExchange(tk, answer, err)
 	if r := reply.Refusal; r != nil && r.Run == wire.NotRun {
@@ -95,6 +96,7 @@
 	signalFailed                        // the target failed the request
 	signalAbandoned                     // the request was cancelled or timed out
 	signalNotRun                        // the target did not run the request
+	signalShed                          // the target did not run the request although it had a slot
 )
 
 // finishExchange frees the slot and returns the reply.
@@ -103,13 +105,16 @@
 	now := time.Now()
 	g.mu.Lock()
 	t := tk.target
-	if e.signal == signalFailed && err == nil && !tk.f.Nested && t.takeExcuse(now) {
+	switch {
+	case e.signal == signalFailed && err == nil && !tk.f.Nested && t.takeExcuse(now):
 		e.signal = signalNotRun // not evidence against the target
+	case e.signal == signalShed && !now.Before(tk.deadline):
+		e.signal = signalNotRun // it was too late to run
 	}
 	switch e.signal {
 	case signalGood:
 		t.filter.RecordSuccess(now, tk.request)
-	case signalFailed:
+	case signalFailed, signalShed:
 		t.filter.RecordFailure(now, tk.request)
 	case signalAbandoned:
 		t.filter.RecordCancellation(now, tk.request)
@@ -133,10 +138,18 @@
 	return Reply{Answer: a}
 }
 
+// doubtWarmth records that the target may have restarted.
+func (g *Gate) doubtWarmth(t *localTarget) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t.startLimit.Doubt(time.Now())
+}
+
 // recordLinkError records what a failed exchange says about whether the target
 // is alive. g.mu must be held.
 func (g *Gate) recordLinkError(tk *ticket, le *link.Error, now time.Time) {
 	t := tk.target
+	t.startLimit.Doubt(now) // it may have restarted
 	switch {
 	case le.Stage == link.StageDial:
 		t.downUntil = now.Add(dialFailureBackoff)
@@ -180,7 +193,7 @@
 	case status == fasthttp.StatusMisdirectedRequest:
 		return exchangeResult{wire.Refuse(wire.ReasonWrongTarget, "the address of target %s is in use by another target", tk.target.id), signalNotRun}
 	case answer.NotRun:
-		return exchangeResult{wire.Refuse(wire.ReasonTargetShed, "target %s did not run the request", tk.target.id), signalNotRun}
+		return exchangeResult{wire.Refuse(wire.ReasonTargetShed, "target %s did not run the request", tk.target.id), signalShed}
 	case status == fasthttp.StatusGatewayTimeout:
 		return exchangeResult{nil, signalAbandoned} // the target's own deadline or that of a call it made
 	case status >= fasthttp.StatusInternalServerError:
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -8,6 +8,7 @@
 	"github.com/gooseberryshed/gooseberryshed/placing"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/routes"
+	"github.com/gooseberryshed/gooseberryshed/slowstart"
 )
 
 // localTarget is the state of this host's target at its gate. It is guarded by
@@ -25,10 +26,12 @@
 	coldUntil time.Time
 	// downUntil is when a target that refused a connection may receive requests
 	// again.
-	downUntil time.Time
-	queue     *admission.Queue
-	filter    *gray.Filter
-	rateLimit admission.SlidingWindow
+	downUntil  time.Time
+	queue      *admission.Queue
+	filter     *gray.Filter
+	startLimit *slowstart.Limiter
+	// grantsScheduled is set while a timer is due to grant slots.
+	grantsScheduled bool
 	// grayProbedAt is when a request was last sent to the target although it
 	// seemed gray.
 	grayProbedAt time.Time
@@ -70,11 +73,12 @@
 
 func newLocalTarget(h karpithaz.Heartbeat) *localTarget {
 	return &localTarget{
-		id:      h.Target,
-		service: h.Service,
-		address: h.Address,
-		queue:   admission.NewQueue(h.Slots),
-		filter:  gray.NewFilter(gray.Options{}),
+		id:         h.Target,
+		service:    h.Service,
+		address:    h.Address,
+		queue:      admission.NewQueue(h.Slots),
+		startLimit: &slowstart.Limiter{},
+		filter:     gray.NewFilter(gray.Options{}),
 	}
 }
 
@@ -101,13 +105,25 @@
 	t.queue.SetSlots(h.Slots)
 	t.leaving = t.leaving || h.Leaving
 	t.coldUntil = now.Add(h.ColdRemaining)
+	if h.ColdRemaining > 0 {
+		t.startLimit.Restarted(now)
+	} else if t.born != 0 {
+		t.startLimit.Confirm(now)
+	}
+}
+
+// updateRate passes the state of the rate limit on to the queue.
+func (t *localTarget) updateRate(now time.Time, bound int) (room int, wait time.Duration) {
+	slowdown := func(since time.Time) float64 { return t.filter.Slowdown(now, since, slowstart.Slowdown) }
+	room, wait = t.startLimit.Room(now, bound, slowdown)
+	t.queue.SetRate(admission.Rate{Room: room, Wait: wait, Interval: time.Second / time.Duration(max(bound, 1))})
+	return room, wait
 }
 
 func (t *localTarget) cold(now time.Time) bool { return now.Before(t.coldUntil) }
 
-// coldLimit returns how many requests a second the target may receive, or 0 for
-// no limit. It applies to warm targets too, since a target can become cold
-// without notice and then breaks down above this limit.
+// coldLimit returns how many requests a second the target may receive while it
+// is cold, or 0 for no limit.
 func (t *localTarget) coldLimit(svc *routes.Service, b karpithaz.Bounds) int {
 	if svc == nil || svc.ColdRate <= 0 {
 		return 0
--- /dev/null
+++ b/slowstart/limiter.go
@@ -0,0 +1,92 @@
+package slowstart
+
+import "time"
+
+const (
+	// window is the time to which the bound of a cold target applies.
+	window = time.Second
+	// confirmationTTL is how long a heartbeat is trusted. Heartbeats arrive
+	// every second or two, some of them seconds late.
+	confirmationTTL = 5 * time.Second
+	// restartTime is the minimum time for which a target counts as possibly cold
+	// after a restart. It covers heartbeats that were sent before and arrive
+	// after.
+	restartTime = 3 * time.Second
+	// warmEvidence is the evidence against a slowdown that a request beyond the
+	// bound needs: a likelihood ratio of 3,000 to 1.
+	warmEvidence = -8.0
+)
+
+// Slowdown is how much longer requests are taken to last on a cold target.
+const Slowdown = 2.0
+
+// Limiter bounds the rate of requests to one target. The zero value is ready for
+// use and holds a target that has not been confirmed as warm. It is not safe for
+// concurrent use.
+type Limiter struct {
+	sent        []time.Time
+	confirmedAt time.Time
+	// coldUntil is when a heartbeat can confirm the target again after a restart,
+	// and doubtedAt when it may have restarted unnoticed.
+	coldUntil, doubtedAt time.Time
+}
+
+// Confirm records that the target has said that it is not cold.
+func (l *Limiter) Confirm(now time.Time) {
+	if !now.Before(l.coldUntil) {
+		l.confirmedAt = now
+	}
+}
+
+// Restarted records that the target has restarted or is cold for another reason.
+func (l *Limiter) Restarted(now time.Time) {
+	l.confirmedAt = time.Time{}
+	l.coldUntil = now.Add(restartTime)
+}
+
+// Doubt records that the target may have restarted. What it was like before is
+// no evidence from now on.
+func (l *Limiter) Doubt(now time.Time) { l.doubtedAt = now }
+
+// Warm reports whether the target is confirmed as warm.
+func (l *Limiter) Warm(now time.Time) bool {
+	return !l.confirmedAt.IsZero() && now.Sub(l.confirmedAt) < confirmationTTL
+}
+
+// Room returns the number of requests that may be sent now, and if it is 0, the
+// time until one may at the latest; the end of a request may allow one earlier.
+// bound is the number of requests per second that a cold target bears; there is
+// no limit if it is 0 or less, and Room returns a negative number. slowdown
+// returns the evidence, as a log-likelihood ratio, that requests sent since a
+// given time take Slowdown times as long as usual; it is called only above the
+// bound.
+func (l *Limiter) Room(now time.Time, bound int, slowdown func(since time.Time) float64) (room int, wait time.Duration) {
+	l.trim(now)
+	if bound <= 0 {
+		return -1, 0
+	}
+	if len(l.sent) < bound {
+		return bound - len(l.sent), 0
+	}
+	first := l.sent[len(l.sent)-bound]
+	since := first
+	if l.doubtedAt.After(since) {
+		since = l.doubtedAt
+	}
+	if l.Warm(now) && slowdown(since) <= warmEvidence {
+		return 1, 0
+	}
+	return 0, max(first.Add(window).Sub(now), time.Millisecond)
+}
+
+// Sent counts a request.
+func (l *Limiter) Sent(now time.Time) { l.sent = append(l.sent, now) }
+
+// trim drops the requests that have left the window.
+func (l *Limiter) trim(now time.Time) {
+	expired := 0
+	for expired < len(l.sent) && now.Sub(l.sent[expired]) >= window {
+		expired++
+	}
+	l.sent = l.sent[expired:]
+}
