storepoll: few hosts call the store, all others learn from peers

Cause: every host kept a long poll of 14 s at the store and read it for itself when its proof grew old, when it was behind, and while the store was down.

Change: package storepoll decides by rank. Two readers a data centre keep long polls; four standbys ask in turn when the readers have no proof; of the others a few by chance. Hosts without fresh readers ask another data centre's. The operators' rows are fetched from peers. A starting host reads the hosts table once, writes its row, and gets the rest from the readers it finds. The back-off from the store is at most 1 s (0.5 s before).

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -47,11 +47,13 @@
 	evacuated   map[string]bool
 	hosts       map[string]Target
 	hostsLoaded bool
-	// operatorVersions and hostVersions are the versions of each row's latest
-	// change, including removals.
-	operatorVersions, hostVersions map[string]uint64
-	// historyStart is the version before which removals are not recorded.
-	historyStart uint64
+	// operatorRows are the operators' rows, including removed ones, and
+	// hostVersions the versions of each host row's latest change.
+	operatorRows map[string]karpithaz.Row
+	hostVersions map[string]uint64
+	// historyStart and operatorHistoryStart are the versions before which
+	// removals are not recorded.
+	historyStart, operatorHistoryStart uint64
 }
 
 // tableUpdate is the result of reading one table.
@@ -73,18 +75,18 @@
 // NewControl returns a Control with an empty view.
 func NewControl(host, dataCentre string, s store, p peers, l *decisions.Log, m *metrics.Registry) *Control {
 	c := &Control{
-		host:             host,
-		dataCentre:       dataCentre,
-		store:            s,
-		peers:            p,
-		log:              l,
-		metrics:          m,
-		updates:          make(chan tableUpdate),
-		ownRow:           make(chan *Target, 1),
-		evacuated:        map[string]bool{},
-		hosts:            map[string]Target{},
-		operatorVersions: map[string]uint64{},
-		hostVersions:     map[string]uint64{},
+		host:         host,
+		dataCentre:   dataCentre,
+		store:        s,
+		peers:        p,
+		log:          l,
+		metrics:      m,
+		updates:      make(chan tableUpdate),
+		ownRow:       make(chan *Target, 1),
+		evacuated:    map[string]bool{},
+		hosts:        map[string]Target{},
+		operatorRows: map[string]karpithaz.Row{},
+		hostVersions: map[string]uint64{},
 	}
 	c.view.Store(newView(nil, nil, nil, false, time.Now()))
 	return c
@@ -172,7 +174,10 @@
 	if old := c.View(); slices.Equal(old.names, v.names) {
 		v.hostsChangedAt = old.hostsChangedAt
 	}
-	v.operatorVersion = maxVersion(c.operatorVersions)
+	for _, row := range c.operatorRows {
+		v.operatorVersion = max(v.operatorVersion, row.Version)
+	}
+	v.operatorRows, v.operatorHistoryStart = maps.Clone(c.operatorRows), c.operatorHistoryStart
 	v.hostVersions, v.historyStart = maps.Clone(c.hostVersions), c.historyStart
 	v.hostsVersion = maxVersion(c.hostVersions)
 	c.view.Store(v)
@@ -189,12 +194,14 @@
 func (c *Control) applyOperatorRows(n tableUpdate) {
 	if n.full && n.version >= c.configAt.Load() {
 		c.evacuated = map[string]bool{}
-		clear(c.operatorVersions)
+		clear(c.operatorRows)
+		c.operatorHistoryStart = n.version
 	}
 	for _, row := range n.rows {
-		if !recordVersion(c.operatorVersions, row) {
+		if row.Version <= c.operatorRows[row.Key].Version {
 			continue
 		}
+		c.operatorRows[row.Key] = row
 		if row.Key == karpithaz.ConfigKey {
 			c.applyConfig(row)
 			continue
--- a/hostd/feed.go
+++ b/hostd/feed.go
@@ -11,6 +11,7 @@
 	"github.com/gooseberryshed/gooseberryshed/boottime"
 	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
+	"github.com/gooseberryshed/gooseberryshed/storepoll"
 )
 
 // Timing of calls to the store.
@@ -22,10 +23,16 @@
 	// also proves that the configuration is current, so it must arrive well
 	// within the time limit for revoked keys, with time for one retry.
 	configPollWait = 1500 * time.Millisecond
-	// nonReaderPollWait is the long-poll wait for configuration changes on a
-	// host that receives freshness proofs from readers. It is shorter than the
-	// history that the store keeps.
-	nonReaderPollWait = 14 * time.Second
+	// configFromPeersTimeout is how long a starting host waits for its readers to
+	// become known and to give it the configuration, before it reads the store.
+	configFromPeersTimeout = 4 * time.Second
+	// rolePollInterval is how often a host that is not a reader checks whether it
+	// has become one.
+	rolePollInterval = 500 * time.Millisecond
+	// startPollPause is the mean pause between reads of the hosts table while a
+	// host does not know its readers: the hosts of a starting fleet appear within
+	// a second or two.
+	startPollPause = 1500 * time.Millisecond
 	// hostsPollWait is the long-poll wait for changes of hosts. A new host that
 	// is discovered late only receives less work meanwhile.
 	hostsPollWait = 8 * time.Second
@@ -34,18 +41,24 @@
 	// minStoreBackoff and maxStoreBackoff bound the back-off after a failed
 	// call.
 	minStoreBackoff = 50 * time.Millisecond
-	maxStoreBackoff = 500 * time.Millisecond
+	maxStoreBackoff = time.Second
 )
 
 // RunConfig polls the operators' table until ctx ends.
 func (c *Control) RunConfig(ctx context.Context) error {
 	f := &tableFeed{c: c, table: karpithaz.OperatorTable, version: &c.configAt}
+	started := time.Now()
 	for ctx.Err() == nil {
-		wait := configPollWait
-		if !c.isReader() {
-			wait = nonReaderPollWait
+		rank, hosts := c.rank()
+		noConfig := c.View().Config == nil
+		switch {
+		case hosts > 0 && storepoll.IsReader(rank, hosts), noConfig && time.Since(started) > configFromPeersTimeout:
+			f.poll(ctx, configPollWait)
+		case noConfig:
+			pause.For(ctx, startTurnPause)
+		default:
+			pause.For(ctx, rolePollInterval)
 		}
-		f.poll(ctx, wait)
 	}
 	return nil
 }
@@ -55,7 +68,15 @@
 func (c *Control) RunHosts(ctx context.Context) error {
 	f := &tableFeed{c: c, table: hostsTable, version: &c.hostsAt}
 	for ctx.Err() == nil {
-		if !f.loaded || c.isReader() {
+		rank, hosts := c.rank()
+		switch {
+		case !f.loaded:
+			f.poll(ctx, 0)
+		case hosts < storepoll.Readers:
+			pause.For(ctx, startPollPause/2+rand.N(startPollPause))
+			f.poll(ctx, 0)
+			continue
+		case storepoll.IsReader(rank, hosts):
 			f.poll(ctx, hostsPollWait)
 		}
 		pause.For(ctx, hostsPollPause)
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -270,10 +270,9 @@
 	*gateClient
 }
 
-// handleForward handles an attempt or a request for host changes from another
-// daemon.
+// handleForward handles an attempt or a request for changes from another daemon.
 func (h *Host) handleForward(ctx context.Context, x *h1.Exchange) {
-	if h.control.serveHosts(&x.Request, &x.Response) {
+	if h.control.serveChanges(&x.Request, &x.Response) {
 		return
 	}
 	f, err := readForward(&x.Request.Header)
--- a/hostd/host_test.go
+++ b/hostd/host_test.go
@@ -15,6 +15,7 @@
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 	"github.com/gooseberryshed/gooseberryshed/quota"
+	"github.com/gooseberryshed/gooseberryshed/storepoll"
 )
 
 func TestRequestIsServedAndTargetSeesNoKey(t *testing.T) {
@@ -139,13 +140,13 @@
 	// calls.
 	assert.Assert(t, calls <= 2*4+2*5, "%d polls in 4 s", calls)
 	for _, h := range f.hosts {
-		assert.Assert(t, h.control.ProofAge() < ownProofMaxAge+time.Second, "proof of %s is %s old", h.settings.Host, h.control.ProofAge())
+		assert.Assert(t, h.control.ProofAge() < storepoll.MaxAge+time.Second, "proof of %s is %s old", h.settings.Host, h.control.ProofAge())
 	}
 }
 
 func TestRowOfADeadHostIsDropped(t *testing.T) {
 	f := newFleet(t, 4)
-	readers := f.hosts[0].control.View().readers("dc-a")
+	readers := f.hosts[0].control.View().ranked("dc-a")
 	for _, h := range f.hosts {
 		if h.settings.Host != readers[0] && h.settings.Host != readers[1] {
 			f.store.Put(hostsTable, "host-9", []byte(
@@ -503,3 +504,27 @@
 	f.await("slot free", func() bool { return h.gate.report().Running == 0 })
 	assert.Assert(t, time.Since(left) < 500*time.Millisecond, "freed after %s", time.Since(left))
 }
+
+// A new configuration reaches hosts that are not readers from the readers, and
+// their number does not add to the calls to the store.
+func TestChangesReachOtherHostsThroughReaders(t *testing.T) {
+	const hosts = 8
+	f := newFleet(t, hosts)
+	time.Sleep(startPollPause * 3 / 2) // every host knows its readers
+	before := f.store.Calls(karpithaz.PathFeed) + f.store.Calls(karpithaz.PathRange)
+	f.configure(2)
+	begun := time.Now()
+	f.await("all hosts have the new configuration", func() bool {
+		for _, h := range f.hosts {
+			if h.control.View().Config.Revision != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	took := time.Since(begun)
+	calls := f.store.Calls(karpithaz.PathFeed) + f.store.Calls(karpithaz.PathRange) - before
+	assert.Assert(t, took < 2*time.Second, "%s", took)
+	// Two readers poll two tables again after the change and every 1.5 s.
+	assert.Assert(t, calls <= 2*2*3, "%d calls", calls)
+}
--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -17,41 +17,45 @@
 	"github.com/gooseberryshed/gooseberryshed/link"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/quota"
+	"github.com/gooseberryshed/gooseberryshed/storepoll"
 )
 
 // Calls to the store are expensive. Therefore a few hosts of each data centre,
-// its readers, poll the store often, and the other hosts poll the readers. Like
-// a reply of the store, a reply of a reader is a freshness proof: it states
-// that nothing had changed after some version as of some time. Every host also
-// keeps a long poll at the store for configuration changes.
+// its readers, poll the store often, and the other hosts poll the readers
+// (package storepoll). Like a reply of the store, a reply of a reader is a
+// freshness proof: it states that nothing had changed after some version as of
+// some time. Changes are fetched from the reader that knows them.
 
-// queryVersions asks a reader for its versions and the age of its freshness
-// proof.
+// queryVersions asks a host for its versions and the age of its freshness proof.
 const queryVersions = "news"
 
 const (
-	// readersPerDataCentre is the number of readers. Two allow for the loss of
-	// one.
-	readersPerDataCentre = 2
 	// readerPollInterval is the mean interval between polls of the readers.
 	readerPollInterval = 800 * time.Millisecond
-	// readerProofMaxAge is the age of a reader's proof above which another
-	// reader is polled. A reader's own poll of the store returns every 1.5 s.
-	readerProofMaxAge = 1700 * time.Millisecond
-	// ownProofMaxAge is the age of the host's own proof above which it queries
-	// the store, if no reader has a newer one. It is above the usual age and
-	// leaves time for two calls before keyed requests must be refused.
-	ownProofMaxAge = 2900 * time.Millisecond
-	// hostChangesTimeout bounds fetching host changes from a reader.
-	hostChangesTimeout = 500 * time.Millisecond
+	// startTurnPause is the mean interval between polls of a host without a
+	// configuration.
+	startTurnPause = 200 * time.Millisecond
+	// changesTimeout bounds fetching changes from a reader.
+	changesTimeout = 500 * time.Millisecond
 )
 
 // peers sends requests to other hosts.
 type peers interface {
 	// query sends a query by datagram.
 	query(ctx context.Context, addr string, q datagram) (datagram, error)
-	// hostChanges fetches the changes after a version from a host's gate.
+	// hostChanges fetches the changes of hosts after a version from a host's
+	// gate, and operatorChanges those of the operators' rows.
 	hostChanges(ctx context.Context, gate string, after uint64) (hostChanges, error)
+	operatorChanges(ctx context.Context, gate string, after uint64) (operatorChanges, error)
+}
+
+// operatorChanges is a list of changes to the operators' table.
+type operatorChanges struct {
+	// Full is set if Rows is the whole table rather than a delta.
+	Full bool `json:"whole,omitempty"`
+	// Version is the version up to which Rows is complete.
+	Version uint64          `json:"version"`
+	Rows    []karpithaz.Row `json:"rows"`
 }
 
 // hostChanges is a list of changes to the hosts table.
@@ -70,78 +74,167 @@
 	Target  *Target `json:"target,omitempty"`
 }
 
-// readers returns the readers of a data centre.
-func (v *View) readers(dataCentre string) []string {
+// ranked returns the hosts of a data centre that others poll, in the order of
+// their ranks: the readers and then the standbys.
+func (v *View) ranked(dataCentre string) []string {
 	hosts := quota.RankOwners("reader", v.hostsIn(dataCentre))
-	return hosts[:min(len(hosts), readersPerDataCentre)]
+	return hosts[:min(len(hosts), storepoll.Ranked)]
 }
 
-// isReader reports whether this host polls the store often. A host also does so
-// while it does not know enough readers.
-func (c *Control) isReader() bool {
-	readers := c.View().readers(c.dataCentre)
-	return len(readers) < readersPerDataCentre || slices.Contains(readers, c.host)
+// rank returns this host's rank in its data centre and the number of hosts there.
+// A host that is not listed has the lowest rank.
+func (c *Control) rank() (rank, hosts int) {
+	all := quota.RankOwners("reader", c.View().hostsIn(c.dataCentre))
+	if i := slices.Index(all, c.host); i >= 0 {
+		return i, len(all)
+	}
+	return max(len(all), storepoll.Ranked), len(all)
 }
 
+// isReader reports whether this host keeps long polls at the store. A host also
+// does so in a data centre with too few hosts for readers.
+func (c *Control) isReader() bool { return storepoll.IsReader(c.rank()) }
+
 // RunReaderPolls polls the readers until ctx ends. Readers poll each other as
 // well, so that each of them hears from all live hosts of the data centre.
 func (c *Control) RunReaderPolls(ctx context.Context) error {
-	f := &tableFeed{c: c, table: karpithaz.OperatorTable, version: &c.configAt, loaded: true}
-	for turn := 0; pause.For(ctx, readerPollInterval/2+rand.N(readerPollInterval)); turn++ {
-		if c.View().Config == nil {
-			continue
-		}
-		behind := c.pollReaders(ctx, turn)
-		if c.isReader() {
+	f := &tableFeed{c: c, table: karpithaz.OperatorTable, version: &c.configAt}
+	for turn := 0; c.awaitTurn(ctx); turn++ {
+		f.loaded = f.loaded || c.View().Config != nil
+		p := c.pollPeers(ctx, turn)
+		rank, hosts := c.rank()
+		if rank < storepoll.Readers {
 			c.removeSilentHosts(ctx, time.Now())
 		}
-		// A host that has just become a reader may still be in a long poll at
-		// the store, and receives no proof from others meanwhile.
-		if behind || c.ProofAge() > ownProofMaxAge {
-			c.metrics.Add("store_asked_out_of_turn", 1)
-			if err := f.read(ctx, 0); err != nil && ctx.Err() == nil {
-				c.metrics.Add("store_failures", 1)
-				c.log.Decide("proof-missing", "proof_age_ms", c.ProofAge().Milliseconds(), "err", err)
-			}
+		h := storepoll.Host{Rank: rank, Hosts: hosts, ProofAge: c.ProofAge(), LowerProofAge: p.lowerProofAge, PeersAnswered: p.answered}
+		if !p.behind && !storepoll.AsksStore(h, rand.Float64()) {
+			continue
+		}
+		c.metrics.Add("store_asked_out_of_turn", 1)
+		err := f.read(ctx, 0)
+		f.loaded = !errors.Is(err, karpithaz.ErrHistoryExpired)
+		if err != nil && ctx.Err() == nil {
+			c.metrics.Add("store_failures", 1)
+			c.log.Decide("proof-missing", "rank", rank, "proof_age_ms", c.ProofAge().Milliseconds(), "err", err)
 		}
 	}
 	return nil
 }
 
-// pollReaders applies the reply of the first reader that has a recent proof.
-// The readers take turns at being polled first. It reports whether a reader
-// knows a newer configuration than this host.
-func (c *Control) pollReaders(ctx context.Context, turn int) (behind bool) {
-	view := c.View()
-	readers := view.readers(c.dataCentre)
-	for i := range readers {
-		host := readers[(turn+i)%len(readers)]
-		t, ok := view.TargetOf(host)
-		if !ok || host == c.host {
-			continue
-		}
-		asked := boottime.Now()
-		a, err := c.peers.query(ctx, t.Control, datagram{Kind: queryVersions, Host: c.host})
-		if err != nil || !a.Result {
-			continue
+// awaitTurn waits for the next poll of the readers. A host that has just started
+// polls as soon as it knows its readers. It returns false if ctx ends.
+func (c *Control) awaitTurn(ctx context.Context) bool {
+	if c.View().Config != nil {
+		return pause.For(ctx, readerPollInterval/2+rand.N(readerPollInterval))
+	}
+	for pause.For(ctx, startTurnPause/2+rand.N(startTurnPause)) {
+		if _, hosts := c.rank(); hosts >= storepoll.Readers || c.View().Config != nil {
+			return true
 		}
-		if a.HostsVersion > c.hostsAt.Load() {
-			c.fetchHosts(ctx, t)
+	}
+	return false
+}
+
+// peerPoll is the result of asking peers for their versions.
+type peerPoll struct {
+	// answered is set if any peer has answered.
+	answered bool
+	// behind is set if a peer knows a change that could not be fetched.
+	behind bool
+	// lowerProofAge is the age of the freshest proof of a peer of lower rank.
+	lowerProofAge time.Duration
+	// fresh is set if a peer had a recent proof.
+	fresh bool
+}
+
+// noProof is the age of a proof that does not exist.
+const noProof = time.Hour
+
+// pollPeers polls the ranked hosts of the data centre until one has a recent
+// proof, and then a reader of another data centre if none had.
+func (c *Control) pollPeers(ctx context.Context, turn int) peerPoll {
+	p := peerPoll{lowerProofAge: noProof}
+	view := c.View()
+	ranked := view.ranked(c.dataCentre)
+	own := slices.Index(ranked, c.host)
+	if own < 0 {
+		own = len(ranked)
+	}
+	for _, rank := range storepoll.Order(turn, len(ranked)) {
+		if c.pollPeer(ctx, &p, ranked[rank], rank < own); p.fresh {
+			return p
 		}
-		age := time.Duration(a.Millis) * time.Millisecond
-		c.submit(ctx, tableUpdate{proof: true, provenVersion: a.ConfigVersion, provenAt: asked.Add(-age)})
-		if a.ConfigVersion > c.configAt.Load() {
-			return true
+	}
+	if c.ProofAge() > storepoll.StaleAge {
+		if host, ok := view.remoteReader(c.dataCentre, turn); ok {
+			c.pollPeer(ctx, &p, host, true)
 		}
-		if age < readerProofMaxAge {
-			return false
+	}
+	return p
+}
+
+// remoteReader returns a reader of another data centre, a different one each
+// turn.
+func (v *View) remoteReader(own string, turn int) (host string, ok bool) {
+	var names []string
+	for _, host := range v.names {
+		if dc := v.byHost[host].DataCentre; dc != own && !slices.Contains(names, dc) {
+			names = append(names, dc)
 		}
 	}
-	return false
+	if len(names) == 0 {
+		return "", false
+	}
+	ranked := v.ranked(names[turn%len(names)])
+	return ranked[turn/len(names)%min(len(ranked), storepoll.Readers)], true
+}
+
+// pollPeer asks one peer and applies its reply. lower is set if its proof counts
+// as that of a host of lower rank.
+func (c *Control) pollPeer(ctx context.Context, p *peerPoll, host string, lower bool) {
+	t, ok := c.View().TargetOf(host)
+	if !ok || host == c.host {
+		return
+	}
+	asked := boottime.Now()
+	a, err := c.peers.query(ctx, t.Control, datagram{Kind: queryVersions, Host: c.host})
+	if err != nil {
+		return
+	}
+	p.answered = true
+	if !a.Result {
+		return
+	}
+	if a.HostsVersion > c.hostsAt.Load() {
+		c.fetchHosts(ctx, t)
+	}
+	if a.ConfigVersion > c.configAt.Load() {
+		p.behind = !c.fetchOperatorRows(ctx, t)
+	}
+	age := time.Duration(a.Millis) * time.Millisecond
+	c.submit(ctx, tableUpdate{proof: true, provenVersion: a.ConfigVersion, provenAt: asked.Add(-age)})
+	if lower {
+		p.lowerProofAge = min(p.lowerProofAge, age)
+	}
+	p.fresh = age < storepoll.StaleAge
+}
+
+// fetchOperatorRows fetches the changes of the operators' table from a host. It
+// returns false if they could not be fetched.
+func (c *Control) fetchOperatorRows(ctx context.Context, from Target) bool {
+	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
+	defer cancel()
+	changes, err := c.peers.operatorChanges(ctx, from.Gate, c.configAt.Load())
+	if err != nil {
+		c.log.Decide("config-not-fetched", "from", from.Host, "err", err)
+		return false
+	}
+	c.submit(ctx, tableUpdate{table: karpithaz.OperatorTable, full: changes.Full, version: changes.Version, rows: changes.Rows})
+	return true
 }
 
 func (c *Control) fetchHosts(ctx context.Context, reader Target) {
-	ctx, cancel := context.WithTimeout(ctx, hostChangesTimeout)
+	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
 	defer cancel()
 	changes, err := c.peers.hostChanges(ctx, reader.Gate, c.hostsAt.Load())
 	if err != nil {
@@ -193,19 +286,44 @@
 	return out
 }
 
-// serveHosts handles a request for host changes. It returns false for other
+// operatorChangesPath is the path at which gates serve changes of the operators'
+// rows. The version follows it.
+const operatorChangesPath = "/gooseberryshed/operator?after="
+
+// operatorChangesAfter returns the changes of the operators' rows after a version.
+func (c *Control) operatorChangesAfter(after uint64) operatorChanges {
+	out := operatorChanges{Version: c.configAt.Load()} // read before the view, which is published first
+	view := c.View()
+	out.Full = after < view.operatorHistoryStart
+	for _, row := range view.operatorRows {
+		if row.Version > after || out.Full && !row.Removed {
+			out.Rows = append(out.Rows, row)
+		}
+	}
+	return out
+}
+
+// serveChanges handles a request for changes. It returns false for other
 // requests.
-func (c *Control) serveHosts(req *fasthttp.Request, resp *fasthttp.Response) bool {
-	after, ok := strings.CutPrefix(string(req.Header.RequestURI()), hostChangesPath)
-	if !ok {
-		return false
+func (c *Control) serveChanges(req *fasthttp.Request, resp *fasthttp.Response) bool {
+	uri := string(req.Header.RequestURI())
+	after, ofHosts := strings.CutPrefix(uri, hostChangesPath)
+	if !ofHosts {
+		var ofOperators bool
+		if after, ofOperators = strings.CutPrefix(uri, operatorChangesPath); !ofOperators {
+			return false
+		}
 	}
 	version, err := strconv.ParseUint(after, 10, 64)
 	if err != nil {
 		resp.SetStatusCode(fasthttp.StatusBadRequest)
 		return true
 	}
-	data, err := json.Marshal(c.hostChangesAfter(version))
+	var changes any = c.operatorChangesAfter(version)
+	if ofHosts {
+		changes = c.hostChangesAfter(version)
+	}
+	data, err := json.Marshal(changes)
 	if err != nil {
 		resp.SetStatusCode(fasthttp.StatusInternalServerError)
 		return true
@@ -217,21 +335,34 @@
 
 // hostChanges implements peers.
 func (c *gateClient) hostChanges(ctx context.Context, gate string, after uint64) (hostChanges, error) {
+	var out hostChanges
+	err := c.fetchChanges(ctx, gate, hostChangesPath, after, &out)
+	return out, errors.Wrap(err, "fetch host changes")
+}
+
+// operatorChanges implements peers.
+func (c *gateClient) operatorChanges(ctx context.Context, gate string, after uint64) (operatorChanges, error) {
+	var out operatorChanges
+	err := c.fetchChanges(ctx, gate, operatorChangesPath, after, &out)
+	return out, errors.Wrap(err, "fetch changes of the operators' rows")
+}
+
+// fetchChanges decodes the changes after a version at a gate into out.
+func (c *gateClient) fetchChanges(ctx context.Context, gate, path string, after uint64, out any) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	req.Header.SetRequestURI(hostChangesPath + strconv.FormatUint(after, 10))
+	req.Header.SetRequestURI(path + strconv.FormatUint(after, 10))
 	req.Header.SetHost(gate)
-	var out hostChanges
 	resp, err := c.links.Do(ctx, gate, req, link.RequestOptions{})
 	if err != nil {
-		return out, err
+		return err
 	}
 	body, err := readBody(resp)
 	if err != nil {
-		return out, err
+		return err
 	}
 	if resp.Header.StatusCode() != fasthttp.StatusOK {
-		return out, errors.Errorf("fetch host changes: status %d", resp.Header.StatusCode())
+		return errors.Errorf("gate %s answered with status %d", gate, resp.Header.StatusCode())
 	}
-	return out, errors.Wrap(json.Unmarshal(body, &out), "decode host changes")
+	return errors.Wrap(json.Unmarshal(body, out), "decode")
 }
--- a/hostd/view.go
+++ b/hostd/view.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/routes"
 )
 
@@ -64,6 +65,10 @@
 	// removed since historyStart.
 	hostVersions map[string]uint64
 	historyStart uint64
+	// operatorRows are the operators' rows, including those removed since
+	// operatorHistoryStart.
+	operatorRows         map[string]karpithaz.Row
+	operatorHistoryStart uint64
 	// hostsChangedAt is when the set of hosts last changed.
 	hostsChangedAt time.Time
 }
--- /dev/null
+++ b/storepoll/doc.go
@@ -0,0 +1,26 @@
+// Package storepoll decides which hosts of a data centre call the store, so that
+// the number of calls does not grow with the fleet for what all hosts read alike.
+//
+// Problem: each host needs the operators' table and a recent proof that it knows
+// all of it. Calls to the store are expensive, refused ones too, and while the
+// store is down, or turns some hosts away, hosts that ask for themselves make
+// hundreds of calls a second.
+//
+// Load: hundreds of hosts a data centre; outages of the whole store or for some
+// hosts; the start of all hosts at once.
+//
+// Algorithm: the hosts of a data centre are ranked by rendezvous hashing. The
+// first, its readers, keep long polls at the store. All others poll the readers
+// by datagram. When the proofs of the readers grow old, the hosts of the next few
+// ranks, the standbys, ask the store once a turn: each one when the proofs of all
+// lower ranks are older than a limit that grows with the rank, so that one of
+// them usually has a new proof before the next one asks. Of all others only a few
+// ask, by chance, when their own proof grows old nevertheless. A host
+// that no peer answers at all relies on nobody and asks. A host that does not
+// hear from fresh readers asks the standbys and then a reader of another data
+// centre.
+//
+// Trade-offs: a change reaches a host that is not a reader up to one poll
+// interval later than by a long poll of its own. If the store refuses all ranks
+// that ask, the others depend on another data centre.
+package storepoll
--- /dev/null
+++ b/storepoll/storepoll.go
@@ -0,0 +1,78 @@
+package storepoll
+
+import "time"
+
+const (
+	// Readers is the number of readers of a data centre. Two allow for the loss
+	// of one.
+	Readers = 2
+	// standbys is the number of hosts that replace readers without a proof. The
+	// probability that the store refuses all readers and standbys, if it refuses
+	// a third of the hosts, is about one in a thousand.
+	standbys = 4
+	// Ranked is the number of hosts of a data centre that others ask.
+	Ranked = Readers + standbys
+	// StaleAge is the age of a reader's proof above which another one is asked.
+	// A reader's own poll of the store returns every 1.5 s.
+	StaleAge = 1700 * time.Millisecond
+	// standbyAge is the age of the proofs of lower ranks at which the first
+	// standby asks the store, and rankDelay the additional age for each further
+	// rank.
+	standbyAge = 2000 * time.Millisecond
+	rankDelay  = 150 * time.Millisecond
+	// MaxAge is the age of its own proof at which any other host may ask the
+	// store. It leaves time for two calls before keyed requests must be refused.
+	MaxAge = 2900 * time.Millisecond
+	// othersPerTurn is the mean number of other hosts of a data centre that ask
+	// the store in one poll interval.
+	othersPerTurn = 2.0
+)
+
+// Host is what a host knows after it has asked its peers.
+type Host struct {
+	// Rank is the position of the host in its data centre, and Hosts the number
+	// of hosts there.
+	Rank, Hosts int
+	// ProofAge is the age of its freshness proof, and LowerProofAge that of the
+	// freshest proof of a host of lower rank.
+	ProofAge, LowerProofAge time.Duration
+	// PeersAnswered is set if any peer has answered.
+	PeersAnswered bool
+}
+
+// IsReader reports whether the host keeps long polls at the store.
+func IsReader(rank, hosts int) bool { return rank < Readers || hosts < Readers }
+
+// AsksStore reports whether a host asks the store now. r is uniform in [0, 1).
+func AsksStore(h Host, r float64) bool {
+	switch {
+	case h.Rank < Readers:
+		return h.ProofAge > MaxAge // its long poll has failed
+	case h.Rank < Ranked:
+		return h.LowerProofAge > standbyAge+time.Duration(h.Rank-Readers)*rankDelay
+	case h.ProofAge <= MaxAge:
+		return false
+	case !h.PeersAnswered:
+		return true
+	}
+	return r < othersPerTurn/float64(max(h.Hosts-Ranked, 1))
+}
+
+// Order returns the ranks in the order in which a host asks them in a turn: the
+// readers take turns at being first, and so do the standbys after them.
+func Order(turn, hosts int) []int {
+	order := make([]int, 0, Ranked)
+	for i := range Readers {
+		order = append(order, (turn+i)%Readers)
+	}
+	for i := range standbys {
+		order = append(order, Readers+(turn+i)%standbys)
+	}
+	kept := order[:0]
+	for _, rank := range order {
+		if rank < hosts {
+			kept = append(kept, rank)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/storepoll/storepoll_test.go
@@ -0,0 +1,124 @@
+package storepoll
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const turnTime = 800 * time.Millisecond
+
+// playedHost is a host of the load player.
+type playedHost struct {
+	refused  bool
+	provenAt time.Duration
+}
+
+// play plays a data centre: the readers poll the store every 1.5 s, every host
+// asks its peers once a turn. It returns the calls to the store and the oldest
+// proof of any host within the last half of the time.
+func play(seed uint64, hosts int, duration time.Duration, refuses func(rank int, at time.Duration) bool) (calls int, oldest time.Duration) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	fleet := make([]playedHost, hosts)
+	const tick = 50 * time.Millisecond
+	next := make([]time.Duration, hosts)
+	nextRead := make([]time.Duration, hosts)
+	for i := range fleet {
+		next[i] = time.Duration(rnd.Int64N(int64(turnTime)))
+	}
+	ask := func(rank int, at time.Duration) {
+		calls++
+		if !refuses(rank, at) {
+			fleet[rank].provenAt = at
+		}
+	}
+	for at := time.Duration(0); at < duration; at += tick {
+		for rank := range fleet {
+			if IsReader(rank, hosts) && at >= nextRead[rank] {
+				ask(rank, at)
+				nextRead[rank] = at + 1500*time.Millisecond
+				if fleet[rank].provenAt != at {
+					nextRead[rank] = at + 750*time.Millisecond
+				}
+			}
+			if at < next[rank] {
+				continue
+			}
+			next[rank] = at + turnTime/2 + time.Duration(rnd.Int64N(int64(turnTime)))
+			lower := at
+			for _, peer := range Order(int(at/turnTime), hosts) {
+				if peer == rank {
+					continue
+				}
+				if peer < rank {
+					lower = min(lower, at-fleet[peer].provenAt)
+				}
+				fleet[rank].provenAt = max(fleet[rank].provenAt, fleet[peer].provenAt)
+				if at-fleet[peer].provenAt < StaleAge {
+					break
+				}
+			}
+			h := Host{Rank: rank, Hosts: hosts, ProofAge: at - fleet[rank].provenAt, LowerProofAge: lower, PeersAnswered: true}
+			if AsksStore(h, rnd.Float64()) {
+				ask(rank, at)
+			}
+		}
+		for _, h := range fleet {
+			if at > duration/2 {
+				oldest = max(oldest, at-h.provenAt)
+			}
+		}
+	}
+	return calls, oldest
+}
+
+// TestCallsDoNotGrowWithTheFleet plays a healthy store and an outage of 10 s.
+func TestCallsDoNotGrowWithTheFleet(t *testing.T) {
+	never := func(int, time.Duration) bool { return false }
+	always := func(int, time.Duration) bool { return true }
+	for _, c := range []struct {
+		name    string
+		refuses func(int, time.Duration) bool
+	}{{"healthy", never}, {"store down", always}} {
+		few, _ := play(1, 30, 10*time.Second, c.refuses)
+		many, _ := play(1, 300, 10*time.Second, c.refuses)
+		t.Logf("%s: %d calls by 30 hosts, %d by 300", c.name, few, many)
+		assert.Assert(t, float64(many) <= 1.3*float64(few), "%s: %d calls by 30 hosts, %d by 300", c.name, few, many)
+	}
+}
+
+// TestProofsStayFreshWhileTheStoreRefusesSomeHosts plays a store that turns a
+// third of the hosts away, the readers among them. No host's proof may reach the
+// age of 4.75 s at which it must refuse keyed requests.
+func TestProofsStayFreshWhileTheStoreRefusesSomeHosts(t *testing.T) {
+	for seed := range uint64(30) {
+		rnd := rand.New(rand.NewPCG(seed, 2))
+		refused := make([]bool, 60)
+		for i := range refused {
+			refused[i] = i < Readers || rnd.Float64() < 0.33
+		}
+		if !slices.Contains(refused[:Ranked], false) {
+			continue // every ranked host is refused; another data centre has to help
+		}
+		calls, oldest := play(seed, 60, 20*time.Second, func(rank int, _ time.Duration) bool { return refused[rank] })
+		t.Logf("seed %d: oldest %s, %d calls", seed, oldest, calls)
+		assert.Assert(t, oldest < 4750*time.Millisecond, "seed %d: a proof is %s old after %d calls", seed, oldest, calls)
+	}
+}
+
+func TestIsolatedHostAsks(t *testing.T) {
+	h := Host{Rank: 40, Hosts: 60, ProofAge: MaxAge + 1}
+	assert.Assert(t, AsksStore(h, 0.999))
+	h.PeersAnswered = true
+	assert.Assert(t, !AsksStore(h, 0.999))
+	assert.Assert(t, AsksStore(h, 0.01))
+}
+
+func TestOrder(t *testing.T) {
+	assert.DeepEqual(t, Order(0, 60), []int{0, 1, 2, 3, 4, 5})
+	assert.DeepEqual(t, Order(1, 60), []int{1, 0, 3, 4, 5, 2})
+	assert.DeepEqual(t, Order(0, 1), []int{0})
+}
