hostd: answers that do not end are bounded and fail

Cause: readBody cut a body at 64 MiB and passed the part on as a whole answer; a target that sends without end could make a host of 184 MB run out of memory with three requests.

Change: an answer over 16 MiB fails, and the answers being read may use a quarter of the process's memory together. The connection is closed, the slot freed, and the failure counts against the target.

--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -141,17 +140,17 @@
 	// bodyIdleTimeout bounds the time between reads of an answer's body.
 	bodyIdleTimeout = 5 * time.Second
 	// replyGrace is how long after the deadline a gate's reply may arrive.
-	replyGrace     = 150 * time.Millisecond
-	maxAnswerBytes = 64 << 20
+	replyGrace = 150 * time.Millisecond
 )
 
 // gateClient reaches the gates of other hosts.
 type gateClient struct {
-	links *link.Pool
+	links   *link.Pool
+	answers *byteBudget
 }
 
-func newGateClient(localIP string) *gateClient {
-	return &gateClient{links: link.New(link.Options{
+func newGateClient(localIP string, answers *byteBudget) *gateClient {
+	return &gateClient{answers: answers, links: link.New(link.Options{
 		LocalAddr:      localIP,
 		DialTimeout:    gateDialTimeout,
 		TCPUserTimeout: gateUserTimeout,
@@ -173,7 +172,7 @@
 	if err != nil {
 		return Reply{Refusal: refusalFromLinkError(err, t)}
 	}
-	body, err := readBody(resp)
+	body, err := readBody(resp, c.answers)
 	if err != nil {
 		return Reply{Refusal: refusalFromLinkError(err, t)}
 	}
@@ -188,11 +187,6 @@
 	return reply
 }
 
-func readBody(resp *link.Response) ([]byte, error) {
-	defer resp.Body.Close()
-	return io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-}
-
 func readRefusal(raw []byte) *wire.Refusal {
 	var w wireRefusal
 	if json.Unmarshal(raw, &w) != nil {
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -30,6 +30,7 @@
 	log     *decisions.Log
 	metrics *metrics.Registry
 	links   *link.Pool
+	answers *byteBudget
 	// incarnation distinguishes this gate process from earlier ones on the
 	// host.
 	incarnation int64
@@ -71,6 +72,7 @@
 		sent:        attemptTimes{},
 		withdrawn:   attemptTimes{},
 		waiting:     map[string]*admission.Item{},
+		answers:     newAnswerBudget(int64(settings().MemoryBytes)),
 		links: link.New(link.Options{
 			DialTimeout:    targetDialTimeout,
 			TCPUserTimeout: targetUserTimeout,
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -198,7 +198,7 @@
 		g.log.Decide("health-failed", "address", g.settings().TargetAddress, "err", err)
 		return karpithaz.Heartbeat{}, false
 	}
-	if _, err := readBody(resp); err != nil {
+	if _, err := readBody(resp, g.answers); err != nil {
 		return karpithaz.Heartbeat{}, false
 	}
 	answer := karpithaz.ParseResponse(&resp.Header)
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -79,7 +79,7 @@
 		log:      decisions.New(o.Output),
 		metrics:  metrics.New(),
 		store:    karpithaz.NewStore(o.Settings.StoreAddress, o.Settings.IP),
-		client:   newGateClient(o.Settings.IP),
+		client:   newGateClient(o.Settings.IP, newAnswerBudget(int64(o.Settings.MemoryBytes))),
 		stopCh:   make(chan struct{}),
 	}
 	h.current.Store(o.Settings)
@@ -90,6 +90,7 @@
 	h.datagrams = conn
 	h.control = NewControl(o.Settings.Host, o.Settings.DataCentre, h.store, hostPeers{conn, h.client}, h.log, h.metrics)
 	h.gate = NewGate(h.current.Load, h.control.View, h.control.PublishTarget, h.log, h.metrics)
+	h.gate.answers = h.client.answers
 	h.limiter = newFleetLimiter(o.Settings.Host, h.bounds, h.control.View, conn.query)
 	h.withdrawals = &withdrawals{host: o.Settings.Host, gate: h.gate, view: h.control.View, query: conn.query}
 	h.ingress = NewIngress(h.current.Load, h.control, h, h.limiter, h.gate.RecordCallFailure, h.log, h.metrics)
--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -91,10 +91,6 @@
 	return max(len(all), storepoll.Ranked), len(all)
 }
 
-// isReader reports whether this host keeps long polls at the store. A host also
-// does so in a data centre with too few hosts for readers.
-func (c *Control) isReader() bool { return storepoll.IsReader(c.rank()) }
-
 // RunReaderPolls polls the readers until ctx ends. Readers poll each other as
 // well, so that each of them hears from all live hosts of the data centre.
 func (c *Control) RunReaderPolls(ctx context.Context) error {
@@ -357,7 +353,7 @@
 	if err != nil {
 		return err
 	}
-	body, err := readBody(resp)
+	body, err := readBody(resp, c.answers)
 	if err != nil {
 		return err
 	}
--- a/hostd/roundtrip.go
+++ b/hostd/roundtrip.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := readBody(resp)
+	body, err := readBody(resp, g.answers)
 	if err != nil {
 		return nil, err
 	}
--- a/storepoll/storepoll_test.go
+++ b/storepoll/storepoll_test.go
@@ -13,7 +13,6 @@
 
 // playedHost is a host of the load player.
 type playedHost struct {
-	refused  bool
 	provenAt time.Duration
 }
 
