forward, limiter: overlong buffered bodies fail; lost tokens are counted

Cause: readBuffered wrapped a nil error when a body was longer than declared and returned neither data nor an error, so the caller got an empty success; lost_tokens had no place that increments it.

Change: the surplus byte is an error that names the declared length; endPull returns the tokens that arrived after the end of the lease, runPull counts them.

Result: TestBufferedBodyOfAnotherLength fails on the former code (nil error), TestTokensThatArriveAfterTheLeaseAreCountedAsLost counted 0 before.

--- a/forward/server.go
+++ b/forward/server.go
@@ -203,10 +203,14 @@
 	}
 	// One more read verifies that the body ends here.
 	var surplus [1]byte
-	if _, err := body.ReadCloser.Read(surplus[:]); err != io.EOF {
+	switch _, err := io.ReadFull(body.ReadCloser, surplus[:]); err {
+	case io.EOF:
+		return data, nil
+	case nil:
+		return nil, errors.Errorf("the response body is longer than the declared %d bytes", length)
+	default:
 		return nil, errors.Wrapf(err, "verify that the response body ends after %d bytes", length)
 	}
-	return data, nil
 }
 
 func asRefusal(err error) *wire.Refusal {
--- a/limiter/fake_test.go
+++ b/limiter/fake_test.go
@@ -254,3 +254,14 @@
 		}
 	}
 }
+
+// eventually waits for a condition that another goroutine brings about.
+func (f *fleet) eventually(ok func() bool) bool {
+	for range 1000 {
+		if ok() {
+			return true
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return false
+}
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -371,3 +371,22 @@
 		assert.Assert(t, owners[other] != host, "%s and %s belong to %s", row.key(), other.key(), host)
 	}
 }
+
+// Tokens of a pull that ends after the lease are discarded and counted.
+func TestTokensThatArriveAfterTheLeaseAreCountedAsLost(t *testing.T) {
+	f := newFleet(threeDataCentres(), 3)
+	warmUp(t, f, "large")
+	s := f.services[ownerHost(f, "a", "large")]
+	o := s.ownerOf(rowID{Holder: limit.Holder{DataCentre: "a"}, Shard: limit.Shard("large", 2)})
+	limits, err := s.workspaceLimits("large")
+	assert.NilError(t, err)
+	o.take(f.clock.Now(), limits, "large", 20)
+	f.network.delay = func(_, method string) {
+		if method == methodGive {
+			o.end()
+		}
+	}
+	<-s.pull(o, limits, "large", 4)
+	assert.Assert(t, f.eventually(func() bool { return s.Stats().LostTokens > 0 }))
+	assert.Equal(t, s.Stats().LostTokens, s.Stats().PulledTokens)
+}
--- a/limiter/owner.go
+++ b/limiter/owner.go
@@ -102,22 +102,25 @@
 }
 
 // endPull ends a pull that received got tokens. No further pull starts before
-// noPullUntil. The tokens are discarded if the lease has ended.
-func (o *owner) endPull(now time.Time, limits workspaceLimits, workspace string, reserved, got int, noPullUntil time.Time) {
+// noPullUntil. The tokens are discarded if the lease has ended; endPull returns
+// their number.
+func (o *owner) endPull(now time.Time, limits workspaceLimits, workspace string, reserved, got int, noPullUntil time.Time) (lost int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	b, ok := o.buckets[workspace]
 	if !ok || b.pullDone == nil {
-		return
+		return got
 	}
 	if _, params, ok := o.bucket(now, limits, workspace); ok {
 		b.Deposit(now, params, reserved, got)
 	} else {
 		b.Release(reserved)
+		lost = got
 	}
 	b.noPullUntil = noPullUntil
 	close(b.pullDone)
 	b.pullDone = nil
+	return lost
 }
 
 // bucket returns the workspace's bucket and its current parameters.
--- a/limiter/pull.go
+++ b/limiter/pull.go
@@ -48,7 +48,8 @@
 		noPullUntil = now.Add(pullBackoff(limits.total.Rate))
 	}
 	s.counters.pulledTokens.Add(int64(got))
-	o.endPull(now, limits, workspace, reserved, got, noPullUntil)
+	lost := o.endPull(now, limits, workspace, reserved, got, noPullUntil)
+	s.counters.lostTokens.Add(int64(lost))
 }
 
 func (s *Service) pullFrom(row rowID, workspace string, want int) int {
