--- a/hostd/roundtrip.go
+++ b/hostd/roundtrip.go
@@ -28,7 +28,7 @@
 	}
 	// The target closed an idle connection just as it was reused.
 	g.metrics.Add("target_stale_connections", 1)
-	g.doubtWarmth(tk.target)
+	g.recordPossibleRestart(tk.target)
 	answer, err = g.roundTrip(ctx, tk, req, true)
 	reply := g.finishExchange(tk, answer, err)
 	if r := reply.Refusal; r != nil && r.Run == wire.NotRun {
@@ -138,18 +138,18 @@
 	return Reply{Answer: a}
 }
 
-// doubtWarmth records that the target may have restarted.
-func (g *Gate) doubtWarmth(t *localTarget) {
+// recordPossibleRestart records that the target may have restarted.
+func (g *Gate) recordPossibleRestart(t *localTarget) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t.startLimit.Doubt(time.Now())
+	t.startLimit.MayHaveRestarted(time.Now())
 }
 
 // recordLinkError records what a failed exchange says about whether the target
 // is alive. g.mu must be held.
 func (g *Gate) recordLinkError(tk *ticket, le *link.Error, now time.Time) {
 	t := tk.target
-	t.startLimit.Doubt(now) // it may have restarted
+	t.startLimit.MayHaveRestarted(now)
 	switch {
 	case le.Stage == link.StageDial:
 		t.downUntil = now.Add(dialFailureBackoff)
--- a/slowstart/doc.go
+++ b/slowstart/doc.go
@@ -11,7 +11,7 @@
 //
 // Algorithm: a target is taken as warm while a heartbeat has said so recently,
 // and nothing since then says otherwise: a new incarnation, an evacuation, or
-// requests that take twice their usual time. In doubt, and while it is cold, the target gets at most the bound
+// requests that take twice their usual time. Otherwise, and while it is cold, the target gets at most the bound
 // in any second. A warm target gets a further request only if the requests that
 // would exceed the bound with it, had the target turned cold before the first of
 // them, show by their durations that it had not. After a broken connection or a
@@ -23,7 +23,7 @@
 // within a second gets no more than the bound, but its slots do not allow more
 // either. A target that turns cold and keeps its speed is noticed with its next
 // heartbeat only. Probing a target before each burst would be certain, but a
-// probe takes a slot for as long as a short request. A cumulative sum over the
-// last requests as an alarm was tried: it noticed one in fifty silent turns of a
+// probe takes a slot for as long as a short request. A cumulative sum over the last
+// requests as an alarm was tried: it noticed up to 3 of 200 silent turns of a
 // saturated target too late.
 package slowstart
--- a/slowstart/limiter.go
+++ b/slowstart/limiter.go
@@ -27,8 +27,8 @@
 	sent        []time.Time
 	confirmedAt time.Time
 	// coldUntil is when a heartbeat can confirm the target again after a restart,
-	// and doubtedAt when it may have restarted unnoticed.
-	coldUntil, doubtedAt time.Time
+	// and suspectedAt when it may have restarted unnoticed.
+	coldUntil, suspectedAt time.Time
 }
 
 // Confirm records that the target has said that it is not cold.
@@ -44,9 +44,9 @@
 	l.coldUntil = now.Add(restartTime)
 }
 
-// Doubt records that the target may have restarted. What it was like before is
-// no evidence from now on.
-func (l *Limiter) Doubt(now time.Time) { l.doubtedAt = now }
+// MayHaveRestarted records a possible restart. Requests sent before it are no
+// evidence from now on.
+func (l *Limiter) MayHaveRestarted(now time.Time) { l.suspectedAt = now }
 
 // Warm reports whether the target is confirmed as warm.
 func (l *Limiter) Warm(now time.Time) bool {
@@ -70,8 +70,8 @@
 	}
 	first := l.sent[len(l.sent)-bound]
 	since := first
-	if l.doubtedAt.After(since) {
-		since = l.doubtedAt
+	if l.suspectedAt.After(since) {
+		since = l.suspectedAt
 	}
 	if l.Warm(now) && slowdown(since) <= warmEvidence {
 		return 1, 0
--- a/slowstart/limiter_test.go
+++ b/slowstart/limiter_test.go
@@ -95,7 +95,7 @@
 
 // Requests from before a broken connection are no evidence of a target that may
 // have restarted since.
-func TestDoubtNeedsNewEvidence(t *testing.T) {
+func TestPossibleRestartNeedsNewEvidence(t *testing.T) {
 	var l Limiter
 	l.Confirm(t0)
 	for range 20 {
@@ -108,7 +108,7 @@
 	}
 	l.Room(t0.Add(time.Millisecond), 20, evidence)
 	assert.Assert(t, since.Equal(t0))
-	l.Doubt(t0.Add(2 * time.Millisecond))
+	l.MayHaveRestarted(t0.Add(2 * time.Millisecond))
 	l.Room(t0.Add(3*time.Millisecond), 20, evidence)
 	assert.Assert(t, since.Equal(t0.Add(2*time.Millisecond)))
 }
--- a/storepoll/doc.go
+++ b/storepoll/doc.go
@@ -16,8 +16,8 @@
 // lower ranks are older than a limit that grows with the rank, so that one of
 // them usually has a new proof before the next one asks. Of all others only a few
 // ask, by chance, when their own proof grows old nevertheless. A host
-// that no peer answers at all relies on nobody and asks. A host that does not
-// hear from fresh readers asks the standbys and then a reader of another data
+// that no peer answers at all asks. A host whose
+// readers have no recent proof asks the standbys and then a reader of another data
 // centre.
 //
 // Trade-offs: a change reaches a host that is not a reader up to one poll
