hostd: a delayed process does not make a freshness proof fresher

Cause: two ways in which a process that is suspended or starved for seconds took a withdrawn key for valid. The ingress read its view and later the age of the proof, and control may publish a newer view with a fresh proof in between; the same in the reply to other hosts' polls. And the first reply of the store counted from when it was handled, since the offset of the store's clock was taken from the smallest delay so far: after SIGSTOP during the first read the proof was too fresh by the whole suspension.

Found by a test with the real program: a daemon is stopped by SIGSTOP, a key is withdrawn, and 5.5 s later 20 requests with it are sent and the daemon resumes: 1 of 20 ran.

Change: ProvenView reads the proof before the view that it proves.

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -96,12 +96,26 @@
 
 // ProofAge returns the time since the store last proved that the configuration
 // in force was current.
-func (c *Control) ProofAge() time.Duration {
-	at := c.proof.Load()
-	if at == 0 {
+func (c *Control) ProofAge() time.Duration { return freshnessProof(c.proof.Load()).age() }
+
+// ProvenView returns a view and a freshness proof that holds for it. Reading both
+// separately could combine a view with the proof of a newer one if the process is
+// delayed in between.
+func (c *Control) ProvenView() (*View, freshnessProof) {
+	// The proof is read first: apply stores it after the view that it proves.
+	p := freshnessProof(c.proof.Load())
+	return c.View(), p
+}
+
+// freshnessProof is the boottime.Instant at which the configuration of a view was
+// last known to be current, or 0 if it never was.
+type freshnessProof int64
+
+func (p freshnessProof) age() time.Duration {
+	if p == 0 {
 		return time.Duration(1<<63 - 1)
 	}
-	return boottime.Now().Sub(boottime.Instant(at))
+	return boottime.Now().Sub(boottime.Instant(p))
 }
 
 // Run applies updates until ctx ends.
--- a/hostd/feed.go
+++ b/hostd/feed.go
@@ -161,22 +161,3 @@
 		f.failures = 0
 	}
 }
-
-// storeClock maps the store's clock to the host's clock, using the reply with
-// the smallest delay so far. Thus a reply that was delayed on its way counts
-// from when it was sent, and a reply that the store held back counts from later
-// than its request.
-type storeClock struct {
-	offset boottime.Instant
-	known  bool
-}
-
-// answeredAt returns when the store sent a reply: not before the request and
-// not later than the reply's time stamp allows.
-func (s *storeClock) answeredAt(asked, received boottime.Instant, storeMillis int64) boottime.Instant {
-	stamp := boottime.Instant(time.Duration(storeMillis) * time.Millisecond)
-	if offset := received - stamp; !s.known || offset < s.offset {
-		s.offset, s.known = offset, true
-	}
-	return min(max(asked, stamp+s.offset), received)
-}
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -96,6 +96,7 @@
 	x         *h1.Exchange
 	caller    karpithaz.Request
 	view      *View
+	proof     freshnessProof
 	route     *routes.Route
 	service   string
 	workspace *routes.Workspace
@@ -112,7 +113,8 @@
 
 // Handle answers a request.
 func (in *Ingress) Handle(ctx context.Context, x *h1.Exchange) {
-	e := &exchange{in: in, x: x, view: in.control.View(), started: x.ReceivedAt}
+	e := &exchange{in: in, x: x, started: x.ReceivedAt}
+	e.view, e.proof = in.control.ProvenView()
 	e.caller = karpithaz.ParseRequest(&x.Request.Header)
 	in.metrics.Add("requests", 1)
 	if refusal := e.admit(ctx); refusal != nil {
@@ -216,7 +218,7 @@
 // softenDenial returns r, or a temporary refusal if the configuration may be
 // out of date.
 func (e *exchange) softenDenial(r *wire.Refusal) *wire.Refusal {
-	if age := e.in.control.ProofAge(); age > maxDenialProofAge {
+	if age := e.proof.age(); age > maxDenialProofAge {
 		return wire.Refuse(wire.ReasonStaleHost, "%s; the configuration was last confirmed as current %s ago", r.Detail, age.Round(time.Millisecond))
 	}
 	return r
@@ -234,7 +236,7 @@
 	if !ok {
 		return e.softenDenial(wire.Refuse(wire.ReasonBadKey, "the key is not valid"))
 	}
-	age := e.in.control.ProofAge()
+	age := e.proof.age()
 	if b := e.in.settings().Bounds; b.StrictRevocation && age > b.RevocationDeadline-proofMargin {
 		return wire.Refuse(wire.ReasonStaleHost, "the key was last confirmed as valid %s ago", age.Round(time.Millisecond))
 	}
@@ -336,7 +338,7 @@
 	e.in.metrics.Add(decision+"_"+string(r.Reason), 1)
 	e.in.log.Decide(decision, "id", e.caller.Attempt, "workspace", e.workspaceName(), "status", status, "reason", r.Reason, "run", r.Run, "detail", r.Detail,
 		"retry_after_ms", after.Milliseconds(), "after_ms", time.Since(e.started).Milliseconds(),
-		"revision", e.revision(), "proof_age_ms", e.in.control.ProofAge().Milliseconds())
+		"revision", e.revision(), "proof_age_ms", e.proof.age().Milliseconds())
 }
 
 // statusFor returns the HTTP status of a refusal. Some statuses promise that
--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -251,12 +251,12 @@
 // reportVersions answers a version query from another host.
 func (c *Control) reportVersions(host string) datagram {
 	c.liveness.recordContact(host, time.Now())
-	view := c.View()
+	view, proof := c.ProvenView()
 	return datagram{
 		Result:        view.Ready(),
 		ConfigVersion: view.operatorVersion,
 		HostsVersion:  view.hostsVersion,
-		Millis:        min(c.ProofAge(), time.Hour).Milliseconds() + 1,
+		Millis:        min(proof.age(), time.Hour).Milliseconds() + 1,
 	}
 }
 
