hostd: a departed target stays out after its daemon restarts

Cause: a target that signs off, or that says it is draining, was removed from the hosts table and remembered in the daemon's memory. After a restart the daemon found the target by a health check that succeeded, or by a heartbeat that was late, and published it again, though its departure had been acknowledged.

Change: the host's row says that its target has departed, with id and start, and the departure is acknowledged when the row is written, or after 0.7 s if the store does not answer. A daemon that restarts meets that row when it writes its own, and learns it with the hosts table; a new incarnation replaces it. Readers remove the row after two minutes. A sign-off to a daemon that does not know its target yet counts too. A row that already says the same is not written again.

Ruled out: tombstones at peers, which all may restart at once; refusing the acknowledgement while the store is away, since the target leaves all the same.

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -39,7 +39,7 @@
 	// the two tables have been applied.
 	configAt, hostsAt atomic.Uint64
 	updates           chan tableUpdate
-	ownRow            chan *Target
+	ownRow            chan ownRowChange
 	liveness          livenessTracker
 
 	// The fields below are used only by the goroutine that calls Run.
@@ -82,7 +82,7 @@
 		log:          l,
 		metrics:      m,
 		updates:      make(chan tableUpdate),
-		ownRow:       make(chan *Target, 1),
+		ownRow:       make(chan ownRowChange, 1),
 		evacuated:    map[string]bool{},
 		hosts:        map[string]Target{},
 		operatorRows: map[string]karpithaz.Row{},
@@ -184,7 +184,7 @@
 }
 
 func (c *Control) publish() {
-	v := newView(c.config, maps.Clone(c.evacuated), maps.Clone(c.hosts), c.hostsLoaded, time.Now())
+	v := newView(c.config, maps.Clone(c.evacuated), c.hosts, c.hostsLoaded, time.Now())
 	if old := c.View(); slices.Equal(old.names, v.names) {
 		v.hostsChangedAt = old.hostsChangedAt
 	}
@@ -274,6 +274,10 @@
 			continue
 		}
 		c.hosts[t.Host] = t
+		if t.Departed {
+			c.log.Decide("host-left", "host", t.Host, "target", t.ID, "row_version", row.Version)
+			continue
+		}
 		c.log.Decide("host-known", "host", t.Host, "target", t.ID, "service", t.Service, "row_version", row.Version)
 	}
 }
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -23,7 +23,7 @@
 type Gate struct {
 	settings func() *karpithaz.Settings
 	view     func() *View
-	publish  func(*Target)
+	publish  func(Target) (written <-chan struct{})
 	// onDeath is called with the fingerprints of the requests in flight when
 	// the target has died.
 	onDeath func(ctx context.Context, target string, incarnation int64, fingerprints []uint64)
@@ -57,9 +57,10 @@
 // target.
 const targetUserTimeout = 5 * time.Second
 
-// NewGate returns a gate without a target. publish is called with the target,
-// or with nil if there is none, whenever other hosts should be informed.
-func NewGate(settings func() *karpithaz.Settings, view func() *View, publish func(*Target), l *decisions.Log, m *metrics.Registry) *Gate {
+// NewGate returns a gate without a target. publish is called with the target
+// whenever other hosts should be informed. It returns a channel that is closed
+// when they can be.
+func NewGate(settings func() *karpithaz.Settings, view func() *View, publish func(Target) <-chan struct{}, l *decisions.Log, m *metrics.Registry) *Gate {
 	return &Gate{
 		settings:    settings,
 		view:        view,
@@ -234,7 +235,7 @@
 		return wire.Refuse(wire.ReasonLeaving, "host %s is stopping", g.settings().Host)
 	case t == nil || t.id != f.Target:
 		return wire.Refuse(wire.ReasonNoTarget, "target %s is not on host %s", f.Target, g.settings().Host)
-	case t.leaving:
+	case t.leaving, view.hasDeparted(g.settings().Host, t.id, t.born):
 		return wire.Refuse(wire.ReasonLeaving, "target %s is leaving", t.id)
 	case view.Evacuated(g.settings().DataCentre):
 		t.startLimit.Restarted(now) // its targets may turn cold meanwhile
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -21,6 +21,7 @@
 		g.handleHeartbeat(id, x)
 	case ok && x.Request.Header.IsDelete():
 		g.markLeaving(id)
+		g.awaitDeparture()
 		acknowledge(&x.Response)
 	default:
 		x.Response.SetStatusCode(fasthttp.StatusNotFound)
@@ -47,6 +48,7 @@
 		return
 	}
 	g.applyHeartbeat(h, time.Now())
+	g.awaitDeparture()
 	acknowledge(&x.Response)
 }
 
@@ -93,13 +95,15 @@
 	}
 	g.log.Decide("target-known", "target", h.Target, "service", h.Service, "slots", h.Slots, "leaving", h.Leaving,
 		"cold_ms", h.ColdRemaining.Milliseconds(), "born", h.StartedAtMillis)
-	if !h.Leaving {
+	if h.Leaving {
+		g.publishDeparture(g.target, "announced")
+	} else {
 		g.publish(g.hostRow(g.target))
 	}
 }
 
-func (g *Gate) hostRow(t *localTarget) *Target {
-	return &Target{
+func (g *Gate) hostRow(t *localTarget) Target {
+	return Target{
 		ID:         t.id,
 		Service:    t.service,
 		Host:       g.settings().Host,
@@ -107,6 +111,8 @@
 		Gate:       g.settings().GateListen,
 		Control:    g.settings().DatagramListen,
 		Slots:      t.queue.Slots(),
+		Departed:   t.leaving,
+		Born:       t.born,
 	}
 }
 
@@ -115,10 +121,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t := g.target
-	if t == nil || t.leaving || time.Since(t.firstSeen) < ownRowCheckInterval {
+	if t == nil || t.leaving || time.Since(t.firstSeen) < ownRowCheckInterval ||
+		g.view().hasDeparted(g.settings().Host, t.id, t.born) {
 		return
 	}
-	if want := g.hostRow(t); !listed || row != *want {
+	if want := g.hostRow(t); !listed || !row.sameRow(want) {
 		g.log.Decide("own-row-missing", "target", t.id, "listed", listed)
 		g.publish(want)
 	}
@@ -129,19 +136,51 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t := g.target
-	if t == nil || t.id != id || t.leaving {
-		return
+	switch {
+	case t == nil:
+		// The daemon has restarted and does not know the target yet.
+		set := g.settings()
+		g.startIncarnation(karpithaz.Heartbeat{Target: id, Service: set.Service, Address: set.TargetAddress,
+			DataCentre: set.DataCentre, Slots: 1, Leaving: true}, time.Now())
+	case t.id == id && !t.leaving:
+		t.leaving = true
+		g.publishDeparture(t, "left")
 	}
-	t.leaving = true
-	g.publishDeparture(t, "left")
 }
 
-// publishDeparture stops sending to a target and removes the host's row. g.mu
-// must be held.
+// publishDeparture stops sending to a target and marks it as departed in the
+// host's row. g.mu must be held.
 func (g *Gate) publishDeparture(t *localTarget, why string) {
 	g.log.Decide("target-leaving", "target", t.id, "why", why, "running", t.queue.Running(), "waiting", t.queue.Waiting())
 	g.flush(t, "target "+t.id+" is leaving")
-	g.publish(nil)
+	t.departureWritten = g.publish(g.hostRow(t))
+}
+
+// departureWriteTimeout bounds how long the acknowledgement of a departure waits
+// for the store. The target expects it within a second.
+const departureWriteTimeout = 700 * time.Millisecond
+
+// awaitDeparture waits until the departure of the current target, if it is
+// leaving, is in the store: it has to be known after a restart of this process
+// once it has been acknowledged.
+func (g *Gate) awaitDeparture() {
+	g.mu.Lock()
+	var written <-chan struct{}
+	if g.target != nil {
+		written = g.target.departureWritten
+	}
+	g.mu.Unlock()
+	if written == nil {
+		return
+	}
+	timer := time.NewTimer(departureWriteTimeout)
+	defer timer.Stop()
+	select {
+	case <-written:
+	case <-timer.C:
+		g.metrics.Add("departures_not_written", 1)
+		g.log.Decide("departure-not-written", "after_ms", departureWriteTimeout.Milliseconds())
+	}
 }
 
 // flush refuses all requests queued for a target. g.mu must be held.
@@ -169,7 +208,7 @@
 	if g.hasTarget() {
 		return
 	}
-	h, ok := g.checkHealth(ctx)
+	h, ok := g.checkHealth(ctx, discoverTimeout)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if ok && g.target == nil {
@@ -185,15 +224,15 @@
 
 // checkHealth queries the target's health. It returns false unless the target
 // is healthy.
-func (g *Gate) checkHealth(ctx context.Context) (karpithaz.Heartbeat, bool) {
+func (g *Gate) checkHealth(ctx context.Context, timeout time.Duration) (karpithaz.Heartbeat, bool) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetRequestURI(g.service(g.settings().Service).HealthPath)
 	req.Header.SetHost(g.settings().TargetAddress)
-	ctx, cancel := context.WithTimeout(ctx, discoverTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	g.metrics.Add("target_probes", 1)
-	resp, err := g.links.Do(ctx, g.settings().TargetAddress, req, link.RequestOptions{FirstByteTimeout: discoverTimeout})
+	resp, err := g.links.Do(ctx, g.settings().TargetAddress, req, link.RequestOptions{FirstByteTimeout: timeout})
 	if err != nil {
 		g.log.Decide("health-failed", "address", g.settings().TargetAddress, "err", err)
 		return karpithaz.Heartbeat{}, false
--- a/hostd/liveness.go
+++ b/hostd/liveness.go
@@ -30,6 +30,40 @@
 	lastContact map[string]time.Time
 	// startedAt is when this host first acted as a reader.
 	startedAt time.Time
+	// departedSince is when this host first saw a departed target, by host.
+	departedSince map[string]departure
+}
+
+// departure is a departed target and when it was first seen to be one.
+type departure struct {
+	target Target
+	since  time.Time
+}
+
+// departureRetention is how long the row of a departed target stays: longer than
+// any target runs on after its departure.
+const departureRetention = 2 * time.Minute
+
+// expiredDepartures returns the hosts whose targets departed more than
+// departureRetention ago and have not been replaced.
+func (h *livenessTracker) expiredDepartures(departed map[string]Target, now time.Time) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	kept := map[string]departure{}
+	var expired []string
+	for host, t := range departed {
+		d, known := h.departedSince[host]
+		if !known || d.target != t {
+			d = departure{t, now}
+		}
+		if now.Sub(d.since) > departureRetention {
+			expired = append(expired, host)
+			d.since = now // do not retry immediately
+		}
+		kept[host] = d
+	}
+	h.departedSince = kept
+	return expired
 }
 
 func (h *livenessTracker) recordContact(host string, now time.Time) {
@@ -74,15 +108,25 @@
 	return silent
 }
 
-// removeSilentHosts removes the rows of silent hosts in the data centre.
+// removeSilentHosts removes the rows of silent hosts in the data centre, and
+// those of targets there that departed long ago.
 func (c *Control) removeSilentHosts(ctx context.Context, now time.Time) {
 	view := c.View()
 	c.liveness.recordContact(c.host, now)
 	for _, host := range c.liveness.silentHosts(view.hostsIn(c.dataCentre), c.host, now) {
-		row := karpithaz.Row{Table: hostsTable, Key: host, Version: view.hostVersions[host]}
-		tx := karpithaz.Tx{Expect: []karpithaz.Row{row}, Remove: []karpithaz.Row{row}}
-		_, err := c.store.Commit(ctx, tx, storeTimeout)
-		c.log.Decide("host-silent", "host", host, "row_version", row.Version, "err", err)
+		version, err := c.removeRow(ctx, view, host)
+		c.log.Decide("host-silent", "host", host, "row_version", version, "err", err)
 		c.liveness.recordContact(host, now) // do not retry immediately
 	}
+	for _, host := range c.liveness.expiredDepartures(view.departedIn(c.dataCentre), now) {
+		version, err := c.removeRow(ctx, view, host)
+		c.log.Decide("departure-expired", "host", host, "row_version", version, "err", err)
+	}
+}
+
+// removeRow removes a host's row unless it has changed since the view.
+func (c *Control) removeRow(ctx context.Context, view *View, host string) (version uint64, err error) {
+	row := karpithaz.Row{Table: hostsTable, Key: host, Version: view.hostVersions[host]}
+	_, err = c.store.Commit(ctx, karpithaz.Tx{Expect: []karpithaz.Row{row}, Remove: []karpithaz.Row{row}}, storeTimeout)
+	return row.Version, err
 }
--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -271,6 +271,9 @@
 	out.Full = after < view.historyStart
 	for host, version := range view.hostVersions {
 		t, known := view.byHost[host]
+		if !known {
+			t, known = view.departed[host]
+		}
 		switch {
 		case version <= after && !out.Full, !known && out.Full:
 		case known:
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -22,8 +22,11 @@
 	// firstSeen is when this incarnation was first seen.
 	firstSeen time.Time
 	// leaving is set when the target must not receive further requests.
-	leaving   bool
-	coldUntil time.Time
+	leaving bool
+	// departureWritten is closed when the departure has been written to the
+	// store. It is nil unless the target is leaving.
+	departureWritten <-chan struct{}
+	coldUntil        time.Time
 	// downUntil is when a target that refused a connection may receive requests
 	// again.
 	downUntil  time.Time
@@ -112,10 +115,14 @@
 	}
 }
 
+// slowdown returns the evidence that the target has been cold since a given time.
+func (t *localTarget) slowdown(now time.Time) func(since time.Time) float64 {
+	return func(since time.Time) float64 { return t.filter.Slowdown(now, since, slowstart.Slowdown) }
+}
+
 // updateRate passes the state of the rate limit on to the queue.
 func (t *localTarget) updateRate(now time.Time, bound int) (room int, wait time.Duration) {
-	slowdown := func(since time.Time) float64 { return t.filter.Slowdown(now, since, slowstart.Slowdown) }
-	room, wait = t.startLimit.Room(now, bound, slowdown)
+	room, wait = t.startLimit.Room(now, bound, t.slowdown(now))
 	t.queue.SetRate(admission.Rate{Room: room, Wait: wait, Interval: time.Second / time.Duration(max(bound, 1))})
 	return room, wait
 }
--- a/hostd/view.go
+++ b/hostd/view.go
@@ -26,6 +26,25 @@
 	Gate    string `json:"gate"`
 	Control string `json:"control"`
 	Slots   int    `json:"slots"`
+	// Departed marks a target that has left. Its row stays for a while, so that
+	// its daemon knows it after a restart. Born is then when the target started,
+	// in Unix milliseconds, or 0 if that is not known.
+	Departed bool  `json:"departed,omitempty"`
+	Born     int64 `json:"born,omitempty"`
+}
+
+// includes reports whether a departed target is the one with an id that started
+// at born, or an earlier incarnation of it. A start that is not known does not
+// distinguish incarnations.
+func (t Target) includes(id string, born int64) bool {
+	return t.Departed && t.ID == id && (born == 0 || t.Born == 0 || born <= t.Born)
+}
+
+// sameRow reports whether two rows say the same apart from when the target
+// started.
+func (t Target) sameRow(other Target) bool {
+	t.Born = other.Born
+	return t == other
 }
 
 // decodeTarget decodes a host's row. It returns an error for rows that were not
@@ -57,7 +76,9 @@
 	evacuated map[string]bool
 	byService map[string][]Target
 	byHost    map[string]Target
-	names     []string
+	// departed are the hosts whose targets have left and not been replaced.
+	departed map[string]Target
+	names    []string
 	// operatorVersion and hostsVersion are the versions of the latest changes
 	// to the operators' table and to the hosts table.
 	operatorVersion, hostsVersion uint64
@@ -87,6 +108,12 @@
 	return t, ok
 }
 
+// hasDeparted reports whether the target of a host, with an id and a time of its
+// start, has left.
+func (v *View) hasDeparted(host, id string, born int64) bool {
+	return v.departed[host].includes(id, born)
+}
+
 // hostNames returns the hosts with a target, sorted. The caller must not modify
 // the slice.
 func (v *View) hostNames() []string { return v.names }
@@ -102,10 +129,31 @@
 	return out
 }
 
+// departedIn returns the departed targets of a data centre by host.
+func (v *View) departedIn(name string) map[string]Target {
+	out := map[string]Target{}
+	for host, t := range v.departed {
+		if t.DataCentre == name {
+			out[host] = t
+		}
+	}
+	return out
+}
+
 // Ready reports whether the host can serve requests.
 func (v *View) Ready() bool { return v.Config != nil && v.HostsLoaded }
 
-func newView(cfg *routes.Config, evacuated map[string]bool, hosts map[string]Target, hostsLoaded bool, hostsChangedAt time.Time) *View {
+// newView returns a view. rows are those of all hosts, also of hosts whose targets
+// have departed.
+func newView(cfg *routes.Config, evacuated map[string]bool, rows map[string]Target, hostsLoaded bool, hostsChangedAt time.Time) *View {
+	hosts, departed := map[string]Target{}, map[string]Target{}
+	for host, t := range rows {
+		if t.Departed {
+			departed[host] = t
+		} else {
+			hosts[host] = t
+		}
+	}
 	v := &View{
 		Config:         cfg,
 		HostsLoaded:    hostsLoaded,
@@ -113,6 +161,7 @@
 		evacuated:      evacuated,
 		byService:      map[string][]Target{},
 		byHost:         hosts,
+		departed:       departed,
 		names:          slices.Sorted(maps.Keys(hosts)),
 		hostsChangedAt: hostsChangedAt,
 	}
