slowstart: targets near the cold bound are probed

Cause: a target gets more than the bound of a cold one only while its requests show that it is warm.

Change: at 0.6 of the bound a target without evidence is asked for its health, which says whether it is cold, at most once in 0.35 s; the answer proves that it was warm for all requests sent before the probe. The probe holds a slot.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -281,6 +281,16 @@
 	q.allSlotTime.add(seconds)
 }
 
+// Reserve takes a free slot for a request that does not come from the queue. It
+// returns false if there is none.
+func (q *Queue) Reserve() bool {
+	if q.running >= q.slots {
+		return false
+	}
+	q.running++
+	return true
+}
+
 // Release releases a slot without recording how long it was held.
 func (q *Queue) Release() { q.running-- }
 
--- a/hostd/gate_test.go
+++ b/hostd/gate_test.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -219,3 +222,47 @@
 		}
 	}
 }
+
+// A warm target whose requests vary too much to be evidence of warmth is probed
+// near its cold bound and gets more than that.
+func TestGateProbesATargetNearItsColdBound(t *testing.T) {
+	target, err := standin.StartTarget("a", "svc", "127.0.0.1:0", 4, 0)
+	assert.NilError(t, err)
+	defer target.Close()
+	cfg, err := karpithaz.DecodeConfig(standin.EncodeConfig(1, []string{"svc"}, defaultRoutes(), nil))
+	assert.NilError(t, err)
+	svc, _ := cfg.Service("svc")
+	svc.ColdRate = 10
+	view := newView(cfg, nil, nil, true, time.Now())
+	set := &karpithaz.Settings{Host: "h", DataCentre: "dc", Service: "svc", TargetAddress: target.Addr(), Bounds: karpithaz.Bounds{ColdRateFactor: 1.5}}
+	written := make(chan struct{})
+	g := NewGate(func() *karpithaz.Settings { return set }, func() *View { return view },
+		func(Target) <-chan struct{} { return written }, decisions.New(&logBuffer{}), metrics.New())
+	defer g.Close()
+	b := newHeartbeat("a", 1, 1, false)
+	b.Address, b.Slots = target.Addr(), 4
+	g.applyHeartbeat(b, time.Now())
+	g.target.startLimit.Proven(time.Now(), time.Now()) // its start is long past
+	bound := g.target.coldLimit(svc, set.Bounds)
+	const seconds = 2
+	var served atomic.Int64
+	var callers sync.WaitGroup
+	end := time.Now().Add(seconds * time.Second)
+	for caller := range 3 {
+		callers.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				target.SetWork(time.Duration(n%2) * 60 * time.Millisecond)
+				f := Forward{Attempt: fmt.Sprintf("p-%d-%d", caller, n), Target: "a", TimeLeftMs: 1000, MaxGray: 1, Route: "r", ObjectiveMs: 100}
+				req := &fasthttp.Request{}
+				standin.Call{Attempt: f.Attempt, Host: testHost, URI: "/read/1", Timeout: time.Second}.Write(req)
+				if g.Forward(context.Background(), f, req, nil).Answer != nil {
+					served.Add(1)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	callers.Wait()
+	t.Logf("%d requests in %d s where a cold target bears %d a second", served.Load(), seconds, bound)
+	assert.Assert(t, served.Load() > int64(2*bound*seconds))
+}
--- a/slowstart/doc.go
+++ b/slowstart/doc.go
@@ -17,13 +17,17 @@
 // them, show by their durations that it had not. After a broken connection or a
 // failed dial only later requests show that. So a target that turns cold
 // without notice gets no more than the bound in its first second either, but for
-// the error of that test.
+// the error of that test. If the requests do not show it in time, because they
+// fail, vary much or take long, the target is probed shortly before the bound is
+// reached, at most three times a second: an answer that says that it is warm is
+// proof for all requests sent before the probe.
 //
 // Trade-offs: a target whose requests are too long for enough of them to end
 // within a second gets no more than the bound, but its slots do not allow more
 // either. A target that turns cold and keeps its speed is noticed with its next
-// heartbeat only. Probing a target before each burst would be certain, but a
-// probe takes a slot for as long as a short request. A cumulative sum over the last
+// heartbeat or probe only. Probing a target before each burst would be certain,
+// but a probe takes a slot for as long as a short request, so requests come first
+// as evidence. A cumulative sum over the last
 // requests as an alarm was tried: it noticed up to 3 of 200 silent turns of a
 // saturated target too late.
 package slowstart
--- a/slowstart/limiter.go
+++ b/slowstart/limiter.go
@@ -17,6 +17,15 @@
 	warmEvidence = -8.0
 )
 
+// Probing of a target that is near the bound without enough evidence.
+const (
+	// probeShare is the share of the bound at which the target is probed, so that
+	// the answer arrives before the bound is reached.
+	probeShare = 0.6
+	// minProbeInterval bounds the rate of probes. Platforms allow three a second.
+	minProbeInterval = 350 * time.Millisecond
+)
+
 // Slowdown is how much longer requests are taken to last on a cold target.
 const Slowdown = 2.0
 
@@ -29,6 +38,9 @@
 	// coldUntil is when a heartbeat can confirm the target again after a restart,
 	// and suspectedAt when it may have restarted unnoticed.
 	coldUntil, suspectedAt time.Time
+	// provenAt is when the latest probe was sent that the target answered as warm,
+	// and probedAt when it was last probed.
+	provenAt, probedAt time.Time
 }
 
 // Confirm records that the target has said that it is not cold.
@@ -40,14 +52,59 @@
 
 // Restarted records that the target has restarted or is cold for another reason.
 func (l *Limiter) Restarted(now time.Time) {
-	l.confirmedAt = time.Time{}
+	l.confirmedAt, l.provenAt = time.Time{}, time.Time{}
 	l.coldUntil = now.Add(restartTime)
+	l.suspectedAt = now
 }
 
 // MayHaveRestarted records a possible restart. Requests sent before it are no
 // evidence from now on.
 func (l *Limiter) MayHaveRestarted(now time.Time) { l.suspectedAt = now }
 
+// ProbeDue reports whether the target is to be probed: it is near the bound and
+// neither the last probe nor its requests allow more. A caller that probes must
+// call Probed. The arguments are those of Room.
+func (l *Limiter) ProbeDue(now time.Time, bound int, slowdown func(since time.Time) float64) bool {
+	l.trim(now)
+	counted := l.unproven()
+	if bound <= 0 || now.Sub(l.probedAt) < minProbeInterval || float64(len(counted)) < probeShare*float64(bound) {
+		return false
+	}
+	return !l.Warm(now) || slowdown(l.evidenceStart(counted, bound)) > warmEvidence
+}
+
+// Probed records that a probe has been sent.
+func (l *Limiter) Probed(now time.Time) { l.probedAt = now }
+
+// Proven records that the target has answered a probe sent at sentAt, and said
+// that it is warm. It proves nothing about a target that may have restarted since.
+func (l *Limiter) Proven(now, sentAt time.Time) {
+	if l.suspectedAt.After(sentAt) || l.provenAt.After(sentAt) {
+		return
+	}
+	l.provenAt, l.confirmedAt, l.coldUntil = sentAt, now, time.Time{}
+}
+
+// unproven returns the times of the requests in the window that were sent after
+// the target last proved to be warm.
+func (l *Limiter) unproven() []time.Time {
+	from := 0
+	for from < len(l.sent) && l.sent[from].Before(l.provenAt) {
+		from++
+	}
+	return l.sent[from:]
+}
+
+// evidenceStart returns the time since which requests have to show that the target
+// is warm, so that one more may be sent.
+func (l *Limiter) evidenceStart(counted []time.Time, bound int) time.Time {
+	since := counted[max(len(counted)-bound, 0)]
+	if l.suspectedAt.After(since) {
+		return l.suspectedAt
+	}
+	return since
+}
+
 // Warm reports whether the target is confirmed as warm.
 func (l *Limiter) Warm(now time.Time) bool {
 	return !l.confirmedAt.IsZero() && now.Sub(l.confirmedAt) < confirmationTTL
@@ -65,18 +122,14 @@
 	if bound <= 0 {
 		return -1, 0
 	}
-	if len(l.sent) < bound {
-		return bound - len(l.sent), 0
-	}
-	first := l.sent[len(l.sent)-bound]
-	since := first
-	if l.suspectedAt.After(since) {
-		since = l.suspectedAt
+	counted := l.unproven()
+	if len(counted) < bound {
+		return bound - len(counted), 0
 	}
-	if l.Warm(now) && slowdown(since) <= warmEvidence {
+	if l.Warm(now) && slowdown(l.evidenceStart(counted, bound)) <= warmEvidence {
 		return 1, 0
 	}
-	return 0, max(first.Add(window).Sub(now), time.Millisecond)
+	return 0, max(counted[len(counted)-bound].Add(window).Sub(now), time.Millisecond)
 }
 
 // Sent counts a request.
