hostd, h1: a planned stop closes its listeners without cutting requests

Cause: a stopping process waited until no request was active and then ended, with its listeners open. Connections that the kernel had established and requests that arrived between the check and the end were reset.

Change: after the time in which callers leave, the listeners are closed first: a socket filter makes the kernel ignore new handshakes, the backlog is accepted, then the listener is closed. The process ends when no request is being read or unanswered, no new connection's first request is expected, and peers have had time to read their last response. The listeners no longer use Multipath TCP, which supports neither filters nor the length of the backlog.

--- a/h1/conn.go
+++ b/h1/conn.go
@@ -29,6 +29,12 @@
 	// that response to arrive, short enough for the peer to detect without delay
 	// that the request was not accepted.
 	lateRequestDelay = 50 * time.Millisecond
+	// firstRequestTime is how long after a connection was accepted its first
+	// request is expected.
+	firstRequestTime = 250 * time.Millisecond
+	// closeTime is how long a peer may take to read the last response and close
+	// the connection before the process ends, which resets it.
+	closeTime = 100 * time.Millisecond
 	// writeBufferBytes suffices for a typical response header and a small body.
 	writeBufferBytes = 4 << 10
 )
@@ -47,7 +53,12 @@
 	slots    chan struct{}
 	handlers sync.WaitGroup
 
+	acceptedAt time.Time
+
 	mu sync.Mutex
+	// served is set when the first request has been accepted, and reading while a
+	// request is being read.
+	served, reading bool
 	// pending counts the requests that have been accepted and not yet answered.
 	pending int
 	// closing is set once a response with "Connection: close" is due or was sent.
@@ -62,16 +73,35 @@
 func newConn(s *Server, nc net.Conn) *conn {
 	limits := s.opts.Limits().withDefaults()
 	return &conn{
-		Conn:      nc,
-		s:         s,
-		limits:    limits,
-		br:        bufio.NewReaderSize(nc, limits.HeaderBytes),
-		bw:        bufio.NewWriterSize(nc, writeBufferBytes),
-		slots:     make(chan struct{}, maxPipelined),
-		idleSince: time.Now(),
+		Conn:       nc,
+		s:          s,
+		limits:     limits,
+		br:         bufio.NewReaderSize(nc, limits.HeaderBytes),
+		bw:         bufio.NewWriterSize(nc, writeBufferBytes),
+		slots:      make(chan struct{}, maxPipelined),
+		acceptedAt: time.Now(),
+		idleSince:  time.Now(),
 	}
 }
 
+// unsettled reports whether a request is expected or unanswered, or the peer may
+// not have read the last response yet.
+func (c *conn) unsettled(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return c.pending > 0 || now.Sub(c.idleSince) < closeTime
+	}
+	return c.pending > 0 || c.reading || !c.served && now.Sub(c.acceptedAt) < firstRequestTime
+}
+
+// setReading marks that a request has begun to arrive.
+func (c *conn) setReading(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = on
+}
+
 // serve reads requests until the stream ends and runs each in a goroutine.
 func (c *conn) serve() {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -83,6 +113,7 @@
 	close(previous)
 	for c.awaitRequest() {
 		x := &Exchange{ReceivedAt: time.Now(), conn: c}
+		c.setReading(true)
 		status, err := c.read(x)
 		if err != nil && status == 0 {
 			return
@@ -212,6 +243,7 @@
 		return false
 	}
 	c.pending++
+	c.served, c.reading = true, false
 	c.s.active.Add(1)
 	return true
 }
--- a/h1/server.go
+++ b/h1/server.go
@@ -114,6 +114,7 @@
 	lc := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
 	}}
+	lc.SetMultipathTCP(false) // CloseListener needs options that it does not have
 	l, err := lc.Listen(context.Background(), "tcp", addr)
 	return l, errors.Wrapf(err, "listen on %s; check that the address is this host's and free", addr)
 }
@@ -153,6 +154,22 @@
 // ActiveRequests returns the number of active requests.
 func (s *Server) ActiveRequests() int { return int(s.active.Load()) }
 
+// Settled reports whether the server can end without cutting a request: none is
+// being read or unanswered, no new connection's first request is still expected,
+// and no last response was sent just now.
+func (s *Server) Settled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for c := range s.conns {
+		if c.unsettled(now) {
+			return false
+		}
+	}
+	// Counts a request until its response has been sent.
+	return s.active.Load() == 0
+}
+
 // OpenConnections returns the number of open connections.
 func (s *Server) OpenConnections() int {
 	s.mu.Lock()
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -65,6 +65,8 @@
 	callers, gates, announcements, ready, metrics *h1.Server
 	listeners                                     []net.Listener
 	children                                      []supervise.Child
+	// traffic are the listeners of callers and gates.
+	traffic []net.Listener
 }
 
 // memoryLimitShare is the soft limit of the Go runtime as a share of the
@@ -130,6 +132,9 @@
 			return errors.Wrap(err, d.name)
 		}
 		s.listeners = append(s.listeners, l)
+		if d.server == s.callers || d.server == s.gates {
+			s.traffic = append(s.traffic, l)
+		}
 		s.children = append(s.children, supervise.Child{Name: d.name, Run: serveUntil(d.server, l)})
 	}
 	return nil
@@ -141,6 +146,11 @@
 		stop := context.AfterFunc(ctx, func() { l.Close() })
 		defer stop()
 		err := s.Serve(l)
+		if errors.Is(err, net.ErrClosed) {
+			// The listener has been closed by a planned stop; the connections
+			// accepted before live on.
+			<-ctx.Done()
+		}
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/hostd/stop.go
+++ b/hostd/stop.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/h1"
 )
 
 // Timing of a planned stop.
@@ -34,9 +36,9 @@
 }
 
 // stop performs the planned stop: it reports not ready, refuses new work at the
-// gate, lets callers leave, and returns when all accepted requests are
-// answered. Running work is not aborted before the platform is due to kill the
-// process.
+// gate, lets callers leave, closes the listeners, and returns when all accepted
+// requests are answered. Running work is not aborted before the platform is due to
+// kill the process.
 func (h *Host) stop() {
 	started := time.Now()
 	h.RestartStop()
@@ -44,18 +46,32 @@
 	h.gate.Stop()
 	h.ingress.BeginStop(started)
 	h.log.Logger().Info("stopping", "callers", h.servers.callers.ActiveRequests(), "gate", h.servers.gates.ActiveRequests())
-	refused := false
+	refused, closed := false, false
 	for now := started; now.Before(h.stopDeadline().Add(stopOverrun)); now = time.Now() {
-		idle := h.servers.callers.ActiveRequests() == 0 && h.servers.gates.ActiveRequests() == 0
-		if idle && now.Sub(started) >= callerDrainTime {
-			break
-		}
-		if !refused && now.After(h.stopDeadline().Add(-finalRefusalLead)) {
+		ending := now.After(h.stopDeadline().Add(-finalRefusalLead))
+		if !refused && ending {
 			refused = true
 			h.ingress.RefuseUnsent()
 		}
+		idle := h.servers.callers.ActiveRequests() == 0 && h.servers.gates.ActiveRequests() == 0
+		if !closed && (idle && now.Sub(started) >= callerDrainTime || ending) {
+			closed = true
+			h.closeTraffic()
+		}
+		if closed && h.servers.callers.Settled() && h.servers.gates.Settled() {
+			break
+		}
 		time.Sleep(stopPollInterval)
 	}
 	h.log.Logger().Info("stopped", "took_ms", time.Since(started).Milliseconds(),
 		"callers", h.servers.callers.ActiveRequests(), "gate", h.servers.gates.ActiveRequests())
 }
+
+// closeTraffic closes the listeners for callers and other daemons.
+func (h *Host) closeTraffic() {
+	for _, l := range h.servers.traffic {
+		if err := h1.CloseListener(l); err != nil {
+			h.log.Logger().Warn("connections may have been reset when a listener closed", "err", err)
+		}
+	}
+}
--- a/internal/soak/operators_test.go
+++ b/internal/soak/operators_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -29,6 +30,7 @@
 	pausedSeed
 	pausedStartSeed
 	silentSeed
+	stopSeed
 	repeatSeed
 	lostSeed
 )
@@ -256,6 +258,47 @@
 	}
 }
 
+// Under load, a stopping daemon answers every request whose connection it has let
+// in, until it refuses connections.
+func TestPlannedStopUnderLoadAnswersWhatItAccepted(t *testing.T) {
+	r := scenario(t, stopSeed, 3)
+	h := r.f.hosts[0]
+	var stopping atomic.Bool
+	var each sync.WaitGroup
+	done := make(chan struct{})
+	for client := range 24 {
+		each.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				id := fmt.Sprintf("stop-%d-%d", client, n)
+				result, err := r.order(h, id, "/order/1", firstKey, 3*time.Second)
+				switch runs := r.runsOf(id); {
+				case errors.Is(err, syscall.ECONNREFUSED) && stopping.Load():
+					return // the daemon no longer accepts connections
+				case err != nil:
+					t.Errorf("order %s was sent, got no answer and ran %d times: %v", id, runs, err)
+					return
+				case result.Status != 200 && runs > 0:
+					t.Errorf("order %s ran and was answered with %d", id, result.Status)
+				}
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	stopping.Store(true)
+	h.signal(syscall.SIGTERM)
+	stopped := time.Now()
+	await(t, "daemon stopped", func() bool { return !h.running() })
+	took := time.Since(stopped)
+	close(done)
+	each.Wait()
+	assert.Assert(t, took < stopWithin, "the stop took %s", took)
+}
+
 // A target that sends each answer a second time, late, on a connection that is in
 // use again never makes a caller get an answer that is not its own.
 func TestLateSecondAnswerReachesNobody(t *testing.T) {
