hostd: retries that reach no target are not charged

Cause: a retry was taken from the budget when an attempt began, also where no gate accepted it.

Change: the retry is returned when its attempt ends without having reached a target, also after another attempt has answered.

--- a/hostd/execution.go
+++ b/hostd/execution.go
@@ -65,6 +65,21 @@
 	hedge  bool
 }
 
+// arrived reports whether the request reached a target, or may have.
+func (r attemptResult) arrived() bool {
+	refusal := r.reply.Refusal
+	return refusal == nil || refusal.Run != wire.NotRun || refusal.Reason == wire.ReasonTargetShed || refusal.Reason == wire.ReasonWrongTarget
+}
+
+// attemptKind says why an attempt is made.
+type attemptKind int
+
+const (
+	firstAttempt attemptKind = iota
+	retryAttempt             // after a failure
+	hedgeAttempt             // while another one runs
+)
+
 // resultBuffer is the number of results that can arrive after the execution has
 // ended.
 const resultBuffer = 8
@@ -85,7 +100,7 @@
 // run makes attempts until there is an outcome.
 func (ex *execution) run(ctx context.Context) outcome {
 	defer ex.cancelAll()
-	ex.launch(ctx, false)
+	ex.launch(ctx, firstAttempt)
 	deadline := time.NewTimer(time.Until(ex.e.deadline))
 	defer deadline.Stop()
 	hedge := time.NewTimer(ex.hedgeDelay())
@@ -102,7 +117,7 @@
 				continue
 			}
 			if ex.takeRetry(ctx) {
-				ex.launch(ctx, true)
+				ex.launch(ctx, hedgeAttempt)
 			} else {
 				hedge.Reset(jitter(budgetRetryDelay))
 			}
@@ -201,19 +216,26 @@
 	return ok
 }
 
-// launch starts an attempt.
-func (ex *execution) launch(ctx context.Context, hedge bool) {
+// launch starts an attempt. A retry or hedge has been taken from the budget, and
+// is returned if the attempt reaches no target.
+func (ex *execution) launch(ctx context.Context, kind attemptKind) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	ex.cancels = append(ex.cancels, cancel)
 	ex.running++
 	req := &fasthttp.Request{}
 	ex.e.x.Request.Header.CopyTo(&req.Header)
 	req.SetBodyRaw(ex.e.x.Request.Body())
-	a := &attempt{e: ex.e, req: req, exclude: slices.Clone(ex.failedTargets), pending: ex.pending, hedgeSoon: ex.hedgeSoon, hedge: hedge}
+	a := &attempt{e: ex.e, req: req, exclude: slices.Clone(ex.failedTargets), pending: ex.pending, hedgeSoon: ex.hedgeSoon, hedge: kind == hedgeAttempt}
 	if ex.sent+ex.running+countDistinct(ex.shedBy) > ex.e.route.MaxAttempts {
 		a.restrictTo = slices.Clone(ex.shedBy)
 	}
-	go func() { ex.results <- a.run(ctx) }()
+	go func() {
+		r := a.run(ctx)
+		if kind != firstAttempt && !r.arrived() {
+			ex.budget.Refund()
+		}
+		ex.results <- r
+	}()
 }
 
 // handleResult processes an attempt's result and returns the outcome, if there
@@ -244,7 +266,7 @@
 		return nil
 	}
 	if ex.shouldRetry(ctx, refusal) {
-		ex.launch(ctx, false)
+		ex.launch(ctx, retryAttempt)
 		return nil
 	}
 	return ex.finalOutcome()
@@ -276,7 +298,7 @@
 		return nil
 	}
 	if ex.mayRetry(ctx) {
-		ex.launch(ctx, false)
+		ex.launch(ctx, retryAttempt)
 		return nil
 	}
 	return out
--- a/hostd/execution_test.go
+++ b/hostd/execution_test.go
@@ -346,3 +346,30 @@
 	assert.Equal(t, x.Response.StatusCode(), 200)
 	assert.Equal(t, len(g.offered()), 2)
 }
+
+// A retry that no target accepts is not charged to the budget, which counts
+// requests that reach targets.
+func TestRetryThatReachesNoTargetIsNotCharged(t *testing.T) {
+	g := &scriptedGates{}
+	failing := true
+	g.forward = func(_ context.Context, target Target, _ Forward, onSend func()) Reply {
+		switch {
+		case target.Host == "h1" && failing:
+			onSend()
+			return replyWithStatus(500)
+		case failing:
+			return Reply{Refusal: wire.Refuse(wire.ReasonBusy, "no free slot")}
+		}
+		onSend()
+		return replyWithStatus(200)
+	}
+	in := newTestIngress(t, g, "h1", "h2")
+	in.limiter = &unlimitedRates{}
+	budget := in.budget("svc")
+	for i := range 20 {
+		x := newExchange(fmt.Sprintf("r%d", i), "GET", "/read/1", time.Second)
+		in.Handle(context.Background(), x)
+		assert.Equal(t, x.Response.StatusCode(), 500)
+	}
+	assert.Assert(t, budget.Withdraw(), "the budget was spent on retries that reached no target")
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -45,6 +45,16 @@
 	}
 }
 
+// Refund returns one retry that was taken and not made.
+func (b *Budget) Refund() {
+	for {
+		old := b.tokens.Load()
+		if b.tokens.CompareAndSwap(old, min(old+tokenScale, b.capacity)) {
+			return
+		}
+	}
+}
+
 // Withdraw takes one retry from the budget and reports whether one was
 // available.
 func (b *Budget) Withdraw() bool {
