hostd, storepoll: hosts give each other notice of changes

Cause: a change reached a host by its polls of the readers of its data centre.

Change: the hosts that read a change from the store, and readers that learn it from others, notify the hosts of their data centre and the readers of the other data centres by datagram; these fetch it from the sender, spread over up to 0.6 s by the size of the data centre. Polls remain for lost notices and for proofs.

Ruled out: shorter long polls, as each costs calls to the store; earlier standbys, as a silent store looks like one without changes for 1.5 s.

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -41,6 +41,10 @@
 	updates           chan tableUpdate
 	ownRow            chan ownRowChange
 	liveness          livenessTracker
+	// inbox receives notices of changes from other hosts, and appliedChanges the
+	// changes of which other hosts may need notice.
+	inbox          noticeInbox
+	appliedChanges chan operatorChange
 
 	// The fields below are used only by the goroutine that calls Run.
 	config      *routes.Config
@@ -54,6 +58,9 @@
 	// historyStart and operatorHistoryStart are the versions before which
 	// removals are not recorded.
 	historyStart, operatorHistoryStart uint64
+	// appliedVersion is the version of the operators' latest change that has been
+	// passed to appliedChanges.
+	appliedVersion uint64
 }
 
 // tableUpdate is the result of reading one table.
@@ -64,6 +71,8 @@
 	rows []karpithaz.Row
 	// version is the store version up to which rows is complete.
 	version uint64
+	// fromStore is set if the rows were read from the store.
+	fromStore bool
 	// proof is set if the read proves the freshness of the configuration: as of
 	// provenAt, nothing had changed after provenVersion.
 	proof         bool
@@ -87,6 +96,9 @@
 		hosts:        map[string]Target{},
 		operatorRows: map[string]karpithaz.Row{},
 		hostVersions: map[string]uint64{},
+
+		inbox:          noticeInbox{arrived: make(chan struct{}, 1)},
+		appliedChanges: make(chan operatorChange, 1),
 	}
 	c.view.Store(newView(nil, nil, nil, false, time.Now()))
 	return c
@@ -159,6 +171,10 @@
 	case hostsTable:
 		raise(&c.hostsAt, n.version)
 	}
+	if v := c.View().operatorVersion; v > c.appliedVersion {
+		c.appliedVersion = v
+		c.applied(operatorChange{version: v, fromStore: n.fromStore})
+	}
 	if n.proof && c.config != nil && n.provenVersion <= c.configAt.Load() && int64(n.provenAt) > c.proof.Load() {
 		// The proof is stored after the view, so that nobody sees it with an
 		// older view.
--- a/hostd/datagrams.go
+++ b/hostd/datagrams.go
@@ -37,7 +37,7 @@
 	Result bool  `json:"y,omitempty"`
 	Millis int64 `json:"m,omitempty"`
 	// ConfigVersion and HostsVersion are the versions of the latest changes
-	// that a host knows.
+	// that a host knows, or of which it gives notice.
 	ConfigVersion uint64 `json:"c,omitempty"`
 	HostsVersion  uint64 `json:"t,omitempty"`
 }
--- a/hostd/fleet_test.go
+++ b/hostd/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -78,14 +79,22 @@
 }
 
 func newFleet(t *testing.T, hosts int) *testFleet {
+	t.Helper()
+	return newFleetIn(t, slices.Repeat([]string{"dc-a"}, hosts)...)
+}
+
+// newFleetIn starts a host in each of the data centres given.
+func newFleetIn(t *testing.T, dataCentres ...string) *testFleet {
 	t.Helper()
 	store, err := standin.Start()
 	assert.NilError(t, err)
 	f := &testFleet{t: t, store: store, routes: defaultRoutes(), workspaces: []standin.Workspace{{Name: testWorkspace, Key: testKey}}}
 	t.Cleanup(store.Close)
 	f.configure(1)
-	for i := range hosts {
-		f.add(i + 1)
+	for i, dc := range dataCentres {
+		set := f.settings(i + 1)
+		set.DataCentre, set.Regions[dc] = dc, "r"
+		f.addWith(i+1, set)
 	}
 	f.await("all hosts know each other", func() bool {
 		for _, h := range f.hosts {
@@ -118,8 +127,9 @@
 	}
 }
 
-func (f *testFleet) add(n int) *testHostd {
-	set := f.settings(n)
+func (f *testFleet) add(n int) *testHostd { return f.addWith(n, f.settings(n)) }
+
+func (f *testFleet) addWith(n int, set *karpithaz.Settings) *testHostd {
 	target, err := standin.StartTarget(fmt.Sprintf("i-%d", n), "svc", set.TargetAddress, 4, 20*time.Millisecond)
 	assert.NilError(f.t, err)
 	f.t.Cleanup(target.Close)
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -178,6 +178,8 @@
 		{Name: "config", Run: h.control.RunConfig},
 		{Name: "hosts", Run: h.control.RunHosts},
 		{Name: "news", Run: h.control.RunReaderPolls},
+		{Name: "notifications", Run: h.control.RunNotifications},
+		{Name: "notices", Run: h.control.RunNotices},
 		{Name: "own-row", Run: h.control.RunOwnRow},
 		{Name: "datagrams", Run: h.datagrams.run},
 		{Name: "sweep", Run: h.runSweep},
@@ -266,6 +268,8 @@
 		return h.limiter.answer(ctx, q)
 	case queryVersions:
 		return h.control.reportVersions(q.Host)
+	case queryChanged:
+		return h.control.recordNotice(q)
 	case queryCrash, queryQuarantine:
 		return h.crashes.answer(ctx, q)
 	case queryWithdraw:
--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -172,12 +172,7 @@
 // remoteReader returns a reader of another data centre, a different one each
 // turn.
 func (v *View) remoteReader(own string, turn int) (host string, ok bool) {
-	var names []string
-	for _, host := range v.names {
-		if dc := v.byHost[host].DataCentre; dc != own && !slices.Contains(names, dc) {
-			names = append(names, dc)
-		}
-	}
+	names := v.otherDataCentres(own)
 	if len(names) == 0 {
 		return "", false
 	}
--- a/storepoll/doc.go
+++ b/storepoll/doc.go
@@ -20,7 +20,15 @@
 // readers have no recent proof asks the standbys and then a reader of another data
 // centre.
 //
-// Trade-offs: a change reaches a host that is not a reader up to one poll
-// interval later than by a long poll of its own. If the store refuses all ranks
-// that ask, the others depend on another data centre.
+// Changes: a host that has read a change from the store, and each reader that has
+// learned it from another host, notifies the hosts of its data centre and the
+// readers of the others, which fetch it from the sender. So a data centre whose
+// readers the store refuses learns changes from the others. Hosts that are not
+// readers spread their fetches, so that the link of the sender is not congested.
+//
+// Trade-offs: a change reaches a host that is not a reader later than by a long
+// poll of its own, by the spread of the fetches, or by one poll interval if the
+// notice is lost. A change costs about two datagrams a host, and four for each pair
+// of data centres in each direction. If the store refuses all hosts that ask, the
+// others depend on another data centre.
 package storepoll
--- a/storepoll/storepoll.go
+++ b/storepoll/storepoll.go
@@ -40,6 +40,28 @@
 	PeersAnswered bool
 }
 
+const (
+	// fetchSpreadPerHost is the time over which hosts fetch a change after a
+	// notice, per host of the data centre, so that the link of the host that
+	// serves them bears it. maxFetchSpread is well below the time in which a
+	// configuration must be in force.
+	fetchSpreadPerHost = 8 * time.Millisecond
+	maxFetchSpread     = 600 * time.Millisecond
+)
+
+// Notifies reports whether a host that has applied a change notifies others of it.
+// fromStore is set if it has read the change from the store.
+func Notifies(rank, hosts int, fromStore bool) bool { return fromStore || IsReader(rank, hosts) }
+
+// FetchSpread returns the time over which a host spreads the fetch of a change of
+// which it has notice. Readers fetch at once, as other hosts learn from them.
+func FetchSpread(rank, hosts int) time.Duration {
+	if IsReader(rank, hosts) {
+		return 0
+	}
+	return min(time.Duration(hosts)*fetchSpreadPerHost, maxFetchSpread)
+}
+
 // IsReader reports whether the host keeps long polls at the store.
 func IsReader(rank, hosts int) bool { return rank < Readers || hosts < Readers }
 
