hostd, quota: rates hold while owners change and in partitions

A host had up to three buckets for one rate, by its role, each filled on its own; so a change of owners or a partition granted more than the rate, and the second owner half as much as the first at once. Two hosts that each took the other for the first owner relayed a query to each other without end, and handled each retransmission of a query in progress as a new one.

Change: a host has one bucket for a rate, and a new owner's is bounded by what the previous one may have left. A query names the owner that must answer it once it is relayed, and is relayed once; where the owner cannot be reached, through a host of a third data centre. Only then does the second owner grant: a tenth for 3 s, then half. A first owner without a recent proof that reaches few of its peers grants half. Retransmissions wait for the answer in progress.

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -41,6 +41,8 @@
 	updates           chan tableUpdate
 	ownRow            chan ownRowChange
 	liveness          livenessTracker
+	// lostPeers is set if most of the peers last asked did not answer.
+	lostPeers atomic.Bool
 	// inbox receives notices of changes from other hosts, and appliedChanges the
 	// changes of which other hosts may need notice.
 	inbox          noticeInbox
--- a/hostd/datagrams.go
+++ b/hostd/datagrams.go
@@ -30,6 +30,9 @@
 	// Incarnation identifies the gate process that a withdrawal refers to, or the
 	// dead process of the target in a crash report.
 	Incarnation int64 `json:"l,omitempty"`
+	// Owner is set in a query for a token that is relayed: only this owner may
+	// answer it, and other receivers pass it on to it.
+	Owner string `json:"x,omitempty"`
 	// Authoritative is set if the answer comes from the host that the query is
 	// addressed to.
 	Authoritative bool `json:"o,omitempty"`
--- a/hostd/fleet_test.go
+++ b/hostd/fleet_test.go
@@ -94,7 +94,7 @@
 	for i, dc := range dataCentres {
 		set := f.settings(i + 1)
 		set.DataCentre, set.Regions[dc] = dc, "r"
-		f.addWith(i+1, set)
+		f.add(i+1, set)
 	}
 	f.await("all hosts know each other", func() bool {
 		for _, h := range f.hosts {
@@ -127,9 +127,7 @@
 	}
 }
 
-func (f *testFleet) add(n int) *testHostd { return f.addWith(n, f.settings(n)) }
-
-func (f *testFleet) addWith(n int, set *karpithaz.Settings) *testHostd {
+func (f *testFleet) add(n int, set *karpithaz.Settings) *testHostd {
 	target, err := standin.StartTarget(fmt.Sprintf("i-%d", n), "svc", set.TargetAddress, 4, 20*time.Millisecond)
 	assert.NilError(f.t, err)
 	f.t.Cleanup(target.Close)
--- a/hostd/limiter.go
+++ b/hostd/limiter.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/quota"
 	"github.com/gooseberryshed/gooseberryshed/routes"
@@ -21,11 +24,11 @@
 const (
 	// maxOwnersTried is how many owners are tried in rendezvous order.
 	maxOwnersTried = 2
-	// failoverShare is the share of a rate that the second owner grants while
-	// it cannot reach the first, which may be granting tokens to others.
-	failoverShare = 0.5
 	// ownerBackoff is how long an owner that did not answer is avoided.
 	ownerBackoff = 1500 * time.Millisecond
+	// relayTimeout bounds each of the two ways in which a query is relayed, so
+	// that the sender has an answer before it gives up (queryTimeouts).
+	relayTimeout = 60 * time.Millisecond
 	// burstSlackShare is the share of the platform's slack on rates that is
 	// added to a burst, since requests arrive in bursts.
 	burstSlackShare = 0.4
@@ -50,11 +53,14 @@
 	view   func() *View
 	query  func(ctx context.Context, addr string, q datagram) (datagram, error)
 	states *gateStates
+	// isolated reports whether this host has probably lost most other hosts.
+	isolated func() bool
+	lost     lostOwners
 
 	mu      sync.Mutex
-	buckets map[string]*quota.Bucket
+	buckets map[string]*ownedBucket
 	// recentAnswers prevents a retransmitted query from taking a second token.
-	recentAnswers map[queryKey]cachedAnswer
+	recentAnswers map[queryKey]*cachedAnswer
 }
 
 type queryKey struct {
@@ -63,19 +69,23 @@
 }
 
 type cachedAnswer struct {
-	at     time.Time
+	at time.Time
+	// done is closed when answer is set.
+	done   chan struct{}
 	answer datagram
 }
 
-func newFleetLimiter(host string, bounds func() karpithaz.Bounds, view func() *View, query func(context.Context, string, datagram) (datagram, error)) *fleetLimiter {
+func newFleetLimiter(host string, bounds func() karpithaz.Bounds, view func() *View, query func(context.Context, string, datagram) (datagram, error), isolated func() bool) *fleetLimiter {
 	return &fleetLimiter{
 		host:          host,
 		bounds:        bounds,
 		view:          view,
 		query:         query,
 		states:        newGateStates(),
-		buckets:       map[string]*quota.Bucket{},
-		recentAnswers: map[queryKey]cachedAnswer{},
+		buckets:       map[string]*ownedBucket{},
+		recentAnswers: map[queryKey]*cachedAnswer{},
+		lost:          lostOwners{since: map[string]time.Time{}},
+		isolated:      isolated,
 	}
 }
 
@@ -108,79 +118,149 @@
 
 // takeToken takes a token of a bucket from its owner.
 func (l *fleetLimiter) takeToken(ctx context.Context, b bucketSpec) (ok bool, retryAfter time.Duration) {
-	hosts := l.view().hostNames()
-	owners := quota.RankOwners(b.kind+" "+b.name, hosts)
+	owners := quota.RankOwners(b.kind+" "+b.name, l.view().hostNames())
 	for _, owner := range owners[:min(len(owners), maxOwnersTried)] {
 		if owner == l.host {
-			return l.takeOwned(b, owner == owners[0])
+			a := l.grant(ctx, b, owners, true)
+			return a.Result, time.Duration(a.Millis) * time.Millisecond
 		}
 		if a, ok := l.queryOwner(ctx, owner, b); ok {
 			return a.Result, time.Duration(a.Millis) * time.Millisecond
 		}
 	}
+	if a, ok := l.relay(ctx, b, owners); ok {
+		return a.Result, time.Duration(a.Millis) * time.Millisecond
+	}
 	// No owner can be reached. Each host grants its share of the rate, so that
 	// the sum over all hosts stays within it.
-	part := float64(max(len(hosts), 1))
-	return l.takeLocal("own part of "+b.name, b.kind, b.rate/part, b.burst/part)
+	a := l.takeLocal(b, false, 1/float64(max(len(owners), 1)))
+	return a.Result, time.Duration(a.Millis) * time.Millisecond
 }
 
+// queryOwner asks an owner for a token. The owner may relay the query.
 func (l *fleetLimiter) queryOwner(ctx context.Context, owner string, b bucketSpec) (datagram, bool) {
-	t, ok := l.view().TargetOf(owner)
-	if !ok || l.states.backingOff(owner, time.Now()) {
+	return l.ask(ctx, owner, owner, datagram{Kind: b.kind, Name: b.name, Host: l.host})
+}
+
+// ask sends a query about the bucket of an owner to a host, unless that has
+// recently failed.
+func (l *fleetLimiter) ask(ctx context.Context, host, owner string, q datagram) (datagram, bool) {
+	path := host
+	if host != owner {
+		path = host + " " + owner
+	}
+	t, ok := l.view().TargetOf(host)
+	if !ok || l.states.backingOff(path, time.Now()) {
 		return datagram{}, false
 	}
-	a, err := l.query(ctx, t.Control, datagram{Kind: b.kind, Name: b.name, Host: l.host})
-	if err != nil {
-		if ctx.Err() == nil {
-			l.states.backOff(owner, time.Now(), ownerBackoff)
-		}
+	a, err := l.query(ctx, t.Control, q)
+	if err == nil && (host == owner || a.Authoritative) {
+		l.states.recordSuccess(path)
+		l.lost.found(owner)
+		return a, true
+	}
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		l.states.backOff(path, time.Now(), ownerBackoff)
+		l.lost.missed(owner, time.Now())
+	}
+	return datagram{}, false
+}
+
+// relay passes a query on to the first owner, directly or through a host of
+// another data centre, and does so only once, so that hosts that know different
+// owners do not pass it on to each other.
+func (l *fleetLimiter) relay(ctx context.Context, b bucketSpec, owners []string) (datagram, bool) {
+	if len(owners) == 0 {
 		return datagram{}, false
 	}
-	l.states.recordSuccess(owner)
-	return a, true
+	q := datagram{Kind: b.kind, Name: b.name, Host: l.host, Owner: owners[0]}
+	for _, host := range []string{owners[0], l.witness(owners)} {
+		ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+		a, ok := l.ask(ctx, host, owners[0], q)
+		cancel()
+		if ok {
+			return a, true
+		}
+	}
+	return datagram{}, false
 }
 
-// takeOwned takes a token from a bucket that this host owns.
-func (l *fleetLimiter) takeOwned(b bucketSpec, first bool) (bool, time.Duration) {
-	if first {
-		return l.takeLocal(b.name, b.kind, b.rate, b.burst)
+// witness returns the host of highest rank that is not an owner, in a data centre
+// other than this host's and the first owner's, or "" if there is none.
+func (l *fleetLimiter) witness(owners []string) string {
+	view := l.view()
+	own, _ := view.TargetOf(l.host)
+	first, _ := view.TargetOf(owners[0])
+	for _, host := range owners[min(len(owners), maxOwnersTried):] {
+		if t, ok := view.TargetOf(host); ok && t.DataCentre != own.DataCentre && t.DataCentre != first.DataCentre {
+			return host
+		}
+	}
+	return ""
+}
+
+// grant takes a token as an owner. relay is set if a host that is not the first
+// owner may pass the query on to it.
+func (l *fleetLimiter) grant(ctx context.Context, b bucketSpec, owners []string, relay bool) datagram {
+	if len(owners) == 0 || owners[0] == l.host {
+		return l.takeLocal(b, true, quota.OwnerShare(l.isolated()))
+	}
+	if relay {
+		if a, ok := l.relay(ctx, b, owners); ok {
+			return a
+		}
 	}
-	return l.takeLocal("taken over "+b.name, b.kind, failoverShare*b.rate, failoverShare*b.burst)
+	return l.takeLocal(b, false, quota.FailoverShare(l.lost.missing(owners[0], time.Now())))
 }
 
-func (l *fleetLimiter) takeLocal(name, kind string, rate, burst float64) (bool, time.Duration) {
+// takeLocal takes a token from this host's bucket for a share of the rate.
+func (l *fleetLimiter) takeLocal(b bucketSpec, first bool, share float64) datagram {
 	since := l.view().hostsChangedAt
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	key := kind + " " + name
-	b := l.buckets[key]
-	if b == nil {
-		b = quota.NewBucket(since, burst)
-		l.buckets[key] = b
+	key := b.kind + " " + b.name
+	rate, burst := share*b.rate, share*b.burst
+	own := l.buckets[key]
+	if own == nil {
+		own = &ownedBucket{Bucket: quota.NewBucket(since, burst)}
+		l.buckets[key] = own
+	} else if first && !own.first {
+		own.TakeOver(since, time.Now(), rate, burst)
 	}
-	return b.Take(time.Now(), rate, burst)
+	own.first = first
+	ok, after := own.Take(time.Now(), rate, burst)
+	return datagram{Result: ok, Millis: after.Milliseconds()}
 }
 
 // answer answers another host's query for a token.
 func (l *fleetLimiter) answer(ctx context.Context, q datagram) datagram {
 	key := queryKey{q.Host, q.ID}
 	l.mu.Lock()
-	known, ok := l.recentAnswers[key]
+	known, retransmitted := l.recentAnswers[key]
+	if !retransmitted {
+		known = &cachedAnswer{at: time.Now(), done: make(chan struct{})}
+		l.recentAnswers[key] = known
+	}
 	l.mu.Unlock()
-	if ok {
+	if retransmitted {
+		select {
+		case <-known.done:
+		case <-ctx.Done():
+		}
 		return known.answer
 	}
-	a := l.answerOnce(ctx, q)
-	l.mu.Lock()
-	l.recentAnswers[key] = cachedAnswer{time.Now(), a}
-	l.mu.Unlock()
-	return a
+	known.answer = l.answerOnce(ctx, q)
+	close(known.done)
+	return known.answer
 }
 
-// answerOnce takes the token. A host that is not the first owner relays the
-// query to the first, since it may be able to reach an owner that the sender
-// cannot.
+// answerOnce takes the token.
 func (l *fleetLimiter) answerOnce(ctx context.Context, q datagram) datagram {
+	if q.Owner != "" && q.Owner != l.host {
+		a, ok := l.ask(ctx, q.Owner, q.Owner, datagram{Kind: q.Kind, Name: q.Name, Host: l.host, Owner: q.Owner})
+		a.Authoritative = ok
+		return a
+	}
 	view := l.view()
 	b := l.retryBucket(q.Name)
 	if q.Kind == queryRate {
@@ -196,15 +276,51 @@
 		}
 		b = l.workspaceBucket(w)
 	}
-	owners := quota.RankOwners(b.kind+" "+b.name, view.hostNames())
-	first := len(owners) == 0 || owners[0] == l.host
-	if !first {
-		if a, ok := l.queryOwner(ctx, owners[0], b); ok {
-			return a
-		}
+	return l.grant(ctx, b, quota.RankOwners(b.kind+" "+b.name, view.hostNames()), q.Owner == "")
+}
+
+// ownedBucket is a bucket of this host. first is set if it was last used as that
+// of the first owner.
+type ownedBucket struct {
+	*quota.Bucket
+	first bool
+}
+
+// lostOwners records since when owners have not been reached.
+type lostOwners struct {
+	mu    sync.Mutex
+	since map[string]time.Time
+}
+
+func (l *lostOwners) found(owner string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.since, owner)
+}
+
+func (l *lostOwners) missed(owner string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, known := l.since[owner]; !known {
+		l.since[owner] = now
+	}
+}
+
+// missing returns how long an owner has not been reached.
+func (l *lostOwners) missing(owner string, now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if since, known := l.since[owner]; known {
+		return now.Sub(since)
 	}
-	yes, after := l.takeOwned(b, first)
-	return datagram{Result: yes, Millis: after.Milliseconds()}
+	return 0
+}
+
+// prune forgets the owners for which keep returns false.
+func (l *lostOwners) prune(keep func(owner string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.since, func(owner string, _ time.Time) bool { return !keep(owner) })
 }
 
 // answerRetention is how long a query may be retransmitted.
@@ -224,4 +340,6 @@
 			delete(l.buckets, name)
 		}
 	}
+	view := l.view()
+	l.lost.prune(func(owner string) bool { _, known := view.TargetOf(owner); return known })
 }
--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -98,11 +98,12 @@
 	for turn := 0; c.awaitTurn(ctx); turn++ {
 		f.loaded = f.loaded || c.View().Config != nil
 		p := c.pollPeers(ctx, turn)
+		c.recordReach(p)
 		rank, hosts := c.rank()
 		if rank < storepoll.Readers {
 			c.removeSilentHosts(ctx, time.Now())
 		}
-		h := storepoll.Host{Rank: rank, Hosts: hosts, ProofAge: c.ProofAge(), LowerProofAge: p.lowerProofAge, PeersAnswered: p.answered}
+		h := storepoll.Host{Rank: rank, Hosts: hosts, ProofAge: c.ProofAge(), LowerProofAge: p.lowerProofAge, PeersAnswered: p.reached > 0}
 		if !p.behind && !storepoll.AsksStore(h, rand.Float64()) {
 			continue
 		}
@@ -133,16 +134,30 @@
 
 // peerPoll is the result of asking peers for their versions.
 type peerPoll struct {
-	// answered is set if any peer has answered.
-	answered bool
 	// behind is set if a peer knows a change that could not be fetched.
 	behind bool
 	// lowerProofAge is the age of the freshest proof of a peer of lower rank.
 	lowerProofAge time.Duration
 	// fresh is set if a peer had a recent proof.
 	fresh bool
+	// asked and reached are the numbers of peers that were asked and of those
+	// that have answered.
+	asked, reached int
 }
 
+// isolationAge is the age of the freshness proof below which a host has been in
+// touch with the store, and so with the network.
+const isolationAge = 2200 * time.Millisecond
+
+// recordReach records after a poll whether the host has probably lost most other
+// hosts: it has no recent proof, and most of the peers asked did not answer.
+func (c *Control) recordReach(p peerPoll) {
+	c.lostPeers.Store(p.asked > 0 && 2*p.reached < p.asked)
+}
+
+// Isolated reports whether the host has probably lost most other hosts.
+func (c *Control) Isolated() bool { return c.lostPeers.Load() && c.ProofAge() > isolationAge }
+
 // noProof is the age of a proof that does not exist.
 const noProof = time.Hour
 
@@ -188,11 +203,12 @@
 		return
 	}
 	asked := boottime.Now()
+	p.asked++
 	a, err := c.peers.query(ctx, t.Control, datagram{Kind: queryVersions, Host: c.host})
 	if err != nil {
 		return
 	}
-	p.answered = true
+	p.reached++
 	if !a.Result {
 		return
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -26,6 +26,38 @@
 // initialFill is the share of the burst with which a new bucket is filled.
 const initialFill = 0.5
 
+// Shares of a rate that owners grant.
+const (
+	// overlapShare is the share of the second owner when it has just lost the
+	// first. The platform tolerates a tenth more than a rate, and the first owner
+	// may only have lost this host.
+	overlapShare = 0.1
+	// partitionShare is the share of each of two owners between which the network
+	// is probably partitioned.
+	partitionShare = 0.5
+	// partitionDelay is the time after which an owner that lost most hosts knows
+	// that (Isolated in package hostd) and grants less.
+	partitionDelay = 3 * time.Second
+)
+
+// OwnerShare returns the share of a rate that its first owner grants. isolated is
+// set if it has probably lost most other hosts.
+func OwnerShare(isolated bool) float64 {
+	if isolated {
+		return partitionShare
+	}
+	return 1
+}
+
+// FailoverShare returns the share of a rate that the second owner grants when
+// neither it nor a host of another data centre has reached the first for a time.
+func FailoverShare(missing time.Duration) float64 {
+	if missing < partitionDelay {
+		return overlapShare
+	}
+	return partitionShare
+}
+
 // Bucket is the token bucket of one workspace. It is not safe for concurrent
 // use.
 type Bucket struct {
@@ -39,6 +71,13 @@
 	return &Bucket{tokens: max(initialFill*burst, 1), updatedAt: since}
 }
 
+// TakeOver bounds the tokens of a host that has become the owner at since, as the
+// previous owner may have granted all of them just before.
+func (b *Bucket) TakeOver(since, now time.Time, rate, burst float64) {
+	b.tokens = min(b.tokens, max(initialFill*burst, 1)+rate*max(now.Sub(since).Seconds(), 0))
+	b.updatedAt = now
+}
+
 // Take takes a token. If there is none, it returns the time until the next one
 // is available.
 func (b *Bucket) Take(now time.Time, rate, burst float64) (ok bool, after time.Duration) {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -71,3 +71,26 @@
 	assert.Assert(t, moved < 40, "%d of 240 moved", moved)
 	assert.Assert(t, len(seen) >= 22, "owners: %d", len(seen))
 }
+
+// Each new owner may be the one after another that has just granted everything.
+func TestTakeOverStartsPartlyFilled(t *testing.T) {
+	b := NewBucket(t0.Add(-time.Hour), 40)
+	ok, _ := b.Take(t0, 10, 40)
+	assert.Assert(t, ok)
+	b.TakeOver(t0, t0.Add(time.Second), 10, 40)
+	granted := 0
+	for {
+		ok, _ := b.Take(t0.Add(time.Second), 10, 40)
+		if !ok {
+			break
+		}
+		granted++
+	}
+	assert.Equal(t, granted, 30)
+}
+
+// Two owners that have lost each other stay within a tenth more than the rate.
+func TestSharesOfTwoOwnersInAPartition(t *testing.T) {
+	assert.Assert(t, OwnerShare(false)+FailoverShare(0) <= 1.1)
+	assert.Assert(t, OwnerShare(true)+FailoverShare(partitionDelay) <= 1.1)
+}
