soak: rates, departures, evacuations and lost or repeated answers; owners in logs

A rate that is granted without its first owner left no trace in the logs.

Change: a workspace sends at twice its rate on all hosts, and no window may hold more than the platform allows; targets sign off, and get nothing sent 2 s later, across restarts; after the faults a data centre is evacuated; targets repeat their answers late and run requests without answering.

--- a/hostd/host.go
+++ b/hostd/host.go
@@ -93,7 +93,7 @@
 	h.control = NewControl(o.Settings.Host, o.Settings.DataCentre, h.store, hostPeers{conn, h.client}, h.log, h.metrics)
 	h.gate = NewGate(h.current.Load, h.control.View, h.control.PublishTarget, h.log, h.metrics)
 	h.gate.answers = h.client.answers
-	h.limiter = newFleetLimiter(o.Settings.Host, h.bounds, h.control.View, conn.query, h.control.Isolated)
+	h.limiter = newFleetLimiter(o.Settings.Host, h.bounds, h.control.View, conn.query, h.control.Isolated, h.log, h.metrics)
 	h.withdrawals = &withdrawals{host: o.Settings.Host, gate: h.gate, view: h.control.View, query: conn.query}
 	h.ingress = NewIngress(h.current.Load, h.control, h, h.limiter, h.gate.RecordCallFailure, h.log, h.metrics)
 	h.crashes = newCrashTracker(o.Settings.Host, h.control.View, conn.query, h.log)
--- a/hostd/limiter.go
+++ b/hostd/limiter.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gooseberryshed/gooseberryshed/decisions"
+	"github.com/gooseberryshed/gooseberryshed/metrics"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/quota"
 	"github.com/gooseberryshed/gooseberryshed/routes"
@@ -56,6 +58,8 @@
 	// isolated reports whether this host has probably lost most other hosts.
 	isolated func() bool
 	lost     lostOwners
+	log      *decisions.Log
+	metrics  *metrics.Registry
 
 	mu      sync.Mutex
 	buckets map[string]*ownedBucket
@@ -75,7 +79,8 @@
 	answer datagram
 }
 
-func newFleetLimiter(host string, bounds func() karpithaz.Bounds, view func() *View, query func(context.Context, string, datagram) (datagram, error), isolated func() bool) *fleetLimiter {
+func newFleetLimiter(host string, bounds func() karpithaz.Bounds, view func() *View, query func(context.Context, string, datagram) (datagram, error), isolated func() bool,
+	log *decisions.Log, m *metrics.Registry) *fleetLimiter {
 	return &fleetLimiter{
 		host:          host,
 		bounds:        bounds,
@@ -86,6 +91,8 @@
 		recentAnswers: map[queryKey]*cachedAnswer{},
 		lost:          lostOwners{since: map[string]time.Time{}},
 		isolated:      isolated,
+		log:           log,
+		metrics:       m,
 	}
 }
 
@@ -131,6 +138,7 @@
 	if a, ok := l.relay(ctx, b, owners); ok {
 		return a.Result, time.Duration(a.Millis) * time.Millisecond
 	}
+	l.metrics.Add("rate_own_part", 1)
 	// No owner can be reached. Each host grants its share of the rate, so that
 	// the sum over all hosts stays within it.
 	a := l.takeLocal(b, false, 1/float64(max(len(owners), 1)))
@@ -156,12 +164,16 @@
 	a, err := l.query(ctx, t.Control, q)
 	if err == nil && (host == owner || a.Authoritative) {
 		l.states.recordSuccess(path)
-		l.lost.found(owner)
+		if missing, was := l.lost.found(owner, time.Now()); was {
+			l.log.Decide("owner-found", "owner", owner, "missing_ms", missing.Milliseconds())
+		}
 		return a, true
 	}
 	if !errors.Is(ctx.Err(), context.Canceled) {
 		l.states.backOff(path, time.Now(), ownerBackoff)
-		l.lost.missed(owner, time.Now())
+		if l.lost.missed(owner, time.Now()) {
+			l.log.Decide("owner-lost", "owner", owner, "limit", q.Name, "kind", q.Kind)
+		}
 	}
 	return datagram{}, false
 }
@@ -210,6 +222,7 @@
 			return a
 		}
 	}
+	l.metrics.Add("rate_taken_over", 1)
 	return l.takeLocal(b, false, quota.FailoverShare(l.lost.missing(owners[0], time.Now())))
 }
 
@@ -292,18 +305,26 @@
 	since map[string]time.Time
 }
 
-func (l *lostOwners) found(owner string) {
+// found records that an owner has been reached. It returns for how long it had not
+// been, and whether it was missing at all.
+func (l *lostOwners) found(owner string, now time.Time) (missing time.Duration, was bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	since, was := l.since[owner]
 	delete(l.since, owner)
+	return now.Sub(since), was
 }
 
-func (l *lostOwners) missed(owner string, now time.Time) {
+// missed records that an owner has not been reached, and returns whether it was
+// not missing before.
+func (l *lostOwners) missed(owner string, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, known := l.since[owner]; !known {
+	_, known := l.since[owner]
+	if !known {
 		l.since[owner] = now
 	}
+	return !known
 }
 
 // missing returns how long an owner has not been reached.
--- a/hostd/limiter_test.go
+++ b/hostd/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -13,6 +14,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/gooseberryshed/gooseberryshed/decisions"
+	"github.com/gooseberryshed/gooseberryshed/metrics"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/quota"
 	"github.com/gooseberryshed/gooseberryshed/routes"
@@ -61,7 +64,7 @@
 	f.mu.Lock()
 	f.limiters[host] = newFleetLimiter(host, func() karpithaz.Bounds { return f.bounds }, func() *View { return f.view(host) },
 		func(ctx context.Context, to string, q datagram) (datagram, error) { return f.query(ctx, host, to, q) },
-		func() bool { return f.isolated(host) })
+		func() bool { return f.isolated(host) }, decisions.New(io.Discard), metrics.New())
 	f.mu.Unlock()
 	f.learn(host, known, since)
 }
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -89,7 +89,11 @@
 	target       *standin.Target
 	targets      []*standin.Target
 	targetStarts int
-	logs         *os.File
+	// left is set while the target has signed off and has not been replaced, and
+	// departures are the targets that have signed off.
+	left       bool
+	departures []departure
+	logs       *os.File
 }
 
 // program is the path of the daemon's binary, which TestMain builds.
@@ -136,7 +140,9 @@
 const (
 	firstKey  = "key-one"
 	secondKey = "key-two"
-	shopHost  = "shop.example"
+	// limitedKey is the key of a workspace that sends at twice its rate.
+	limitedKey = "key-of-limited"
+	shopHost   = "shop.example"
 )
 
 func (f *fleet) configure(revision int, key string) {
@@ -146,7 +152,9 @@
 		{Name: "order", Host: shopHost, Prefix: "/order/", Kind: "non_idempotent", Service: "svc", Timeout: 3 * time.Second, Objective: 500 * time.Millisecond},
 	}
 	f.store.Put(karpithaz.OperatorTable, karpithaz.ConfigKey,
-		standin.EncodeConfig(revision, []string{"svc"}, routes, []standin.Workspace{{Name: "ws", Key: key}}))
+		standin.EncodeConfig(revision, []string{"svc"}, routes, []standin.Workspace{
+			{Name: "ws", Key: key}, {Name: limitedWorkspace, Key: limitedKey, Rate: limitedRate, Burst: limitedBurst},
+		}))
 }
 
 // advertise returns an address at which a port of a host is reached through the
@@ -180,7 +188,7 @@
 		Host: name, DataCentre: fmt.Sprintf("dc-%d", n%2), Region: "r", IP: ip,
 		CallerListen: addr(), GateListen: addr(), ReadinessListen: addr(), AnnounceListen: addr(), DatagramListen: addr(), TargetAddress: addr(),
 		Service: "svc", StoreAddress: f.advertise(storeHost, name, ip), MemoryBytes: 128 << 20,
-		Bounds: karpithaz.Bounds{RevocationDeadline: revokeWithin, ShutdownGracePeriod: stopWithin},
+		Bounds: karpithaz.Bounds{RevocationDeadline: revokeWithin, ShutdownGracePeriod: stopWithin, RateWindow: rateWindow, RateOverage: rateOverage, RateSlack: rateSlack},
 	}
 	h := &host{fleet: f, set: set, settings: filepath.Join(f.dir, set.Host+".conf"), gate: set.GateListen, datagrams: set.DatagramListen}
 	f.links.SetUpstream(storeHost, name, f.serveStore(ip))
@@ -220,7 +228,7 @@
 		h.fleet.t.Errorf("start target: %v", err)
 		return
 	}
-	h.target = target
+	h.target, h.left = target, false
 	h.targets = append(h.targets, target)
 }
 
@@ -283,9 +291,11 @@
 func (h *host) announceTarget(done <-chan struct{}) {
 	for {
 		h.mu.Lock()
-		target := h.target
+		target, left := h.target, h.left
 		h.mu.Unlock()
-		target.Announce(h.set.AnnounceListen, h.set.DataCentre, "ready") //nolint:errcheck // the daemon may be down
+		if !left {
+			target.Announce(h.set.AnnounceListen, h.set.DataCentre, "ready") //nolint:errcheck // the daemon may be down
+		}
 		select {
 		case <-done:
 			return
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -49,6 +49,9 @@
 	rnd       *rand.Rand
 	startedAt time.Time
 	schedule  []string
+	// impaired are the hosts whose way to the store has been disturbed. The empty
+	// name stands for all.
+	impaired map[string]bool
 
 	mu      sync.Mutex
 	calls   []call
@@ -68,7 +71,7 @@
 
 func runSeed(t *testing.T, seed uint64) {
 	t.Logf("seed %d, %s of faults, %d hosts", seed, *timeFlag, *hostsFlag)
-	r := &run{f: newFleet(t, seed, *hostsFlag), rnd: rand.New(rand.NewPCG(seed, seed)), key: firstKey}
+	r := &run{f: newFleet(t, seed, *hostsFlag), rnd: rand.New(rand.NewPCG(seed, seed)), key: firstKey, impaired: map[string]bool{}}
 	done := make(chan struct{})
 	var background sync.WaitGroup
 	for _, h := range r.f.hosts {
@@ -79,13 +82,17 @@
 	for i, h := range r.f.hosts {
 		background.Go(func() { r.sendCalls(h, i, done) })
 		background.Go(func() { r.sendPipelined(t, h, i, done) })
+		background.Go(func() { r.sendBeyondRate(h, i, done) })
 	}
 	r.injectFaults()
 	r.clearFaults()
 	r.awaitService(t, "after the faults")
+	r.checkEvacuation(t)
 	close(done)
 	background.Wait()
 	r.checkInvariants(t)
+	r.checkRate(t)
+	r.checkDepartures(t)
 	if t.Failed() {
 		t.Logf("schedule:\n%s", strings.Join(r.schedule, "\n"))
 		r.saveLogs(t, seed)
@@ -180,7 +187,7 @@
 // inject injects or clears one random fault.
 func (r *run) inject(h *host, n int) {
 	other := r.f.hosts[r.rnd.IntN(len(r.f.hosts))]
-	switch r.rnd.IntN(16) {
+	switch r.rnd.IntN(19) {
 	case 0:
 		r.recordEvent("kill %s", h.set.Host)
 		h.signal(syscall.SIGKILL)
@@ -200,13 +207,16 @@
 		fault := standin.Modes[r.rnd.IntN(len(standin.Modes))]
 		r.recordEvent("store: fault %s for %s", fault, h.set.IP)
 		r.f.store.SetHostFault(h.set.IP, fault)
+		r.impaired[h.set.Host] = true
 	case 6:
 		fault := standin.Modes[r.rnd.IntN(len(standin.Modes))]
 		r.recordEvent("store: fault %s for all", fault)
 		r.f.store.SetHostFault("", fault)
+		r.impaired[""] = true
 	case 7:
 		r.recordEvent("store: faults cleared")
 		r.f.store.SetHostFault("", standin.ModeOK)
+		delete(r.impaired, "")
 	case 8:
 		on := r.rnd.IntN(2) == 0
 		r.recordEvent("target of %s hangs: %v", h.set.Host, on)
@@ -224,6 +234,7 @@
 		r.f.cut(h, other, way)
 	case 13:
 		r.recordEvent("cut or delay link between %s and the store", h.set.Host)
+		r.impaired[h.set.Host] = true
 		if r.rnd.IntN(2) == 0 {
 			r.f.links.Partition(h.set.Host, storeHost, fabric.Direction(r.rnd.IntN(2)))
 		} else {
@@ -231,12 +242,23 @@
 		}
 	case 14:
 		r.recordEvent("blackhole connections between %s and %s, delay new ones", h.set.Host, other.set.Host)
+		r.impaired[h.set.Host] = true
 		r.f.links.Blackhole(h.set.Host, other.set.Host)
 		r.f.links.Blackhole(h.set.Host, storeHost)
 		r.f.links.Delay(h.set.Host, other.set.Host, linkDelay)
 	case 15:
 		r.recordEvent("all network faults cleared")
 		r.f.heal()
+	case 16:
+		after := time.Duration(r.rnd.IntN(2)*(1+r.rnd.IntN(60))) * time.Millisecond
+		r.recordEvent("target of %s repeats its answers after %s (0: no more)", h.set.Host, after)
+		h.currentTarget().SetRepeating(after)
+	case 17:
+		on := r.rnd.IntN(2) == 0
+		r.recordEvent("target of %s runs requests and loses its answers: %v", h.set.Host, on)
+		h.currentTarget().SetLosing(on)
+	case 18:
+		r.recordEvent("target of %s signs off: %s", h.set.Host, r.signOff(h))
 	case 11:
 		r.recordEvent("API key replaced")
 		r.mu.Lock()
@@ -263,6 +285,11 @@
 		r.f.store.SetHostFault(h.set.IP, standin.ModeOK)
 		h.signal(syscall.SIGCONT)
 		h.currentTarget().SetHanging(false)
+		h.currentTarget().SetRepeating(0)
+		h.currentTarget().SetLosing(false)
+		if h.hasLeft() {
+			h.restartTarget()
+		}
 	}
 	// A process that received SIGTERM may take up to stopWithin to exit.
 	deadline := time.Now().Add(stopWithin)
@@ -285,7 +312,7 @@
 				if seen.Key != "" {
 					t.Errorf("target %s received the API key of %s", target.ID, seen.Attempt)
 				}
-				if seen.Workspace != "ws" || seen.Caller != "svc" {
+				if seen.Workspace != workspaceOf(seen.Attempt) || seen.Caller != "svc" {
 					t.Errorf("target %s received workspace %q and caller %q", target.ID, seen.Workspace, seen.Caller)
 				}
 			}
