hostd, quota: owners leave the shares of data centres that are cut off

Change: an owner records from which data centres it has heard, probes those that are silent, and leaves the hosts of lost ones to grant their own shares (quota.Reach). A query names the host it comes from, so that relayed ones count as contact too.

TestWorkspaceRateHoldsInAPartition has two more cases, TestSharesInAPartition.

--- a/hostd/datagrams.go
+++ b/hostd/datagrams.go
@@ -33,6 +33,8 @@
 	// Owner is set in a query for a token that is relayed: only this owner may
 	// answer it, and other receivers pass it on to it.
 	Owner string `json:"x,omitempty"`
+	// Origin is the host whose request needs the token of a relayed query.
+	Origin string `json:"g,omitempty"`
 	// Authoritative is set if the answer comes from the host that the query is
 	// addressed to.
 	Authoritative bool `json:"o,omitempty"`
--- a/hostd/limiter.go
+++ b/hostd/limiter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -58,6 +57,7 @@
 	// isolated reports whether this host has probably lost most other hosts.
 	isolated func() bool
 	lost     lostOwners
+	contacts dataCentreContacts
 	log      *decisions.Log
 	metrics  *metrics.Registry
 
@@ -79,7 +79,8 @@
 	answer datagram
 }
 
-func newFleetLimiter(host string, bounds func() karpithaz.Bounds, view func() *View, query func(context.Context, string, datagram) (datagram, error), isolated func() bool,
+func newFleetLimiter(host string, bounds func() karpithaz.Bounds, view func() *View,
+	query func(context.Context, string, datagram) (datagram, error), isolated func() bool,
 	log *decisions.Log, m *metrics.Registry) *fleetLimiter {
 	return &fleetLimiter{
 		host:          host,
@@ -90,6 +91,7 @@
 		buckets:       map[string]*ownedBucket{},
 		recentAnswers: map[queryKey]*cachedAnswer{},
 		lost:          lostOwners{since: map[string]time.Time{}},
+		contacts:      dataCentreContacts{byName: map[string]*dataCentreContact{}},
 		isolated:      isolated,
 		log:           log,
 		metrics:       m,
@@ -128,20 +130,21 @@
 	owners := quota.RankOwners(b.kind+" "+b.name, l.view().hostNames())
 	for _, owner := range owners[:min(len(owners), maxOwnersTried)] {
 		if owner == l.host {
-			a := l.grant(ctx, b, owners, true)
+			a := l.grant(ctx, b, owners, l.host, true)
 			return a.Result, time.Duration(a.Millis) * time.Millisecond
 		}
 		if a, ok := l.queryOwner(ctx, owner, b); ok {
 			return a.Result, time.Duration(a.Millis) * time.Millisecond
 		}
 	}
-	if a, ok := l.relay(ctx, b, owners); ok {
+	if a, ok := l.relay(ctx, b, owners, l.host); ok {
 		return a.Result, time.Duration(a.Millis) * time.Millisecond
 	}
-	l.metrics.Add("rate_own_part", 1)
 	// No owner can be reached. Each host grants its share of the rate, so that
 	// the sum over all hosts stays within it.
-	a := l.takeLocal(b, false, 1/float64(max(len(owners), 1)))
+	l.metrics.Add("rate_own_part", 1)
+	rate, burst := l.reach(owners).OwnShare()
+	a := l.takeLocal(b, false, rate, burst)
 	return a.Result, time.Duration(a.Millis) * time.Millisecond
 }
 
@@ -164,6 +167,7 @@
 	a, err := l.query(ctx, t.Control, q)
 	if err == nil && (host == owner || a.Authoritative) {
 		l.states.recordSuccess(path)
+		l.contacts.heard(t.DataCentre, time.Now())
 		if missing, was := l.lost.found(owner, time.Now()); was {
 			l.log.Decide("owner-found", "owner", owner, "missing_ms", missing.Milliseconds())
 		}
@@ -181,11 +185,11 @@
 // relay passes a query on to the first owner, directly or through a host of
 // another data centre, and does so only once, so that hosts that know different
 // owners do not pass it on to each other.
-func (l *fleetLimiter) relay(ctx context.Context, b bucketSpec, owners []string) (datagram, bool) {
+func (l *fleetLimiter) relay(ctx context.Context, b bucketSpec, owners []string, origin string) (datagram, bool) {
 	if len(owners) == 0 {
 		return datagram{}, false
 	}
-	q := datagram{Kind: b.kind, Name: b.name, Host: l.host, Owner: owners[0]}
+	q := datagram{Kind: b.kind, Name: b.name, Host: l.host, Owner: owners[0], Origin: origin}
 	for _, host := range []string{owners[0], l.witness(owners)} {
 		ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 		a, ok := l.ask(ctx, host, owners[0], q)
@@ -213,26 +217,29 @@
 
 // grant takes a token as an owner. relay is set if a host that is not the first
 // owner may pass the query on to it.
-func (l *fleetLimiter) grant(ctx context.Context, b bucketSpec, owners []string, relay bool) datagram {
+func (l *fleetLimiter) grant(ctx context.Context, b bucketSpec, owners []string, origin string, relay bool) datagram {
 	if len(owners) == 0 || owners[0] == l.host {
-		return l.takeLocal(b, true, quota.OwnerShare(l.isolated()))
+		share := l.reach(owners).OwnerShare()
+		return l.takeLocal(b, true, share, share)
 	}
 	if relay {
-		if a, ok := l.relay(ctx, b, owners); ok {
+		if a, ok := l.relay(ctx, b, owners, origin); ok {
 			return a
 		}
 	}
 	l.metrics.Add("rate_taken_over", 1)
-	return l.takeLocal(b, false, quota.FailoverShare(l.lost.missing(owners[0], time.Now())))
+	share := l.reach(owners).FailoverShare()
+	return l.takeLocal(b, false, share, share)
 }
 
-// takeLocal takes a token from this host's bucket for a share of the rate.
-func (l *fleetLimiter) takeLocal(b bucketSpec, first bool, share float64) datagram {
+// takeLocal takes a token from this host's bucket for shares of the rate and of the
+// burst.
+func (l *fleetLimiter) takeLocal(b bucketSpec, first bool, rateShare, burstShare float64) datagram {
 	since := l.view().hostsChangedAt
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key := b.kind + " " + b.name
-	rate, burst := share*b.rate, share*b.burst
+	rate, burst := rateShare*b.rate, burstShare*b.burst
 	own := l.buckets[key]
 	if own == nil {
 		own = &ownedBucket{Bucket: quota.NewBucket(since, burst)}
@@ -247,6 +254,11 @@
 
 // answer answers another host's query for a token.
 func (l *fleetLimiter) answer(ctx context.Context, q datagram) datagram {
+	for _, host := range []string{q.Host, q.Origin} {
+		if t, known := l.view().TargetOf(host); known {
+			l.contacts.heard(t.DataCentre, time.Now())
+		}
+	}
 	key := queryKey{q.Host, q.ID}
 	l.mu.Lock()
 	known, retransmitted := l.recentAnswers[key]
@@ -258,9 +270,10 @@
 	if retransmitted {
 		select {
 		case <-known.done:
+			return known.answer
 		case <-ctx.Done():
+			return datagram{}
 		}
-		return known.answer
 	}
 	known.answer = l.answerOnce(ctx, q)
 	close(known.done)
@@ -270,7 +283,7 @@
 // answerOnce takes the token.
 func (l *fleetLimiter) answerOnce(ctx context.Context, q datagram) datagram {
 	if q.Owner != "" && q.Owner != l.host {
-		a, ok := l.ask(ctx, q.Owner, q.Owner, datagram{Kind: q.Kind, Name: q.Name, Host: l.host, Owner: q.Owner})
+		a, ok := l.ask(ctx, q.Owner, q.Owner, datagram{Kind: q.Kind, Name: q.Name, Host: l.host, Owner: q.Owner, Origin: q.Origin})
 		a.Authoritative = ok
 		return a
 	}
@@ -289,7 +302,7 @@
 		}
 		b = l.workspaceBucket(w)
 	}
-	return l.grant(ctx, b, quota.RankOwners(b.kind+" "+b.name, view.hostNames()), q.Owner == "")
+	return l.grant(ctx, b, quota.RankOwners(b.kind+" "+b.name, view.hostNames()), q.Host, q.Owner == "")
 }
 
 // ownedBucket is a bucket of this host. first is set if it was last used as that
@@ -299,51 +312,6 @@
 	first bool
 }
 
-// lostOwners records since when owners have not been reached.
-type lostOwners struct {
-	mu    sync.Mutex
-	since map[string]time.Time
-}
-
-// found records that an owner has been reached. It returns for how long it had not
-// been, and whether it was missing at all.
-func (l *lostOwners) found(owner string, now time.Time) (missing time.Duration, was bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	since, was := l.since[owner]
-	delete(l.since, owner)
-	return now.Sub(since), was
-}
-
-// missed records that an owner has not been reached, and returns whether it was
-// not missing before.
-func (l *lostOwners) missed(owner string, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	_, known := l.since[owner]
-	if !known {
-		l.since[owner] = now
-	}
-	return !known
-}
-
-// missing returns how long an owner has not been reached.
-func (l *lostOwners) missing(owner string, now time.Time) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if since, known := l.since[owner]; known {
-		return now.Sub(since)
-	}
-	return 0
-}
-
-// prune forgets the owners for which keep returns false.
-func (l *lostOwners) prune(keep func(owner string) bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	maps.DeleteFunc(l.since, func(owner string, _ time.Time) bool { return !keep(owner) })
-}
-
 // answerRetention is how long a query may be retransmitted.
 const answerRetention = 2 * time.Second
 
--- a/hostd/limiter_test.go
+++ b/hostd/limiter_test.go
@@ -119,6 +119,10 @@
 		if dest != nil && !lost {
 			go func() {
 				time.Sleep(time.Millisecond)
+				if q.Kind == queryVersions {
+					answers <- datagram{Result: true}
+					return
+				}
 				answers <- dest.answer(context.WithoutCancel(ctx), q)
 			}()
 		}
@@ -223,7 +227,7 @@
 				spread(others, others)
 				time.Sleep(6 * time.Second)
 				close(stop)
-				time.Sleep(time.Second)
+				time.Sleep(3 * time.Second) // queries under way end
 				most, bound := f.mostInWindow()
 				t.Logf("%d granted in a window, bound %.0f; %d datagrams for %d requests", most, bound, f.sent, 19*10*23)
 				assert.Check(t, float64(most) <= bound)
@@ -244,6 +248,8 @@
 		// keyed requests once their proof is too old.
 		minority func(owners []string) map[string]bool
 		reaches  func(minority map[string]bool, from, to string) bool
+		// workspace reports whether a workspace with these owners is of the case.
+		workspace func(owners []string) bool
 		// served is the least share of the rate that is served throughout.
 		served float64
 	}{
@@ -260,22 +266,47 @@
 			served:  0.4,
 		},
 		{
-			name:     "two data centres are cut off from each other and a third reaches both",
-			minority: func([]string) map[string]bool { return nil },
+			name: "two data centres are cut off from each other and a third reaches both",
 			reaches: func(_ map[string]bool, from, to string) bool {
 				a, b := dataCentreOf(from), dataCentreOf(to)
 				return a == b || a == "dc-c" || b == "dc-c"
 			},
 			served: 0.9,
 		},
+		{
+			name: "the data centre of the first owner is cut off and all keep the store",
+			reaches: func(_ map[string]bool, from, to string) bool {
+				return (dataCentreOf(from) == "dc-a") == (dataCentreOf(to) == "dc-a")
+			},
+			workspace: func(owners []string) bool { return dataCentreOf(owners[0]) == "dc-a" },
+			served:    0.5,
+		},
+		{
+			name: "another data centre is cut off and all keep the store",
+			reaches: func(_ map[string]bool, from, to string) bool {
+				return (dataCentreOf(from) == "dc-a") == (dataCentreOf(to) == "dc-a")
+			},
+			workspace: func(owners []string) bool {
+				return dataCentreOf(owners[0]) != "dc-a" && dataCentreOf(owners[1]) != "dc-a"
+			},
+			served: 0.7,
+		},
 	}
 	for _, c := range cases {
 		for seed := range 10 {
 			t.Run(fmt.Sprint(c.name, " ", seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					w := &routes.Workspace{Name: fmt.Sprintf("ws-%d", seed), Rate: 46, Burst: 46}
+					owners := quota.RankOwners(queryRate+" "+w.Name, hosts)
+					for c.workspace != nil && !c.workspace(owners) {
+						w.Name += "x"
+						owners = quota.RankOwners(queryRate+" "+w.Name, hosts)
+					}
 					f := newLimiterFleet(t, w, hosts...)
-					minority := c.minority(quota.RankOwners(queryRate+" "+w.Name, hosts))
+					var minority map[string]bool
+					if c.minority != nil {
+						minority = c.minority(owners)
+					}
 					majority := slices.DeleteFunc(slices.Clone(hosts), func(h string) bool { return minority[h] })
 					stop, refuse := make(chan struct{}), make(chan struct{})
 					f.send(stop, 6, majority)
@@ -287,7 +318,7 @@
 					close(refuse)
 					time.Sleep(6 * time.Second)
 					close(stop)
-					time.Sleep(time.Second)
+					time.Sleep(3 * time.Second) // queries under way end
 					most, bound := f.mostInWindow()
 					after := len(f.granted) - slices.IndexFunc(f.granted, cutAt.Before)
 					share := float64(after) / (w.Rate * 10.75)
--- a/hostd/view.go
+++ b/hostd/view.go
@@ -79,6 +79,8 @@
 	// departed are the hosts whose targets have left and not been replaced.
 	departed map[string]Target
 	names    []string
+	// hostsByDataCentre are the hosts with a target, sorted.
+	hostsByDataCentre map[string][]string
 	// operatorVersion and hostsVersion are the versions of the latest changes
 	// to the operators' table and to the hosts table.
 	operatorVersion, hostsVersion uint64
@@ -119,15 +121,7 @@
 func (v *View) hostNames() []string { return v.names }
 
 // hostsIn returns the hosts of a data centre, sorted.
-func (v *View) hostsIn(name string) []string {
-	var out []string
-	for _, host := range v.names {
-		if v.byHost[host].DataCentre == name {
-			out = append(out, host)
-		}
-	}
-	return out
-}
+func (v *View) hostsIn(name string) []string { return slices.Clone(v.hostsByDataCentre[name]) }
 
 // departedIn returns the departed targets of a data centre by host.
 func (v *View) departedIn(name string) map[string]Target {
@@ -164,6 +158,12 @@
 		departed:       departed,
 		names:          slices.Sorted(maps.Keys(hosts)),
 		hostsChangedAt: hostsChangedAt,
+
+		hostsByDataCentre: map[string][]string{},
+	}
+	for _, host := range v.names {
+		dc := hosts[host].DataCentre
+		v.hostsByDataCentre[dc] = append(v.hostsByDataCentre[dc], host)
 	}
 	for _, t := range hosts {
 		v.byService[t.Service] = append(v.byService[t.Service], t)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -10,6 +10,18 @@
 // bucket of a new owner starts partly filled, because the previous owner's
 // bucket may have been emptied just before.
 //
+// Partitions: a host that cannot reach the owner asks the second one, which relays
+// the request to the first, through a third data centre if necessary. Only if that
+// fails do others than the first owner grant tokens: at first as many as the
+// platform tolerates beyond the rate, and later the share of the hosts that they
+// stand for. By then the first owner knows which data centres it has lost, and
+// leaves them their share (Reach).
+//
+// Trade-offs: for up to 3 s after the loss of an owner a workspace gets a tenth of
+// its rate, since the owner may live on in a part of the network that cannot be
+// reached. The share of a data centre that has lost its power is left unused until
+// its hosts are dropped.
+//
 // Alternatives: a static share per host refuses callers that use a single host.
 // Shares under leases need a store call for each renewal, and after the loss of
 // an owner its share is unavailable until the lease expires. A store transaction
@@ -35,29 +47,61 @@
 	// partitionShare is the share of each of two owners between which the network
 	// is probably partitioned.
 	partitionShare = 0.5
-	// partitionDelay is the time after which an owner that lost most hosts knows
-	// that (Isolated in package hostd) and grants less.
+	// cutDelay is the time after which an owner knows which data centres are cut
+	// off from it, and partitionDelay the one after which an owner that has lost
+	// most hosts knows that. Both follow from how package hostd finds out.
+	cutDelay       = 1500 * time.Millisecond
 	partitionDelay = 3 * time.Second
 )
 
-// OwnerShare returns the share of a rate that its first owner grants. isolated is
-// set if it has probably lost most other hosts.
-func OwnerShare(isolated bool) float64 {
-	if isolated {
-		return partitionShare
+// Reach is what a host knows of a partition when it grants a share of a rate.
+type Reach struct {
+	// Hosts is the number of hosts, and Reached that of those in data centres that
+	// are not cut off from this host.
+	Hosts, Reached int
+	// Isolated is set if the host has probably lost most other hosts.
+	Isolated bool
+	// OwnerMissing is how long the first owner has not been reached, and OwnerCut is
+	// set if its whole data centre is cut off.
+	OwnerMissing time.Duration
+	OwnerCut     bool
+}
+
+// OwnerShare returns the share of a rate that its first owner grants. It leaves the
+// hosts of data centres that are cut off to grant their own shares.
+func (r Reach) OwnerShare() float64 {
+	if r.Isolated {
+		return min(partitionShare, r.reachedShare())
 	}
-	return 1
+	return r.reachedShare()
 }
 
-// FailoverShare returns the share of a rate that the second owner grants when
-// neither it nor a host of another data centre has reached the first for a time.
-func FailoverShare(missing time.Duration) float64 {
-	if missing < partitionDelay {
+// FailoverShare returns the share that the second owner grants when neither it nor
+// a host of another data centre reaches the first.
+func (r Reach) FailoverShare() float64 {
+	switch {
+	case r.OwnerCut && r.OwnerMissing >= cutDelay:
+		return r.reachedShare()
+	case r.OwnerMissing < partitionDelay:
 		return overlapShare
 	}
 	return partitionShare
 }
 
+// OwnShare returns the shares of the rate and of the burst that each host grants
+// that reaches no owner. The first owner may just have granted the burst.
+func (r Reach) OwnShare() (rate, burst float64) {
+	rate = 1 / float64(max(r.Hosts, 1))
+	return rate, overlapShare * rate
+}
+
+func (r Reach) reachedShare() float64 {
+	if r.Hosts == 0 {
+		return 1
+	}
+	return float64(r.Reached) / float64(r.Hosts)
+}
+
 // Bucket is the token bucket of one workspace. It is not safe for concurrent
 // use.
 type Bucket struct {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -89,8 +89,35 @@
 	assert.Equal(t, granted, 30)
 }
 
-// Two owners that have lost each other stay within a tenth more than the rate.
-func TestSharesOfTwoOwnersInAPartition(t *testing.T) {
-	assert.Assert(t, OwnerShare(false)+FailoverShare(0) <= 1.1)
-	assert.Assert(t, OwnerShare(true)+FailoverShare(partitionDelay) <= 1.1)
+// All that hosts grant in a partition stays within a tenth more than the rate, once
+// the owners know of it.
+func TestSharesInAPartition(t *testing.T) {
+	const hosts = 30
+	whole := Reach{Hosts: hosts, Reached: hosts}
+	cases := []struct {
+		name  string
+		first Reach
+		// second is that of the second owner, and each that of cut hosts which
+		// reach neither.
+		second, each Reach
+		cut          int
+	}{
+		{"the first owner is lost", whole, whole, whole, 0},
+		{"the first owner is isolated", Reach{Hosts: hosts, Reached: hosts, Isolated: true}, Reach{Hosts: hosts, Reached: hosts, OwnerMissing: partitionDelay}, whole, 0},
+		{
+			"the data centre of the first owner is cut off", Reach{Hosts: hosts, Reached: 10},
+			Reach{Hosts: hosts, Reached: 20, OwnerMissing: partitionDelay, OwnerCut: true}, whole, 0,
+		},
+		{"another data centre is cut off", Reach{Hosts: hosts, Reached: 20}, Reach{}, Reach{Hosts: hosts, Reached: 10, OwnerMissing: partitionDelay}, 10},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			own, _ := c.each.OwnShare()
+			sum := c.first.OwnerShare() + float64(c.cut)*own
+			if c.second.Hosts > 0 {
+				sum += c.second.FailoverShare()
+			}
+			assert.Assert(t, sum <= 1.1, "%.2f", sum)
+		})
+	}
 }
