retry, hostd: retries are charged by arrivals; explain: outcomes by route

Of 92 retries granted at 2 s, 62 ended as hedges that were canceled while still in a gate's queue; a canceled attempt counted as arrived. And a hedge that replaced an attempt in a queue was charged though one attempt arrived.

Change: retry.Charge accounts for the attempts of one request: what is charged is the arrivals beyond the first.

Ruled out: the budget's own share of 0.8. It is needed for calls of runs that were repeats, which are not known to the caller's ingress.

--- a/explain/survey.go
+++ b/explain/survey.go
@@ -20,6 +20,8 @@
 	Requests int
 	// Causes are the causes found, the most frequent first.
 	Causes []CauseCount
+	// Routes are the outcomes by route, sorted by the routes' names.
+	Routes []RouteOutcomes
 	// Unexplained are the ids of requests whose cause is not in the logs.
 	Unexplained []string
 	// Omitted is the number of lines that hosts reported as omitted or dropped.
@@ -75,12 +77,17 @@
 		}
 	}
 	counts := map[string]*CauseCount{}
+	routes := map[string]*RouteOutcomes{}
 	for _, root := range slices.Sorted(maps.Keys(byRequest)) {
 		for _, id := range requestIDs(byRequest[root]) {
 			s.Requests++
 			s.addRequest(counts, id, byRequest[root], p)
+			addOutcome(routes, byRequest[root], id)
 		}
 	}
+	for _, name := range slices.Sorted(maps.Keys(routes)) {
+		s.Routes = append(s.Routes, *routes[name])
+	}
 	for _, c := range counts {
 		s.Causes = append(s.Causes, *c)
 	}
@@ -194,6 +201,9 @@
 			return err
 		}
 	}
+	if err := writeRoutes(w, s.Routes); err != nil {
+		return err
+	}
 	_, err := fmt.Fprintf(w, "\n%d requests and calls, %d refused, failed, late or left, %d without a cause in the logs, %d lines left out by the hosts\n",
 		s.Requests, ended+len(s.Unexplained), len(s.Unexplained), s.Omitted)
 	for _, id := range s.Unexplained[:min(len(s.Unexplained), maxListedIDs)] {
--- a/explain/survey_test.go
+++ b/explain/survey_test.go
@@ -45,3 +45,29 @@
 	assert.Assert(t, strings.Contains(b.String(), "1 without a cause in the logs, 3 lines left out"), b.String())
 	assert.ErrorContains(t, Survey{}.Write(&b), "pass the hosts' logs")
 }
+
+const routeLogs = `host-a {"time":"2026-01-01T00:00:01.000Z","msg":"answered","id":"ok","route":"orders","status":200}
+host-a {"time":"2026-01-01T00:00:01.000Z","msg":"answered","id":"late","route":"orders","status":200,"late":true}
+host-a {"time":"2026-01-01T00:00:01.000Z","msg":"answered","id":"own","route":"orders","status":500}
+host-a {"time":"2026-01-01T00:00:01.000Z","msg":"answered","id":"parent","route":"orders","status":500}
+host-b {"time":"2026-01-01T00:00:01.000Z","msg":"failed","id":"parent.1","route":"codes","status":503,"reason":"busy","run":"not-run"}
+host-a {"time":"2026-01-01T00:00:01.000Z","msg":"failed","id":"cut","route":"codes","status":504,"reason":"timeout","run":"unknown"}
+host-a {"time":"2026-01-01T00:00:01.000Z","msg":"refused","id":"over","route":"orders","status":429,"reason":"rate-exceeded"}
+host-a {"time":"2026-01-01T00:00:01.000Z","msg":"caller-left","id":"left","route":"codes"}
+host-a {"time":"2026-01-01T00:00:01.000Z","msg":"offered","id":"open"}
+host-a {"time":"2026-01-01T00:00:01.000Z","msg":"refused","id":"denied","status":404,"reason":"no-route"}
+`
+
+func TestSurveyCountsOutcomesByRoute(t *testing.T) {
+	lines, err := ReadAll("stdin", strings.NewReader(routeLogs))
+	assert.NilError(t, err)
+	s := NewSurvey(lines)
+	assert.DeepEqual(t, s.Routes, []RouteOutcomes{
+		{"", [outcomeCount]int{Refused: 1, Unknown: 1}},
+		{"codes", [outcomeCount]int{Refused: 1, Failed: 1, Left: 1}},
+		{"orders", [outcomeCount]int{InTime: 1, Late: 1, Refused: 1, CallFailed: 1, TargetFailed: 1}},
+	})
+	var b strings.Builder
+	assert.NilError(t, s.Write(&b))
+	assert.Assert(t, strings.Contains(b.String(), "orders      5        1     1        1            1              1       0     0        0\n"), b.String())
+}
--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +26,9 @@
 	pending    *pendingOffers
 	hedgeSoon  chan<- struct{}
 	hedge      bool
+	// mayHaveArrived is set when a gate has sent the request to its target, or has
+	// been silent for so long that this is not known.
+	mayHaveArrived atomic.Bool
 }
 
 // Limits on the search for a target.
@@ -266,6 +270,7 @@
 // stops the timer.
 func (a *attempt) watchSilence(t Target, terms offerTerms) (stop func()) {
 	timer := time.AfterFunc(terms.maxWait+gateResponseTimeout, func() {
+		a.mayHaveArrived.Store(true)
 		a.e.in.states.recordFailure(t.Host, time.Now())
 		a.e.in.metrics.Add("gates_silent", 1)
 		a.e.in.log.Decide("gate-silent", "id", a.e.caller.Attempt, "host", t.Host, "target", t.ID)
@@ -285,6 +290,7 @@
 // onSent handles the gate's notice that it is sending the request to the
 // target.
 func (a *attempt) onSent(t Target, terms offerTerms) {
+	a.mayHaveArrived.Store(true)
 	a.pending.markSent(t.ID)
 	if r := a.e.in.states.get(t.ID); a.hedge || r.GrayProbability <= min(terms.maxGray, a.grayLimit()) {
 		return
--- a/hostd/execution.go
+++ b/hostd/execution.go
@@ -32,6 +32,7 @@
 type execution struct {
 	e       *exchange
 	budget  *retry.Budget
+	charge  retry.Charge
 	results chan attemptResult
 	cancels []context.CancelCauseFunc
 	// running is the number of attempts without a result, and sent the number
@@ -65,10 +66,17 @@
 	hedge  bool
 }
 
-// arrived reports whether the request reached a target, or may have.
-func (r attemptResult) arrived() bool {
+// arrived reports whether the attempt reached a target, or may have. An attempt that
+// has been canceled has a result that does not tell.
+func (a *attempt) arrived(ctx context.Context, r attemptResult) bool {
 	refusal := r.reply.Refusal
-	return refusal == nil || refusal.Run != wire.NotRun || refusal.Reason == wire.ReasonTargetShed || refusal.Reason == wire.ReasonWrongTarget
+	switch {
+	case refusal == nil, refusal.Reason == wire.ReasonTargetShed, refusal.Reason == wire.ReasonWrongTarget:
+		return true
+	case refusal.Run == wire.NotRun:
+		return false
+	}
+	return ctx.Err() == nil || a.mayHaveArrived.Load()
 }
 
 // attemptKind says why an attempt is made.
@@ -216,8 +224,8 @@
 	return ok
 }
 
-// launch starts an attempt. A retry or hedge has been taken from the budget, and
-// is returned if the attempt reaches no target.
+// launch starts an attempt, for which a retry has been taken from the budget unless
+// it is the first.
 func (ex *execution) launch(ctx context.Context, kind attemptKind) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	ex.cancels = append(ex.cancels, cancel)
@@ -229,9 +237,10 @@
 	if ex.sent+ex.running+countDistinct(ex.shedBy) > ex.e.route.MaxAttempts {
 		a.restrictTo = slices.Clone(ex.shedBy)
 	}
+	ex.charge.Start(kind != firstAttempt)
 	go func() {
 		r := a.run(ctx)
-		if kind != firstAttempt && !r.arrived() {
+		for range ex.charge.End(a.arrived(ctx, r)) {
 			ex.budget.Refund()
 		}
 		ex.results <- r
--- a/hostd/execution_test.go
+++ b/hostd/execution_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -373,3 +375,53 @@
 	}
 	assert.Assert(t, budget.Withdraw(), "the budget was spent on retries that reached no target")
 }
+
+// A hedge is charged to the budget only if two attempts reached a target. Where
+// targets are full, attempts wait in queues, and most hedges end there.
+func TestHedgeInAQueueIsNotCharged(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// sent reports whether the attempt with this number reaches its target,
+		// and answers whether it is answered.
+		sent, answers func(attempt int) bool
+		charged       bool
+	}{
+		{"the hedge waits in a queue", func(n int) bool { return n == 1 }, func(n int) bool { return n == 1 }, false},
+		{"the first attempt waits in a queue", func(n int) bool { return n == 2 }, func(n int) bool { return n == 2 }, false},
+		{"both reach targets", func(int) bool { return true }, func(n int) bool { return n == 1 }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := &scriptedGates{}
+				var attempts atomic.Int32
+				g.forward = func(ctx context.Context, _ Target, f Forward, onSend func()) Reply {
+					if f.MaxWaitMs < 1000 {
+						return Reply{Refusal: wire.Refuse(wire.ReasonBusy, "full"), Report: placing.Report{ReceivedAt: time.Now(), Running: 4, Slots: 4}}
+					}
+					n := int(attempts.Add(1))
+					if c.sent(n) {
+						onSend()
+					}
+					if c.answers(n) {
+						select {
+						case <-time.After(1500 * time.Millisecond):
+							return replyWithStatus(200)
+						case <-ctx.Done():
+						}
+					}
+					<-ctx.Done()
+					return Reply{Refusal: wire.RefuseUnknown(wire.ReasonUnreachable, "cancelled")}
+				}
+				in := newTestIngress(t, g, "h1", "h2")
+				in.limiter = &unlimitedRates{}
+				budget := in.budget("svc")
+				x := newExchange("a", "GET", "/read/1", 10*time.Second)
+				in.Handle(context.Background(), x)
+				synctest.Wait()
+				assert.Equal(t, x.Response.StatusCode(), 200)
+				assert.Equal(t, attempts.Load(), int32(2))
+				assert.Equal(t, !budget.Withdraw(), c.charged)
+			})
+		})
+	}
+}
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -336,7 +336,7 @@
 	karpithaz.SetProxyResponseHeaders(&resp.Header, e.caller.Attempt, after)
 	e.in.metrics.Add(decision, 1)
 	e.in.metrics.Add(decision+"_"+string(r.Reason), 1)
-	e.in.log.Decide(decision, "id", e.caller.Attempt, "workspace", e.workspaceName(), "status", status, "reason", r.Reason, "run", r.Run, "detail", r.Detail,
+	e.in.log.Decide(decision, "id", e.caller.Attempt, "route", e.routeName(), "workspace", e.workspaceName(), "status", status, "reason", r.Reason, "run", r.Run, "detail", r.Detail,
 		"retry_after_ms", after.Milliseconds(), "after_ms", time.Since(e.started).Milliseconds(),
 		"revision", e.revision(), "proof_age_ms", e.proof.age().Milliseconds())
 }
@@ -361,6 +361,14 @@
 	return e.view.Config.Revision
 }
 
+// routeName returns the name of the route, or "" if no route matches.
+func (e *exchange) routeName() string {
+	if e.route == nil {
+		return ""
+	}
+	return e.route.Name
+}
+
 func (e *exchange) priorityOrLowest() int {
 	if e.route == nil {
 		return admission.LowestPriority
