hostd: unplaced hedges are tried again; targets of a stopping host end in time

A read whose hedge no gate accepted was not hedged again and hung to its deadline, while targets became free. And a stopping host handed targets more time than it had itself: a hanging one kept the process until it was killed.

Change: a hedge that no gate accepted is tried again after about 0.4 s, then 0.8 and 1.6 s.

Ruled out: ending such reads with an answer of our own, which breaks off running work.

Result: TestHedgeWaitsForAFreeTarget and TestStoppingHostGivesTargetsNoMoreTimeThanItHas fail without the change.

--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -222,7 +222,7 @@
 	f := Forward{
 		Attempt:         e.caller.Attempt,
 		Target:          t.ID,
-		TimeLeftMs:      time.Until(e.deadline).Milliseconds(),
+		TimeLeftMs:      time.Until(e.targetDeadline()).Milliseconds(),
 		Workspace:       e.workspaceName(),
 		CallerService:   e.in.settings().Service,
 		Route:           e.route.Name,
--- a/hostd/execution.go
+++ b/hostd/execution.go
@@ -66,6 +66,11 @@
 	hedge  bool
 }
 
+// unplaced reports whether no gate accepted the attempt.
+func (r attemptResult) unplaced() bool {
+	return r.target.ID == "" && r.reply.Refusal != nil && r.reply.Refusal.Run == wire.NotRun
+}
+
 // arrived reports whether the attempt reached a target, or may have. An attempt that
 // has been canceled has a result that does not tell.
 func (a *attempt) arrived(ctx context.Context, r attemptResult) bool {
@@ -114,12 +119,17 @@
 	hedge := time.NewTimer(ex.hedgeDelay())
 	defer hedge.Stop()
 	ending := ex.e.in.refuseUnsent
+	unplacedHedges := 0
 	for {
 		select {
 		case r := <-ex.results:
 			if out := ex.handleResult(ctx, r); out != nil {
 				return *out
 			}
+			if r.hedge && r.unplaced() {
+				hedge.Reset(unplacedHedgeDelay(unplacedHedges))
+				unplacedHedges++
+			}
 		case <-hedge.C:
 			if !ex.retryAllowed() {
 				continue
@@ -191,6 +201,16 @@
 // budget asks for it again. The budget recovers by several retries a second.
 const budgetRetryDelay = 400 * time.Millisecond
 
+// maxUnplacedHedgeDelay bounds the mean delay after which a hedge that no gate
+// accepted is tried again.
+const maxUnplacedHedgeDelay = 1600 * time.Millisecond
+
+// unplacedHedgeDelay returns the delay before the next hedge after several that no
+// gate accepted. It grows, because such a hedge asks many gates.
+func unplacedHedgeDelay(before int) time.Duration {
+	return jitter(min(budgetRetryDelay<<min(before, 8), maxUnplacedHedgeDelay))
+}
+
 // jitter returns a random duration between half of d and one and a half of it.
 func jitter(d time.Duration) time.Duration {
 	return time.Duration((0.5 + rand.Float64()) * float64(d))
--- a/hostd/execution_test.go
+++ b/hostd/execution_test.go
@@ -425,3 +425,65 @@
 		})
 	}
 }
+
+// A request that hangs while all other targets are full is hedged once one of them
+// has a free slot. It used to wait for its deadline.
+func TestHedgeWaitsForAFreeTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &scriptedGates{}
+		started := time.Now()
+		g.forward = func(ctx context.Context, target Target, _ Forward, onSend func()) Reply {
+			busy := wire.Refuse(wire.ReasonBusy, "no free slot")
+			report := placing.Report{ReceivedAt: time.Now(), Running: 4, Slots: 4}
+			switch {
+			case len(g.offered()) == 1:
+				onSend()
+				<-ctx.Done() // hangs
+				return Reply{Refusal: wire.RefuseUnknown(wire.ReasonTimeout, "cancelled")}
+			case time.Since(started) < 1500*time.Millisecond:
+				return Reply{Refusal: busy, Report: report}
+			}
+			onSend()
+			return replyWithStatus(200)
+		}
+		in := newTestIngress(t, g, "h1", "h2")
+		x := newExchange("a", "GET", "/read/1", 3*time.Second)
+		in.Handle(context.Background(), x)
+		synctest.Wait()
+		assert.Equal(t, x.Response.StatusCode(), 200)
+		assert.Assert(t, len(g.offered()) < 20, "%d offers", len(g.offered()))
+	})
+}
+
+// A target that is sent a request by a stopping host must end its work before the
+// process does: a hanging one kept the process until it was killed, and the caller
+// without an answer.
+func TestStoppingHostGivesTargetsNoMoreTimeThanItHas(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		stopping        bool
+		patience        time.Duration
+		atLeast, atMost time.Duration
+	}{
+		{"a host that is not stopping", false, 15 * time.Second, 14 * time.Second, 15 * time.Second},
+		{"the process ends before the deadline", true, 15 * time.Second, 4 * time.Second, 6 * time.Second},
+		{"the deadline is earlier", true, 2 * time.Second, 1900 * time.Millisecond, 2 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var left time.Duration
+			g := &scriptedGates{}
+			g.forward = func(_ context.Context, _ Target, f Forward, onSend func()) Reply {
+				left = time.Duration(f.TimeLeftMs) * time.Millisecond
+				onSend()
+				return replyWithStatus(200)
+			}
+			in := newTestIngress(t, g, "h1")
+			in.settings().Bounds.ShutdownGracePeriod = 6 * time.Second
+			if c.stopping {
+				in.BeginStop(time.Now())
+			}
+			in.Handle(context.Background(), newExchange("a", "POST", "/long/1", c.patience))
+			assert.Assert(t, left >= c.atLeast && left <= c.atMost, "the target is given %s", left)
+		})
+	}
+}
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -192,6 +192,24 @@
 	e.deadline = e.started.Add(timeout)
 }
 
+// targetAnswerLead is how long before the end of a planned stop a target must have
+// answered, so that its answer, if only that time is up, reaches the caller.
+const targetAnswerLead = 400 * time.Millisecond
+
+// targetDeadline returns the time at which a target must stop to work on the
+// request: the caller's deadline or, on a stopping host, the end of the process.
+func (e *exchange) targetDeadline() time.Time {
+	begun := e.in.stopBegan.Load()
+	if begun == nil {
+		return e.deadline
+	}
+	end := begun.Add(e.in.settings().Bounds.ShutdownGracePeriod - targetAnswerLead)
+	if end.After(e.deadline) {
+		return e.deadline
+	}
+	return end
+}
+
 // refuseLate refuses requests that arrive after the time in which callers
 // should have moved away from a stopping host, since the end of the process
 // might cut them.
--- a/hostd/search.go
+++ b/hostd/search.go
@@ -100,7 +100,7 @@
 	slices.SortStableFunc(candidates, func(x, y refusedOffer) int {
 		return cmp.Compare(placing.Cost(now, x.candidate, placed), placing.Cost(now, y.candidate, placed))
 	})
-	last := offerTerms{maxWait: time.Until(s.a.e.deadline), maxGray: 1}
+	last := offerTerms{maxWait: time.Until(s.a.e.targetDeadline()), maxGray: 1}
 	if s.a.hedge {
 		last.maxGray = s.a.grayLimit()
 	}
