soak: faults are drawn one by one, and a failing seed is shrunk

Change: each fault draws from random numbers of its own, seeded by seed and number, so that others stay the same if it is left out; -soak.steps names the faults to inject, -soak.shrink looks for the smallest set that still fails.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,6 +23,9 @@
 	seedFlag  = flag.Uint64("soak.seed", 0, "seed of the run; 0 runs the regression seeds")
 	timeFlag  = flag.Duration("soak.time", 12*time.Second, "how long faults are injected")
 	hostsFlag = flag.Int("soak.hosts", 4, "number of daemons")
+	stepsFlag = flag.String("soak.steps", "", "comma-separated numbers of the faults to inject; empty for all")
+	// shrinkFlag is of use with soak.seed; each trial takes as long as a run.
+	shrinkFlag = flag.Bool("soak.shrink", false, "after a failure, look for the smallest set of faults that still fails")
 )
 
 // Time limits of the guarantees, as the platform specifies them.
@@ -45,7 +49,13 @@
 
 // run is the state of one soak run.
 type run struct {
-	f         *fleet
+	f    *fleet
+	seed uint64
+	// steps are the numbers of the faults that are injected; nil stands for all.
+	steps []int
+	// injected are the numbers of the faults injected so far.
+	injected []int
+	// rnd is the source of random numbers of the current fault.
 	rnd       *rand.Rand
 	startedAt time.Time
 	schedule  []string
@@ -65,13 +75,25 @@
 		seeds = []uint64{*seedFlag}
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed) })
+		steps, err := parseSteps(*stepsFlag)
+		assert.NilError(t, err)
+		var injected []int
+		passed := t.Run(fmt.Sprint(seed), func(t *testing.T) { injected = runSeed(t, seed, steps) })
+		if passed || !*shrinkFlag {
+			continue
+		}
+		smallest := shrink(injected, func(steps []int) bool {
+			return !t.Run(fmt.Sprintf("%d with %d faults", seed, len(steps)), func(t *testing.T) { runSeed(t, seed, steps) })
+		})
+		t.Logf("smallest failing set: -soak.seed %d -soak.steps %s", seed, formatSteps(smallest))
 	}
 }
 
-func runSeed(t *testing.T, seed uint64) {
+// runSeed makes one run with some of the faults of a seed, or all of them if steps is
+// nil. It returns the numbers of those injected.
+func runSeed(t *testing.T, seed uint64, steps []int) []int {
 	t.Logf("seed %d, %s of faults, %d hosts", seed, *timeFlag, *hostsFlag)
-	r := &run{f: newFleet(t, seed, *hostsFlag), rnd: rand.New(rand.NewPCG(seed, seed)), key: firstKey, impaired: map[string]bool{}}
+	r := &run{f: newFleet(t, seed, *hostsFlag), seed: seed, steps: steps, key: firstKey, impaired: map[string]bool{}}
 	done := make(chan struct{})
 	var background sync.WaitGroup
 	for _, h := range r.f.hosts {
@@ -97,6 +119,7 @@
 		t.Logf("schedule:\n%s", strings.Join(r.schedule, "\n"))
 		r.saveLogs(t, seed)
 	}
+	return r.injected
 }
 
 // saveLogs copies the daemons' logs to a directory that outlives the test.
@@ -166,19 +189,30 @@
 	}
 }
 
-// injectFaults injects faults, which may overlap, for the duration of the run.
+// injectFaults injects faults, which may overlap, for the duration of the run. Each
+// fault has random numbers of its own, so that it stays the same if others are left
+// out.
 func (r *run) injectFaults() {
 	end := time.Now().Add(*timeFlag)
 	for n := 2; time.Now().Before(end); n++ {
+		r.rnd = rand.New(rand.NewPCG(r.seed, uint64(n)))
+		pause := time.Duration(r.rnd.IntN(1200)) * time.Millisecond
 		h := r.f.hosts[r.rnd.IntN(len(r.f.hosts))]
-		r.inject(h, n)
-		time.Sleep(time.Duration(r.rnd.IntN(1200)) * time.Millisecond)
+		if r.steps == nil || slices.Contains(r.steps, n) {
+			r.injected = append(r.injected, n)
+			r.inject(h, n)
+		}
+		time.Sleep(pause)
 	}
 }
 
 // recordEvent adds a line to the schedule.
 func (r *run) recordEvent(format string, args ...any) {
-	r.schedule = append(r.schedule, fmt.Sprintf("%6.2f s ", time.Since(r.startedAt).Seconds())+fmt.Sprintf(format, args...))
+	step := 0
+	if len(r.injected) > 0 {
+		step = r.injected[len(r.injected)-1]
+	}
+	r.schedule = append(r.schedule, fmt.Sprintf("%6.2f s  fault %2d: ", time.Since(r.startedAt).Seconds(), step)+fmt.Sprintf(format, args...))
 }
 
 // linkDelay, in milliseconds, is several times the latency between data centres.
