h1: a connection ends after a request that says so, whatever its handler does

If the handler was first, the reader went on, and handled what the peer had sent behind its last request.

Change: the reader looks before it starts the handler.

--- a/h1/conn.go
+++ b/h1/conn.go
@@ -122,12 +122,13 @@
 			time.Sleep(lateRequestDelay)
 			return
 		}
+		last := err != nil || x.Request.ConnectionClose() // read before the handler may change the request
 		answered := make(chan struct{})
 		c.slots <- struct{}{}
 		c.handlers.Add(1)
 		go c.run(ctx, x, status, err, previous, answered)
 		previous = answered
-		if err != nil || x.Request.ConnectionClose() {
+		if last {
 			c.awaitPeerClose()
 			return
 		}
--- a/h1/h1_test.go
+++ b/h1/h1_test.go
@@ -216,3 +216,24 @@
 		assert.Equal(t, string(read(t, br).Body()), fmt.Sprintf("/%s%d", strings.Repeat("x", i%13), i))
 	}
 }
+
+// The connection ends after a request that says so, also if its handler removes the
+// header at once. go test -race found the reader of the connection looking at the
+// request while the handler changed it.
+func TestRequestThatClosesIsTheLast(t *testing.T) {
+	var handled atomic.Int32
+	addr := serve(t, Options{Handler: func(ctx context.Context, x *Exchange) {
+		x.Request.Header.Del("Connection")
+		handled.Add(1)
+		echo(ctx, x)
+	}})
+	const connections = 300
+	for range connections {
+		c, br := dial(t, addr)
+		_, err := io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"+get("/b"))
+		assert.NilError(t, err)
+		assert.Equal(t, string(read(t, br).Body()), "/a")
+		c.Close()
+	}
+	assert.Equal(t, handled.Load(), int32(connections))
+}
--- a/hostd/execution.go
+++ b/hostd/execution.go
@@ -127,7 +127,7 @@
 				return *out
 			}
 			if r.hedge && r.unplaced() {
-				hedge.Reset(unplacedHedgeDelay(unplacedHedges))
+				hedge.Reset(unplacedHedgeDelay(unplacedHedges, time.Until(ex.e.deadline)))
 				unplacedHedges++
 			}
 		case <-hedge.C:
@@ -201,14 +201,21 @@
 // budget asks for it again. The budget recovers by several retries a second.
 const budgetRetryDelay = 400 * time.Millisecond
 
-// maxUnplacedHedgeDelay bounds the mean delay after which a hedge that no gate
-// accepted is tried again.
-const maxUnplacedHedgeDelay = 1600 * time.Millisecond
+const (
+	// maxUnplacedHedgeDelay bounds the mean delay after which a hedge that no gate
+	// accepted is tried again, and unplacedHedgeShare bounds it as a share of the
+	// time left, so that a hedge remains of use.
+	maxUnplacedHedgeDelay = 1600 * time.Millisecond
+	unplacedHedgeShare    = 0.3
+	// minUnplacedHedgeDelay keeps hedges apart when little time is left.
+	minUnplacedHedgeDelay = 100 * time.Millisecond
+)
 
 // unplacedHedgeDelay returns the delay before the next hedge after several that no
 // gate accepted. It grows, because such a hedge asks many gates.
-func unplacedHedgeDelay(before int) time.Duration {
-	return jitter(min(budgetRetryDelay<<min(before, 8), maxUnplacedHedgeDelay))
+func unplacedHedgeDelay(before int, left time.Duration) time.Duration {
+	latest := max(time.Duration(unplacedHedgeShare*float64(left)), minUnplacedHedgeDelay)
+	return jitter(min(budgetRetryDelay<<min(before, 8), maxUnplacedHedgeDelay, latest))
 }
 
 // jitter returns a random duration between half of d and one and a half of it.
