storepoll, hostd: rows are written at the store's rate after a loss of power

Each host tried without the version of its row, was refused with a conflict, and wrote again; it gave up after 0.6 s where the store lets writes wait for 1 s, so writes were performed that their hosts took for lost; and refused hosts returned within a second. At the first start each host read the empty hosts table and later read it again.

Change: a starting host reads the table first, which tells it the version of its row; a row that says the same already is not written. Writes are awaited for 1.6 s, and hosts whose write fails return spread over the time that the store needs for the fleet. Where the whole fleet starts for the first time, hosts read the table after 2 to 3 s.

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -41,6 +41,10 @@
 	updates           chan tableUpdate
 	ownRow            chan ownRowChange
 	liveness          livenessTracker
+	// firstReadDelay is how long after the start the hosts table is read.
+	firstReadDelay time.Duration
+	// tableWrites is how many writes of a table the store performs a second.
+	tableWrites float64
 	// lostPeers is set if most of the peers last asked did not answer.
 	lostPeers atomic.Bool
 	// inbox receives notices of changes from other hosts, and appliedChanges the
--- a/hostd/feed.go
+++ b/hostd/feed.go
@@ -47,7 +47,7 @@
 // RunConfig polls the operators' table until ctx ends.
 func (c *Control) RunConfig(ctx context.Context) error {
 	f := &tableFeed{c: c, table: karpithaz.OperatorTable, version: &c.configAt}
-	started := time.Now()
+	started := time.Now().Add(c.firstReadDelay)
 	for ctx.Err() == nil {
 		rank, hosts := c.rank()
 		noConfig := c.View().Config == nil
@@ -67,6 +67,7 @@
 // loads the table once and then receives changes from the readers.
 func (c *Control) RunHosts(ctx context.Context) error {
 	f := &tableFeed{c: c, table: hostsTable, version: &c.hostsAt}
+	pause.For(ctx, c.firstReadDelay)
 	for ctx.Err() == nil {
 		rank, hosts := c.rank()
 		switch {
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"runtime/debug"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/metrics"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
+	"github.com/gooseberryshed/gooseberryshed/storepoll"
 	"github.com/gooseberryshed/gooseberryshed/supervise"
 )
 
@@ -91,6 +93,8 @@
 	}
 	h.datagrams = conn
 	h.control = NewControl(o.Settings.Host, o.Settings.DataCentre, h.store, hostPeers{conn, h.client}, h.log, h.metrics)
+	h.control.tableWrites = o.Settings.TableWritesPerSecond
+	h.control.firstReadDelay = storepoll.FirstReadDelay(o.Settings.FleetStart, rand.Float64())
 	h.gate = NewGate(h.current.Load, h.control.View, h.control.PublishTarget, h.log, h.metrics)
 	h.gate.answers = h.client.answers
 	h.limiter = newFleetLimiter(o.Settings.Host, h.bounds, h.control.View, conn.query, h.control.Isolated, h.log, h.metrics)
--- a/hostd/ownrow.go
+++ b/hostd/ownrow.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/platform"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
+	"github.com/gooseberryshed/gooseberryshed/storepoll"
 )
 
 // ownRowChange is a change of the host's own row.
@@ -37,7 +40,7 @@
 	var wanted ownRowChange
 	pending := false
 	var version uint64
-	for failures := 0; ; {
+	for first, failures := true, 0; ; first = false {
 		if !pending {
 			select {
 			case <-ctx.Done():
@@ -46,7 +49,11 @@
 				pending = true
 			}
 		}
-		err := c.writeOwnRow(ctx, wanted.target, &version)
+		write := c.writeOwnRow
+		if first {
+			write = c.writeFirstOwnRow
+		}
+		err := write(ctx, wanted.target, &version)
 		switch {
 		case err == nil:
 			close(wanted.written)
@@ -56,7 +63,7 @@
 		default:
 			failures++
 			c.log.Logger().Warn("failed to write the host's own row; retrying", "err", err)
-			if !pause.For(ctx, storeBackoff(failures)) {
+			if !pause.For(ctx, storepoll.WriteBackoff(failures, c.View().HostCount, c.tableWrites, rand.Float64())) {
 				return nil
 			}
 		}
@@ -71,16 +78,39 @@
 	}
 }
 
+const (
+	// ownVersionTimeout bounds how long a starting host waits for the hosts table,
+	// which tells it the version of its own row, before it writes that row.
+	ownVersionTimeout = 400 * time.Millisecond
+	ownVersionPoll    = 20 * time.Millisecond
+)
+
+// writeFirstOwnRow writes the row for the first time since the process started. It
+// makes no call if an earlier process left the row as it should be. It waits until
+// the hosts table has been read, unless that is put off.
+func (c *Control) writeFirstOwnRow(ctx context.Context, t Target, version *uint64) error {
+	deadline := time.Now().Add(ownVersionTimeout)
+	for c.firstReadDelay == 0 && !c.View().HostsLoaded && time.Now().Before(deadline) {
+		if !pause.For(ctx, ownVersionPoll) {
+			return ctx.Err()
+		}
+	}
+	var existing Target
+	if existing, *version = c.View().row(c.host); *version != 0 && c.keepsOwnRow(existing, t, *version) {
+		return nil
+	}
+	return c.writeOwnRow(ctx, t, version)
+}
+
 // writeOwnRow makes one attempt to write the row. The expected version prevents a
 // delayed write by an earlier process of this host from overwriting a newer row.
-// A row that says that the same target has departed stays as it is.
 func (c *Control) writeOwnRow(ctx context.Context, t Target, version *uint64) error {
 	value, err := json.Marshal(t)
 	if err != nil {
 		return errors.Wrap(err, "encode host row")
 	}
 	row := karpithaz.Row{Table: hostsTable, Key: c.host, Version: *version, Value: value}
-	r, err := c.store.Commit(ctx, karpithaz.Tx{Expect: []karpithaz.Row{row}, Put: []karpithaz.Row{row}}, storeTimeout)
+	r, err := c.store.Commit(ctx, karpithaz.Tx{Expect: []karpithaz.Row{row}, Put: []karpithaz.Row{row}}, storepoll.WriteTimeout)
 	if platform.IsKind(err, platform.KindConflict) {
 		*version = 0
 		for _, current := range r.Rows {
@@ -88,13 +118,8 @@
 				continue
 			}
 			*version = current.Version
-			old, decodeErr := decodeTarget(current.Key, current.Value)
-			switch {
-			case decodeErr != nil: // overwritten by the next attempt
-			case !t.Departed && old.includes(t.ID, t.Born):
-				c.log.Decide("target-departed-before", "target", t.ID, "born", t.Born, "row_version", current.Version)
-				return nil
-			case old.sameRow(t):
+			// An unreadable row is overwritten by the next attempt.
+			if old, decodeErr := decodeTarget(current.Key, current.Value); decodeErr == nil && c.keepsOwnRow(old, t, current.Version) {
 				return nil
 			}
 		}
@@ -106,3 +131,13 @@
 	}
 	return err
 }
+
+// keepsOwnRow reports whether the host's row stays as it is: it says the same as t
+// would, or that t has departed.
+func (c *Control) keepsOwnRow(row, t Target, version uint64) bool {
+	if !t.Departed && row.Departed && row.includes(t.ID, t.Born) {
+		c.log.Decide("target-departed-before", "target", t.ID, "born", t.Born, "row_version", version)
+		return true
+	}
+	return row.sameRow(t)
+}
--- a/hostd/view.go
+++ b/hostd/view.go
@@ -110,6 +110,18 @@
 	return t, ok
 }
 
+// row returns the row of a host, also if its target has departed, and its version.
+// The version is 0 if there is no row.
+func (v *View) row(host string) (t Target, version uint64) {
+	t, ok := v.byHost[host]
+	if !ok {
+		if t, ok = v.departed[host]; !ok {
+			return t, 0
+		}
+	}
+	return t, v.hostVersions[host]
+}
+
 // hasDeparted reports whether the target of a host, with an id and a time of its
 // start, has left.
 func (v *View) hasDeparted(host, id string, born int64) bool {
--- a/storepoll/doc.go
+++ b/storepoll/doc.go
@@ -26,6 +26,15 @@
 // readers the store refuses learns changes from the others. Hosts that are not
 // readers spread their fetches, so that the link of the sender is not congested.
 //
+// Start: a host reads the hosts table once, which tells it the readers and the
+// version of its own row, so that writing that row takes one call or, after a
+// restart of the daemon alone, none. Where the whole fleet starts for the first
+// time, the table is empty at first, and hosts wait until most rows are there.
+//
+// Writes: after a loss of power all hosts write their rows at once, more than the
+// store performs in the time for which it lets them wait. Those that are refused
+// return spread over the time that the store needs for the whole fleet.
+//
 // Trade-offs: a change reaches a host that is not a reader later than by a long
 // poll of its own, by the spread of the fetches, or by one poll interval if the
 // notice is lost. A change costs about two datagrams a host, and four for each pair
--- a/storepoll/storepoll.go
+++ b/storepoll/storepoll.go
@@ -80,6 +80,48 @@
 	return r < othersPerTurn/float64(max(h.Hosts-Ranked, 1))
 }
 
+const (
+	// fleetStartDelay is the mean time after which a starting host reads the hosts
+	// table if the whole fleet starts for the first time. Targets announce
+	// themselves within a heartbeat interval or two.
+	fleetStartDelay  = 2500 * time.Millisecond
+	fleetStartSpread = time.Second
+)
+
+// FirstReadDelay returns how long a starting host waits before it reads the hosts
+// table. r is uniform in [0, 1).
+func FirstReadDelay(fleetStart bool, r float64) time.Duration {
+	if !fleetStart {
+		return 0
+	}
+	return fleetStartDelay + time.Duration((r-0.5)*float64(fleetStartSpread))
+}
+
+// WriteTimeout bounds a write of a host's row. The store lets writes wait for up to a
+// second while it performs others, and a host that gave up earlier would write again
+// what the store is about to write.
+const WriteTimeout = 1600 * time.Millisecond
+
+const (
+	// minWriteBackoff is the shortest pause after a failed write. It doubles with
+	// each failure up to maxWriteBackoff, unless the fleet needs a longer one.
+	minWriteBackoff = 50 * time.Millisecond
+	maxWriteBackoff = time.Second
+	// writeRateShare is the share of the store's rate of writes that the hosts
+	// which write their rows again may use together.
+	writeRateShare = 0.6
+)
+
+// WriteBackoff returns the pause before a host writes its row again after a number
+// of failures. Where hosts of the fleet write their rows at once, as after a loss of
+// power, the store refuses most of them, and they return at the rate that it
+// bears. writesPerSecond is that of the store, r uniform in [0, 1).
+func WriteBackoff(failures, hosts int, writesPerSecond, r float64) time.Duration {
+	pause := min(minWriteBackoff<<min(failures, 8), maxWriteBackoff)
+	fleet := time.Duration(float64(hosts) / max(writeRateShare*writesPerSecond, 1) * float64(time.Second))
+	return max(time.Duration(r*float64(max(pause, fleet))), minWriteBackoff)
+}
+
 // Order returns the ranks in the order in which a host asks them in a turn: the
 // readers take turns at being first, and so do the standbys after them.
 func Order(turn, hosts int) []int {
--- a/storepoll/storepoll_test.go
+++ b/storepoll/storepoll_test.go
@@ -143,3 +143,11 @@
 		})
 	}
 }
+
+func TestFirstReadIsPutOffOnlyWhenTheFleetStarts(t *testing.T) {
+	for _, r := range []float64{0, 0.5, 0.999} {
+		assert.Equal(t, FirstReadDelay(false, r), time.Duration(0))
+		delay := FirstReadDelay(true, r)
+		assert.Assert(t, delay >= 1500*time.Millisecond && delay <= 3*time.Second, "%s", delay)
+	}
+}
