hostd: gates accept for the target that replaced another of its service

Change: an offer names the service. A gate whose target has another id but this service takes the request: it alone knows whether its target leaves, is cold, or is in an evacuated data centre. A request has one offer pending at a host, whatever the id. Offers of older daemons, without a service, are refused as before.

TestGateAcceptsForTheTargetThatReplacedAnother. hostd, storepoll and platform pass (136 s).

--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -222,6 +222,7 @@
 	f := Forward{
 		Attempt:         e.caller.Attempt,
 		Target:          t.ID,
+		Service:         t.Service,
 		TimeLeftMs:      time.Until(e.targetDeadline()).Milliseconds(),
 		Workspace:       e.workspaceName(),
 		CallerService:   e.in.settings().Service,
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -24,7 +24,10 @@
 type Forward struct {
 	// Attempt is the caller's request ID.
 	Attempt string `json:"-"`
+	// Target is the target that the sender knows on the gate's host. Another target
+	// of the same Service that has replaced it serves the request in its place.
 	Target  string `json:"t"`
+	Service string `json:"s,omitempty"`
 	// TimeLeftMs is the time left when the attempt was sent, in milliseconds.
 	TimeLeftMs    int64  `json:"l"`
 	Workspace     string `json:"w,omitempty"`
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -233,7 +233,7 @@
 	switch {
 	case g.stopping:
 		return wire.Refuse(wire.ReasonLeaving, "host %s is stopping", g.settings().Host)
-	case t == nil || t.id != f.Target:
+	case t == nil || t.id != f.Target && t.service != f.Service:
 		return wire.Refuse(wire.ReasonNoTarget, "target %s is not on host %s", f.Target, g.settings().Host)
 	case t.leaving, view.hasDeparted(g.settings().Host, t.id, t.born):
 		return wire.Refuse(wire.ReasonLeaving, "target %s is leaving", t.id)
--- a/hostd/gate_test.go
+++ b/hostd/gate_test.go
@@ -266,3 +266,35 @@
 	t.Logf("%d requests in %d s where a cold target bears %d a second", served.Load(), seconds, bound)
 	assert.Assert(t, served.Load() > int64(2*bound*seconds))
 }
+
+// A gate accepts a request for the target that its sender knows on the host if one of
+// the same service has replaced it. After a loss of power of the whole fleet, the
+// hosts learn each other's new targets only seconds later.
+func TestGateAcceptsForTheTargetThatReplacedAnother(t *testing.T) {
+	for _, c := range []struct {
+		name, target, service string
+		refused               wire.Reason
+	}{
+		{"the target itself", "new", "svc", ""},
+		{"the one before it", "old", "svc", ""},
+		{"one of another service before it", "old", "other", wire.ReasonNoTarget},
+		{"a sender that names no service", "old", "", wire.ReasonNoTarget},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g, _ := newTestGate(t)
+			g.applyHeartbeat(newHeartbeat("new", 2, 1, false), time.Now())
+			_, refusal := g.admit(context.Background(), Forward{Attempt: "r", Target: c.target, Service: c.service, TimeLeftMs: 1000, MaxGray: 1, Route: "r", ObjectiveMs: 100}, time.Now())
+			if c.refused == "" {
+				assert.Assert(t, refusal == nil, "%v", refusal)
+				return
+			}
+			assert.Assert(t, refusal != nil)
+			assert.Equal(t, refusal.Reason, c.refused)
+		})
+	}
+	g, _ := newTestGate(t)
+	g.applyHeartbeat(newHeartbeat("new", 2, 1, false), time.Now())
+	g.applyHeartbeat(newHeartbeat("new", 2, 2, true), time.Now())
+	_, refusal := g.admit(context.Background(), Forward{Attempt: "r", Target: "old", Service: "svc", TimeLeftMs: 1000, MaxGray: 1, Route: "r", ObjectiveMs: 100}, time.Now())
+	assert.Assert(t, refusal != nil && refusal.Reason == wire.ReasonLeaving, "%v", refusal)
+}
--- a/hostd/pending.go
+++ b/hostd/pending.go
@@ -28,12 +28,13 @@
 	p.closed = true
 }
 
-// add records an offer. It returns false if the target already has one or if
+// add records an offer. It returns false if the target's host already has one or if
 // pendingOffers is closed.
 func (p *pendingOffers) add(t Target, incarnation int64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.index(t.ID) >= 0 {
+	atHost := func(x pendingOffer) bool { return x.host == t.Host }
+	if p.closed || slices.ContainsFunc(p.offers, atHost) {
 		return false
 	}
 	p.offers = append(p.offers, pendingOffer{target: t.ID, host: t.Host, incarnation: incarnation})
