hostd, storepoll: a starting data centre shares the configuration; ready means proven

Change: hosts without a configuration ask the ranked hosts in random order. After a notice a host without a proof polls the sender; a host without a proof is not ready.

TestConfigurationSpreadsOverAStartingDataCentre: 60 hosts 2.9 s from the first reader, 0.8 s from all ranked hosts.

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -51,6 +51,8 @@
 	// changes of which other hosts may need notice.
 	inbox          noticeInbox
 	appliedChanges chan operatorChange
+	// encoded are responses to requests of other hosts for changes.
+	encoded encodedChanges
 
 	// The fields below are used only by the goroutine that calls Run.
 	config      *routes.Config
@@ -116,6 +118,9 @@
 // in force was current.
 func (c *Control) ProofAge() time.Duration { return freshnessProof(c.proof.Load()).age() }
 
+// proven reports whether there has been a freshness proof since the process started.
+func (c *Control) proven() bool { return c.proof.Load() != 0 }
+
 // ProvenView returns a view and a freshness proof that holds for it. Reading both
 // separately could combine a view with the proof of a newer one if the process is
 // delayed in between.
--- a/hostd/fleet_test.go
+++ b/hostd/fleet_test.go
@@ -98,7 +98,7 @@
 	}
 	f.await("all hosts know each other", func() bool {
 		for _, h := range f.hosts {
-			if v := h.control.View(); !v.Ready() || len(v.Targets("svc")) != len(f.hosts) {
+			if v := h.control.View(); !v.Ready() || !h.control.proven() || len(v.Targets("svc")) != len(f.hosts) {
 				return false
 			}
 		}
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -332,7 +332,7 @@
 		x.Response.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	if h.stopping() || !h.control.View().Ready() {
+	if h.stopping() || !h.control.View().Ready() || !h.control.proven() {
 		x.Response.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 }
--- a/hostd/notices.go
+++ b/hostd/notices.go
@@ -131,9 +131,14 @@
 		if n.version <= c.configAt.Load() {
 			continue
 		}
-		if sender, ok := c.View().TargetOf(n.sender); ok {
-			c.fetchOperatorRows(ctx, sender)
+		if c.proven() {
+			if sender, ok := c.View().TargetOf(n.sender); ok {
+				c.fetchOperatorRows(ctx, sender)
+			}
+			continue
 		}
+		// The change may be the first configuration, of no use without a proof.
+		c.pollPeer(ctx, &peerPoll{}, n.sender, false)
 	}
 }
 
--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -2,19 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/valyala/fasthttp"
 
 	"github.com/gooseberryshed/gooseberryshed/boottime"
 	"github.com/gooseberryshed/gooseberryshed/internal/pause"
-	"github.com/gooseberryshed/gooseberryshed/link"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/quota"
 	"github.com/gooseberryshed/gooseberryshed/storepoll"
@@ -171,7 +166,11 @@
 	if own < 0 {
 		own = len(ranked)
 	}
-	for _, rank := range storepoll.Order(turn, len(ranked)) {
+	order := storepoll.Order(turn, len(ranked))
+	if view.Config == nil {
+		order = storepoll.StartOrder(len(ranked), rand.Perm)
+	}
+	for _, rank := range order {
 		if c.pollPeer(ctx, &p, ranked[rank], rank < own); p.fresh {
 			return p
 		}
@@ -270,109 +269,3 @@
 		Millis:        min(proof.age(), time.Hour).Milliseconds() + 1,
 	}
 }
-
-// hostChangesPath is the path at which gates serve host changes. The version
-// follows it.
-const hostChangesPath = "/gooseberryshed/hosts?after="
-
-// hostChangesAfter returns the changes of hosts after a version.
-func (c *Control) hostChangesAfter(after uint64) hostChanges {
-	out := hostChanges{Version: c.hostsAt.Load()} // read before the view, which is published first
-	view := c.View()
-	out.Full = after < view.historyStart
-	for host, version := range view.hostVersions {
-		t, known := view.byHost[host]
-		if !known {
-			t, known = view.departed[host]
-		}
-		switch {
-		case version <= after && !out.Full, !known && out.Full:
-		case known:
-			out.Hosts = append(out.Hosts, hostChange{host, version, &t})
-		default:
-			out.Hosts = append(out.Hosts, hostChange{Host: host, Version: version})
-		}
-	}
-	return out
-}
-
-// operatorChangesPath is the path at which gates serve changes of the operators'
-// rows. The version follows it.
-const operatorChangesPath = "/gooseberryshed/operator?after="
-
-// operatorChangesAfter returns the changes of the operators' rows after a version.
-func (c *Control) operatorChangesAfter(after uint64) operatorChanges {
-	out := operatorChanges{Version: c.configAt.Load()} // read before the view, which is published first
-	view := c.View()
-	out.Full = after < view.operatorHistoryStart
-	for _, row := range view.operatorRows {
-		if row.Version > after || out.Full && !row.Removed {
-			out.Rows = append(out.Rows, row)
-		}
-	}
-	return out
-}
-
-// serveChanges handles a request for changes. It returns false for other
-// requests.
-func (c *Control) serveChanges(req *fasthttp.Request, resp *fasthttp.Response) bool {
-	uri := string(req.Header.RequestURI())
-	after, ofHosts := strings.CutPrefix(uri, hostChangesPath)
-	if !ofHosts {
-		var ofOperators bool
-		if after, ofOperators = strings.CutPrefix(uri, operatorChangesPath); !ofOperators {
-			return false
-		}
-	}
-	version, err := strconv.ParseUint(after, 10, 64)
-	if err != nil {
-		resp.SetStatusCode(fasthttp.StatusBadRequest)
-		return true
-	}
-	var changes any = c.operatorChangesAfter(version)
-	if ofHosts {
-		changes = c.hostChangesAfter(version)
-	}
-	data, err := json.Marshal(changes)
-	if err != nil {
-		resp.SetStatusCode(fasthttp.StatusInternalServerError)
-		return true
-	}
-	resp.Header.SetContentType("application/json")
-	resp.SetBodyRaw(data)
-	return true
-}
-
-// hostChanges implements peers.
-func (c *gateClient) hostChanges(ctx context.Context, gate string, after uint64) (hostChanges, error) {
-	var out hostChanges
-	err := c.fetchChanges(ctx, gate, hostChangesPath, after, &out)
-	return out, errors.Wrap(err, "fetch host changes")
-}
-
-// operatorChanges implements peers.
-func (c *gateClient) operatorChanges(ctx context.Context, gate string, after uint64) (operatorChanges, error) {
-	var out operatorChanges
-	err := c.fetchChanges(ctx, gate, operatorChangesPath, after, &out)
-	return out, errors.Wrap(err, "fetch changes of the operators' rows")
-}
-
-// fetchChanges decodes the changes after a version at a gate into out.
-func (c *gateClient) fetchChanges(ctx context.Context, gate, path string, after uint64, out any) error {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	req.Header.SetRequestURI(path + strconv.FormatUint(after, 10))
-	req.Header.SetHost(gate)
-	resp, err := c.links.Do(ctx, gate, req, link.RequestOptions{})
-	if err != nil {
-		return err
-	}
-	body, err := readBody(resp, c.answers)
-	if err != nil {
-		return err
-	}
-	if resp.Header.StatusCode() != fasthttp.StatusOK {
-		return errors.Errorf("gate %s answered with status %d", gate, resp.Header.StatusCode())
-	}
-	return errors.Wrap(json.Unmarshal(body, out), "decode")
-}
--- a/hostd/readers_test.go
+++ b/hostd/readers_test.go
@@ -1,11 +1,15 @@
 package hostd
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/gooseberryshed/gooseberryshed/decisions"
+	"github.com/gooseberryshed/gooseberryshed/metrics"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 	"github.com/gooseberryshed/gooseberryshed/storepoll"
@@ -69,3 +73,37 @@
 		})
 	}
 }
+
+// onePeer is a peer with a configuration and a freshness proof.
+type onePeer struct{ row karpithaz.Row }
+
+func (p onePeer) query(context.Context, string, datagram) (datagram, error) {
+	return datagram{Result: true, ConfigVersion: p.row.Version, Millis: 700}, nil
+}
+
+func (p onePeer) hostChanges(context.Context, string, uint64) (hostChanges, error) {
+	return hostChanges{}, errors.New("not expected")
+}
+
+func (p onePeer) operatorChanges(context.Context, string, uint64) (operatorChanges, error) {
+	return operatorChanges{Full: true, Version: p.row.Version, Rows: []karpithaz.Row{p.row}}, nil
+}
+
+// A starting host that gets its first configuration after a notice gets a proof with
+// it: it said that it was ready and refused all keys until its next poll.
+func TestNoticeOfTheFirstConfigurationBringsAProof(t *testing.T) {
+	row := karpithaz.Row{Table: karpithaz.OperatorTable, Key: karpithaz.ConfigKey, Version: 7, Value: standin.EncodeConfig(1, []string{"svc"}, defaultRoutes(), nil)}
+	c := NewControl("h", "dc", nil, onePeer{row}, decisions.New(&logBuffer{}), metrics.New())
+	c.view.Store(newView(nil, nil, map[string]Target{"peer": {ID: "i", Service: "svc", Host: "peer", DataCentre: "dc"}}, true, time.Now()))
+	c.hosts = map[string]Target{"peer": c.View().byHost["peer"]}
+	c.hostsLoaded = true
+	go c.Run(t.Context())        //nolint:errcheck // returns nil when ctx ends
+	go c.RunNotices(t.Context()) //nolint:errcheck // returns nil when ctx ends
+	c.recordNotice(datagram{Host: "peer", ConfigVersion: 7})
+	deadline := time.Now().Add(5 * time.Second)
+	for !c.View().Ready() || !c.proven() {
+		assert.Assert(t, time.Now().Before(deadline), "ready %v, proven %v", c.View().Ready(), c.proven())
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, c.ProofAge() >= 700*time.Millisecond && c.ProofAge() < 6*time.Second, "%s", c.ProofAge())
+}
--- a/storepoll/storepoll.go
+++ b/storepoll/storepoll.go
@@ -122,6 +122,11 @@
 	return max(time.Duration(r*float64(max(pause, fleet))), minWriteBackoff)
 }
 
+// StartOrder returns the ranks in the order in which a starting host asks them for the
+// configuration. It is random: where a whole data centre starts, the first reader could
+// not serve all of its hosts at once, and those that have been served serve others.
+func StartOrder(hosts int, perm func(n int) []int) []int { return perm(min(hosts, Ranked)) }
+
 // Order returns the ranks in the order in which a host asks them in a turn: the
 // readers take turns at being first, and so do the standbys after them.
 func Order(turn, hosts int) []int {
--- a/storepoll/storepoll_test.go
+++ b/storepoll/storepoll_test.go
@@ -151,3 +151,52 @@
 		assert.Assert(t, delay >= 1500*time.Millisecond && delay <= 3*time.Second, "%s", delay)
 	}
 }
+
+// playConfigSpread plays the hosts of a data centre that all start without a
+// configuration. A host serves one other at a time, and one that finds all others
+// busy or without a configuration asks again in its next turn. It returns when the
+// last host has the configuration.
+func playConfigSpread(hosts int, serve, turn time.Duration, order func(rnd *rand.Rand) []int) time.Duration {
+	const step = 5 * time.Millisecond
+	rnd := rand.New(rand.NewPCG(uint64(hosts), 3))
+	known, busyUntil := make([]time.Duration, hosts), make([]time.Duration, hosts)
+	asks := make([]time.Duration, hosts)
+	for i := range known {
+		known[i] = time.Hour
+		asks[i] = time.Duration(rnd.Int64N(int64(turn)))
+	}
+	known[0], known[1] = 0, 0 // the readers, from the store
+	for now, left := time.Duration(0), hosts-Readers; ; now += step {
+		for i := range hosts {
+			if known[i] < time.Hour || asks[i] > now {
+				continue
+			}
+			asks[i] = now + turn
+			for _, rank := range order(rnd) {
+				if known[rank] <= now && busyUntil[rank] <= now {
+					busyUntil[rank] = now + serve
+					known[i] = now + serve
+					left--
+					break
+				}
+			}
+		}
+		if left == 0 {
+			return slices.Max(known)
+		}
+	}
+}
+
+// The load: all hosts of a data centre start at once, and a host takes 40 ms to
+// send the configuration over its link.
+func TestConfigurationSpreadsOverAStartingDataCentre(t *testing.T) {
+	const serve, turn = 40 * time.Millisecond, 200 * time.Millisecond
+	for _, hosts := range []int{9, 60, 130} {
+		atOnce := func(*rand.Rand) []int { return Order(0, hosts)[:1] }
+		spread := func(rnd *rand.Rand) []int { return StartOrder(hosts, rnd.Perm) }
+		one := playConfigSpread(hosts, serve, turn, atOnce)
+		all := playConfigSpread(hosts, serve, turn, spread)
+		t.Logf("%d hosts: %s from the first reader, %s from all ranked hosts", hosts, one, all)
+		assert.Assert(t, all <= max(one/2, 2*turn+serve), "%s", all)
+	}
+}
