hostd: the first proof may be older than the machine; unproven hosts report nothing

The clock of proofs counts from the start of the machine, and a proof from before it, negative on that clock, was not taken. And a host without a proof passed its configuration on with a proof an hour old.

Change: the first proof is taken whatever its age. A host without a proof answers version queries as one without a configuration.

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -186,9 +186,9 @@
 		c.appliedVersion = v
 		c.applied(operatorChange{version: v, fromStore: n.fromStore})
 	}
-	if n.proof && c.config != nil && n.provenVersion <= c.configAt.Load() && int64(n.provenAt) > c.proof.Load() {
+	if n.proof && c.config != nil && n.provenVersion <= c.configAt.Load() && (!c.proven() || int64(n.provenAt) > c.proof.Load()) {
 		// The proof is stored after the view, so that nobody sees it with an
-		// older view.
+		// older view. The first one may be older than the start of the machine.
 		c.proof.Store(int64(n.provenAt))
 	}
 }
--- a/hostd/freshness_test.go
+++ b/hostd/freshness_test.go
@@ -64,3 +64,23 @@
 		assert.Assert(t, uint64(proof) <= view.operatorVersion, "proof of version %d for a view of version %d", proof, view.operatorVersion)
 	}
 }
+
+// A host that starts while the store is away is as ready as its peers: their proofs may
+// be older than the start of its machine.
+func TestFirstProofMayBeOlderThanTheMachine(t *testing.T) {
+	cfg, err := karpithaz.DecodeConfig(standin.EncodeConfig(1, []string{"svc"}, defaultRoutes(), nil))
+	assert.NilError(t, err)
+	c := NewControl("h", "dc", nil, nil, decisions.New(&logBuffer{}), metrics.New())
+	c.config = cfg
+	c.view.Store(newView(cfg, nil, nil, true, time.Now()))
+	assert.Assert(t, !c.reportVersions("other").Result, "a host without a proof reports versions")
+	age := time.Duration(boottime.Now()) + time.Minute
+	c.apply(tableUpdate{proof: true, provenAt: boottime.Now().Add(-age)})
+	assert.Assert(t, c.proven())
+	assert.Assert(t, c.ProofAge() >= age, "%s", c.ProofAge())
+	assert.Assert(t, c.reportVersions("other").Result)
+	c.apply(tableUpdate{proof: true, provenAt: boottime.Now().Add(-time.Second)})
+	assert.Assert(t, c.ProofAge() < 10*time.Second)
+	c.apply(tableUpdate{proof: true, provenAt: boottime.Now().Add(-age)})
+	assert.Assert(t, c.ProofAge() < 10*time.Second, "an older proof replaced a newer one")
+}
--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -258,12 +258,13 @@
 	c.submit(ctx, n)
 }
 
-// reportVersions answers a version query from another host.
+// reportVersions answers a version query from another host. A host without a proof has
+// nothing to report.
 func (c *Control) reportVersions(host string) datagram {
 	c.liveness.recordContact(host, time.Now())
 	view, proof := c.ProvenView()
 	return datagram{
-		Result:        view.Ready(),
+		Result:        view.Ready() && proof != 0,
 		ConfigVersion: view.operatorVersion,
 		HostsVersion:  view.hostsVersion,
 		Millis:        min(proof.age(), time.Hour).Milliseconds() + 1,
