--- a/hostd/contacts.go
+++ b/hostd/contacts.go
@@ -13,8 +13,8 @@
 // The limiter must know which owners and data centres are cut off from this host,
 // as these grant tokens of their own meanwhile (quota.Reach).
 
-// contactTimeout is how long nothing needs to have been heard from a data centre
-// for it to be probed. It is also the pause between probes.
+// contactTimeout is the time without contact after which a data centre is probed. It is
+// also the pause between probes.
 const contactTimeout = 700 * time.Millisecond
 
 // dataCentreContacts records which other data centres can be reached, from the
@@ -25,9 +25,9 @@
 }
 
 type dataCentreContact struct {
-	// heardAt is when a host of the data centre was last heard from, and probedAt
-	// when it was last decided to probe it.
-	heardAt, probedAt time.Time
+	// contactAt is the time of the last contact with a host of the data centre, and
+	// probedAt that of the last decision to probe it.
+	contactAt, probedAt time.Time
 	cut               bool
 }
 
@@ -44,19 +44,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	contact := c.get(dc)
-	if now.Sub(contact.heardAt) > contactTimeout && now.Sub(contact.probedAt) > contactTimeout {
+	if now.Sub(contact.contactAt) > contactTimeout && now.Sub(contact.probedAt) > contactTimeout {
 		contact.probedAt = now
 		probe = true
 	}
 	return contact.cut, probe
 }
 
-// heard records that a host of a data centre has been heard from.
-func (c *dataCentreContacts) heard(dc string, now time.Time) {
+// recordContact records a message from a host of a data centre.
+func (c *dataCentreContacts) recordContact(dc string, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	contact := c.get(dc)
-	contact.heardAt, contact.cut = now, false
+	contact.contactAt, contact.cut = now, false
 }
 
 // lost records that no host of a data centre has answered a probe, and reports
@@ -65,7 +65,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	contact := c.get(dc)
-	if contact.cut || now.Sub(contact.heardAt) < contactTimeout {
+	if contact.cut || now.Sub(contact.contactAt) < contactTimeout {
 		return false
 	}
 	contact.cut = true
@@ -73,7 +73,7 @@
 }
 
 // reach returns what this host knows of a partition as regards the owners of a
-// limit. It probes data centres from which it has not heard lately.
+// limit. It probes data centres without recent contact.
 func (l *fleetLimiter) reach(owners []string) quota.Reach {
 	view, now := l.view(), time.Now()
 	own, _ := view.TargetOf(l.host)
@@ -111,7 +111,7 @@
 	for _, i := range rand.Perm(len(hosts))[:min(len(hosts), probedHosts)] {
 		t, _ := view.TargetOf(hosts[i])
 		if _, err := l.query(context.Background(), t.Control, datagram{Kind: queryVersions, Host: l.host}); err == nil {
-			l.contacts.heard(dc, time.Now())
+			l.contacts.recordContact(dc, time.Now())
 			return
 		}
 	}
--- a/hostd/limiter.go
+++ b/hostd/limiter.go
@@ -167,7 +167,7 @@
 	a, err := l.query(ctx, t.Control, q)
 	if err == nil && (host == owner || a.Authoritative) {
 		l.states.recordSuccess(path)
-		l.contacts.heard(t.DataCentre, time.Now())
+		l.contacts.recordContact(t.DataCentre, time.Now())
 		if missing, was := l.lost.found(owner, time.Now()); was {
 			l.log.Decide("owner-found", "owner", owner, "missing_ms", missing.Milliseconds())
 		}
@@ -256,7 +256,7 @@
 func (l *fleetLimiter) answer(ctx context.Context, q datagram) datagram {
 	for _, host := range []string{q.Host, q.Origin} {
 		if t, known := l.view().TargetOf(host); known {
-			l.contacts.heard(t.DataCentre, time.Now())
+			l.contacts.recordContact(t.DataCentre, time.Now())
 		}
 	}
 	key := queryKey{q.Host, q.ID}
