hostd: logs say where a configuration came from and why a host asks the store

Change: config has the host that it was fetched from, or the store, and the age of the proof before it; store-asked is a new line with the inputs of that decision.

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -1,6 +1,7 @@
 package hostd
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -79,8 +80,9 @@
 	rows []karpithaz.Row
 	// version is the store version up to which rows is complete.
 	version uint64
-	// fromStore is set if the rows were read from the store.
-	fromStore bool
+	// from is the host from which the rows were fetched, or empty if they were
+	// read from the store.
+	from string
 	// proof is set if the read proves the freshness of the configuration: as of
 	// provenAt, nothing had changed after provenVersion.
 	proof         bool
@@ -184,7 +186,7 @@
 	}
 	if v := c.View().operatorVersion; v > c.appliedVersion {
 		c.appliedVersion = v
-		c.applied(operatorChange{version: v, fromStore: n.fromStore})
+		c.applied(operatorChange{version: v, fromStore: n.from == ""})
 	}
 	if n.proof && c.config != nil && n.provenVersion <= c.configAt.Load() && (!c.proven() || int64(n.provenAt) > c.proof.Load()) {
 		// The proof is stored after the view, so that nobody sees it with an
@@ -244,7 +246,7 @@
 		}
 		c.operatorRows[row.Key] = row
 		if row.Key == karpithaz.ConfigKey {
-			c.applyConfig(row)
+			c.applyConfig(row, n.from)
 			continue
 		}
 		dc, ok := karpithaz.EvacuatedDataCentre(row.Key)
@@ -260,7 +262,8 @@
 	}
 }
 
-func (c *Control) applyConfig(row karpithaz.Row) {
+// applyConfig applies a row fetched from a host, or from the store if from is empty.
+func (c *Control) applyConfig(row karpithaz.Row, from string) {
 	if row.Removed {
 		return
 	}
@@ -275,7 +278,8 @@
 		return
 	}
 	c.config = cfg
-	c.log.Decide("config", "revision", cfg.Revision, "routes", cfg.RouteCount(), "row_version", row.Version)
+	c.log.Decide("config", "revision", cfg.Revision, "routes", cfg.RouteCount(), "row_version", row.Version,
+		"from", cmp.Or(from, "store"), "proof_age_ms", min(c.ProofAge(), noProof).Milliseconds())
 }
 
 func (c *Control) applyHostRows(n tableUpdate) {
--- a/hostd/feed.go
+++ b/hostd/feed.go
@@ -139,7 +139,7 @@
 		return err
 	}
 	f.loaded = true
-	n := tableUpdate{table: f.table, full: full, rows: r.Rows, version: r.Version, fromStore: true}
+	n := tableUpdate{table: f.table, full: full, rows: r.Rows, version: r.Version}
 	n.proof = f.table == karpithaz.OperatorTable
 	n.provenVersion = r.Version
 	n.provenAt = f.clock.answeredAt(asked, boottime.Now(), r.StoreClockMillis)
--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -103,6 +103,8 @@
 			continue
 		}
 		c.metrics.Add("store_asked_out_of_turn", 1)
+		c.log.Decide("store-asked", "rank", rank, "hosts", hosts, "peers_asked", p.asked, "peers_answered", p.reached, "change_missed", p.behind,
+			"proof_age_ms", min(h.ProofAge, noProof).Milliseconds(), "lower_proof_age_ms", p.lowerProofAge.Milliseconds())
 		err := f.read(ctx, 0)
 		f.loaded = !errors.Is(err, karpithaz.ErrHistoryExpired)
 		if err != nil && ctx.Err() == nil {
@@ -235,7 +237,7 @@
 		c.log.Decide("config-not-fetched", "from", from.Host, "err", err)
 		return false
 	}
-	c.submit(ctx, tableUpdate{table: karpithaz.OperatorTable, full: changes.Full, version: changes.Version, rows: changes.Rows})
+	c.submit(ctx, tableUpdate{table: karpithaz.OperatorTable, full: changes.Full, version: changes.Version, rows: changes.Rows, from: from.Host})
 	return true
 }
 
@@ -247,7 +249,7 @@
 		c.log.Decide("hosts-not-fetched", "from", reader.Host, "err", err)
 		return
 	}
-	n := tableUpdate{table: hostsTable, full: changes.Full, version: changes.Version}
+	n := tableUpdate{table: hostsTable, full: changes.Full, version: changes.Version, from: reader.Host}
 	for _, h := range changes.Hosts {
 		row := karpithaz.Row{Table: hostsTable, Key: h.Host, Version: h.Version, Removed: h.Target == nil}
 		if h.Target != nil {
