hostd: tests of changes that come into force late while readers are silent, known red

A change reaches a data centre through its two readers, standbys ask the store only when the proofs are old, and a host outside the readers never reloads a table whose history has expired.

--- a/hostd/fleet_test.go
+++ b/hostd/fleet_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,10 +35,13 @@
 
 type testHostd struct {
 	*Host
-	target *standin.Target
-	cancel context.CancelFunc
-	done   chan error
-	logs   *logBuffer
+	// unreachable keeps the host from answering other hosts, and its control from
+	// reaching them.
+	unreachable *atomic.Bool
+	target      *standin.Target
+	cancel      context.CancelFunc
+	done        chan error
+	logs        *logBuffer
 }
 
 // logBuffer collects log lines.
@@ -145,7 +149,15 @@
 	host, err := New(Options{Settings: set, Output: logs})
 	assert.NilError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &testHostd{Host: host, target: target, cancel: cancel, done: make(chan error, 1), logs: logs}
+	unreachable, answer := &atomic.Bool{}, host.datagrams.answer
+	host.datagrams.answer = func(ctx context.Context, q datagram) datagram {
+		if unreachable.Load() {
+			<-ctx.Done()
+		}
+		return answer(ctx, q)
+	}
+	host.control.peers = cutPeers{host.control.peers, unreachable}
+	h := &testHostd{Host: host, unreachable: unreachable, target: target, cancel: cancel, done: make(chan error, 1), logs: logs}
 	runningHosts.Add(1)
 	go func() {
 		defer runningHosts.Done()
@@ -180,6 +192,57 @@
 	return c.Do(h.settings.CallerListen)
 }
 
+// cutPeers are peers whose answers do not arrive while cut is set.
+type cutPeers struct {
+	peers
+	cut *atomic.Bool
+}
+
+func (p cutPeers) query(ctx context.Context, addr string, q datagram) (datagram, error) {
+	if p.cut.Load() {
+		for _, pause := range queryTimeouts {
+			time.Sleep(pause)
+		}
+		return datagram{}, errNoAnswer
+	}
+	return p.peers.query(ctx, addr, q)
+}
+
+// freeze keeps hosts from answering others and from reaching the store, as if their
+// processes stood still.
+func (f *testFleet) freeze(names ...string) {
+	f.setFrozen(names, true, standin.ModeSilent)
+}
+
+func (f *testFleet) thaw(names ...string) {
+	f.setFrozen(names, false, standin.ModeOK)
+}
+
+func (f *testFleet) setFrozen(names []string, frozen bool, store standin.Mode) {
+	for _, h := range f.hosts {
+		if slices.Contains(names, h.settings.Host) {
+			h.unreachable.Store(frozen)
+			f.store.SetHostFault(h.settings.IP, store)
+		}
+	}
+}
+
+// awaitRevision waits until all hosts but some have a configuration, and returns how
+// long that took.
+func (f *testFleet) awaitRevision(revision int, except ...string) time.Duration {
+	f.t.Helper()
+	begun := time.Now()
+	f.await(fmt.Sprintf("revision %d", revision), func() bool {
+		for _, h := range f.hosts {
+			if !slices.Contains(except, h.settings.Host) && h.control.View().Config.Revision < uint64(revision) {
+				return false
+			}
+		}
+		return true
+	})
+	return time.Since(begun)
+}
+
 // runsOf returns how often an attempt ran on all targets.
 func (f *testFleet) runsOf(attempt string) int {
 	n := 0
