hostd: a host outside the readers reloads a table whose history has expired

Callers saw: nothing by itself; together with silent readers, the former configuration for as long as these are silent.

Cause: RunReaderPolls noted ErrHistoryExpired in loaded and set loaded again at the next turn, since the host has a configuration. Each turn repeated the feed that the store answers with 410. A host that is not a reader has the version of the latest change, which is older than the store's history after 20 s without one.

Change: the table is read whole in the same turn.

Evidence: TestHostOutsideTheReadersReloadsATableWhoseHistoryHasExpired failed before (the former revision after 2 s) and passes.

--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -91,7 +91,7 @@
 func (c *Control) RunReaderPolls(ctx context.Context) error {
 	f := &tableFeed{c: c, table: karpithaz.OperatorTable, version: &c.configAt}
 	for turn := 0; c.awaitTurn(ctx); turn++ {
-		f.loaded = f.loaded || c.View().Config != nil
+		f.loaded = c.View().Config != nil
 		p := c.pollPeers(ctx, turn)
 		c.recordReach(p)
 		rank, hosts := c.rank()
@@ -106,7 +106,10 @@
 		c.log.Decide("store-asked", "rank", rank, "hosts", hosts, "peers_asked", p.asked, "peers_answered", p.reached, "change_missed", p.behind,
 			"proof_age_ms", min(h.ProofAge, noProof).Milliseconds(), "lower_proof_age_ms", p.lowerProofAge.Milliseconds())
 		err := f.read(ctx, 0)
-		f.loaded = !errors.Is(err, karpithaz.ErrHistoryExpired)
+		if errors.Is(err, karpithaz.ErrHistoryExpired) {
+			f.loaded = false
+			err = f.read(ctx, 0)
+		}
 		if err != nil && ctx.Err() == nil {
 			c.metrics.Add("store_failures", 1)
 			c.log.Decide("proof-missing", "rank", rank, "proof_age_ms", c.ProofAge().Milliseconds(), "err", err)
