hostd: a change enters a data centre whose readers are silent through its other hosts

Cause: a change entered a data centre through its two readers alone. Notices from other data centres went to these two, and a host that learned the change from another data centre by its poll told nobody, so each host had to find out for itself.

Change: a notice from another data centre goes on to the next in rank until two hosts have answered, among the first twelve; these fetch at once, and whoever brings a change into a data centre notifies it. Notices of a change do not wait for those of an earlier one.

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -186,7 +186,7 @@
 	}
 	if v := c.View().operatorVersion; v > c.appliedVersion {
 		c.appliedVersion = v
-		c.applied(operatorChange{version: v, fromStore: n.from == ""})
+		c.applied(operatorChange{version: v, entered: n.from == "" || c.isOutside(n.from)})
 	}
 	if n.proof && c.config != nil && n.provenVersion <= c.configAt.Load() && (!c.proven() || int64(n.provenAt) > c.proof.Load()) {
 		// The proof is stored after the view, so that nobody sees it with an
--- a/hostd/notices.go
+++ b/hostd/notices.go
@@ -12,9 +12,9 @@
 )
 
 // Polls of the readers alone bring a change late to a data centre whose readers
-// the store refuses: the standbys take over only when the proofs have grown old.
-// Therefore the hosts that learn a change notify the others, which fetch it from
-// the sender. A lost notice is made up for by the next poll.
+// the store refuses or which are silent. Therefore the hosts that learn a change
+// notify the others, which fetch it from the sender. A lost notice is made up for by
+// the next poll.
 
 // queryChanged notifies a host of a change of the operators' table.
 const queryChanged = "changed"
@@ -22,8 +22,8 @@
 // operatorChange is a change of the operators' table that a host has applied.
 type operatorChange struct {
 	version uint64
-	// fromStore is set if the host has read it from the store.
-	fromStore bool
+	// entered is set if the host has it from outside of its data centre.
+	entered bool
 }
 
 // changeNotice is a notice from a host that has applied a change.
@@ -60,53 +60,71 @@
 func (c *Control) applied(change operatorChange) {
 	select {
 	case older := <-c.appliedChanges:
-		change.fromStore = change.fromStore || older.fromStore
+		change.entered = change.entered || older.entered
 	default:
 	}
 	c.appliedChanges <- change
 }
 
-// RunNotifications notifies other hosts of changes until ctx ends.
+// RunNotifications notifies other hosts of changes until ctx ends. A change does not
+// wait for hosts that have not answered to notices of an earlier one.
 func (c *Control) RunNotifications(ctx context.Context) error {
+	var running sync.WaitGroup
+	defer running.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case change := <-c.appliedChanges:
-			if rank, hosts := c.rank(); storepoll.Notifies(rank, hosts, change.fromStore) {
-				c.notify(ctx, change.version)
+			if rank, hosts := c.rank(); storepoll.Notifies(rank, hosts, change.entered) {
+				running.Go(func() { c.notify(ctx, change.version) })
 			}
 		}
 	}
 }
 
-// notify sends notices to the hosts of the data centre and to the readers of the
-// others, and waits until all have answered or failed to.
+// notify sends notices to the hosts of the data centre and to a few of each other one,
+// and waits until all have answered or failed to.
 func (c *Control) notify(ctx context.Context, version uint64) {
 	view := c.View()
-	receivers := view.hostsIn(c.dataCentre)
-	for _, dc := range view.otherDataCentres(c.dataCentre) {
-		ranked := view.ranked(dc)
-		receivers = append(receivers, ranked[:min(len(ranked), storepoll.Readers)]...)
-	}
 	var wg sync.WaitGroup
-	for _, host := range receivers {
-		t, ok := view.TargetOf(host)
-		if !ok || host == c.host {
-			continue
+	for _, host := range view.hostsIn(c.dataCentre) {
+		wg.Go(func() { c.notifyHost(ctx, view, host, version) })
+	}
+	for _, dc := range view.otherDataCentres(c.dataCentre) {
+		candidates := view.firstInRank(dc, storepoll.NoticeCandidates)
+		next := make(chan string, len(candidates))
+		for _, host := range candidates {
+			next <- host
+		}
+		close(next)
+		for range storepoll.Readers {
+			wg.Go(func() {
+				for host := range next {
+					if c.notifyHost(ctx, view, host, version) {
+						return
+					}
+				}
+			})
 		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			c.metrics.Add("notices_sent", 1)
-			if _, err := c.peers.query(ctx, t.Control, datagram{Kind: queryChanged, Host: c.host, ConfigVersion: version}); err != nil {
-				c.metrics.Add("notices_unanswered", 1)
-			}
-		}()
 	}
 	wg.Wait()
 }
 
+// notifyHost sends a notice to one host and reports whether it has answered.
+func (c *Control) notifyHost(ctx context.Context, view *View, host string, version uint64) bool {
+	t, ok := view.TargetOf(host)
+	if !ok || host == c.host {
+		return false
+	}
+	c.metrics.Add("notices_sent", 1)
+	if _, err := c.peers.query(ctx, t.Control, datagram{Kind: queryChanged, Host: c.host, ConfigVersion: version}); err != nil {
+		c.metrics.Add("notices_unanswered", 1)
+		return false
+	}
+	return true
+}
+
 // recordNotice handles a notice from another host.
 func (c *Control) recordNotice(q datagram) datagram {
 	if q.ConfigVersion > c.configAt.Load() {
@@ -123,10 +141,7 @@
 			return nil
 		case <-c.inbox.arrived:
 		}
-		rank, hosts := c.rank()
-		if spread := storepoll.FetchSpread(rank, hosts); spread > 0 {
-			pause.For(ctx, rand.N(spread))
-		}
+		c.awaitFetch(ctx, c.inbox.latest.Load().sender)
 		n := c.inbox.latest.Load()
 		if n.version <= c.configAt.Load() {
 			continue
@@ -142,6 +157,21 @@
 	}
 }
 
+// awaitFetch waits until the host's turn to fetch a change from the sender of a notice.
+// A host that has notice from another data centre is one of few and fetches at once.
+func (c *Control) awaitFetch(ctx context.Context, sender string) {
+	rank, hosts := c.rank()
+	if spread := storepoll.FetchSpread(rank, hosts); spread > 0 && !c.isOutside(sender) {
+		pause.For(ctx, rand.N(spread))
+	}
+}
+
+// isOutside reports whether a host belongs to another data centre.
+func (c *Control) isOutside(host string) bool {
+	t, ok := c.View().TargetOf(host)
+	return ok && t.DataCentre != c.dataCentre
+}
+
 // otherDataCentres returns the data centres of the hosts except one, in the order
 // of their first host.
 func (v *View) otherDataCentres(except string) []string {
--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -72,8 +72,13 @@
 // ranked returns the hosts of a data centre that others poll, in the order of
 // their ranks: the readers and then the standbys.
 func (v *View) ranked(dataCentre string) []string {
+	return v.firstInRank(dataCentre, storepoll.Ranked)
+}
+
+// firstInRank returns at most n hosts of a data centre in the order of their ranks.
+func (v *View) firstInRank(dataCentre string, n int) []string {
 	hosts := quota.RankOwners("reader", v.hostsIn(dataCentre))
-	return hosts[:min(len(hosts), storepoll.Ranked)]
+	return hosts[:min(len(hosts), n)]
 }
 
 // rank returns this host's rank in its data centre and the number of hosts there.
--- a/storepoll/doc.go
+++ b/storepoll/doc.go
@@ -20,11 +20,13 @@
 // readers have no recent proof asks the standbys and then a reader of another data
 // centre.
 //
-// Changes: a host that has read a change from the store, and each reader that has
-// learned it from another host, notifies the hosts of its data centre and the
-// readers of the others, which fetch it from the sender. So a data centre whose
-// readers the store refuses learns changes from the others. Hosts that are not
-// readers spread their fetches, so that the link of the sender is not congested.
+// Changes: a host that has read a change from the store or learned it from another data
+// centre, and each reader that has learned it, notifies the hosts of its data centre
+// and two hosts of each other one, which fetch it from the sender. These two are the
+// readers or, in place of those that do not answer, the next in rank. So a data centre
+// whose readers are silent, or refused by the store, learns changes from the others.
+// Hosts spread their fetches from hosts of their own data centre, so that the link of
+// the sender is not congested.
 //
 // Start: a host reads the hosts table once, which tells it the readers and the
 // version of its own row, so that writing that row takes one call or, after a
@@ -38,6 +40,6 @@
 // Trade-offs: a change reaches a host that is not a reader later than by a long
 // poll of its own, by the spread of the fetches, or by one poll interval if the
 // notice is lost. A change costs about two datagrams a host, and four for each pair
-// of data centres in each direction. If the store refuses all hosts that ask, the
+// of data centres in each direction, more only where hosts are silent. If the store refuses all hosts that ask, the
 // others depend on another data centre.
 package storepoll
--- a/storepoll/storepoll.go
+++ b/storepoll/storepoll.go
@@ -12,6 +12,9 @@
 	standbys = 4
 	// Ranked is the number of hosts of a data centre that others ask.
 	Ranked = Readers + standbys
+	// NoticeCandidates is the number of hosts of a data centre among which another
+	// one looks for two that answer to a notice.
+	NoticeCandidates = 2 * Ranked
 	// StaleAge is the age of a reader's proof above which another one is asked.
 	// A reader's own poll of the store returns every 1.5 s.
 	StaleAge = 1700 * time.Millisecond
@@ -50,8 +53,9 @@
 )
 
 // Notifies reports whether a host that has applied a change notifies others of it.
-// fromStore is set if it has read the change from the store.
-func Notifies(rank, hosts int, fromStore bool) bool { return fromStore || IsReader(rank, hosts) }
+// entered is set if it has the change from outside of its data centre: from the store
+// or from a host of another one.
+func Notifies(rank, hosts int, entered bool) bool { return entered || IsReader(rank, hosts) }
 
 // FetchSpread returns the time over which a host spreads the fetch of a change of
 // which it has notice. Readers fetch at once, as other hosts learn from them.
--- a/storepoll/storepoll_test.go
+++ b/storepoll/storepoll_test.go
@@ -126,19 +126,20 @@
 	cases := []struct {
 		name        string
 		rank, hosts int
-		fromStore   bool
+		entered     bool
 		notifies    bool
 		spread      time.Duration
 	}{
 		{"reader", 1, 60, false, true, 0},
 		{"standby that asked the store", 3, 60, true, true, 480 * time.Millisecond},
 		{"standby that learned from a reader", 3, 60, false, false, 480 * time.Millisecond},
+		{"other host that learned from another data centre", 40, 60, true, true, 480 * time.Millisecond},
 		{"large data centre", 90, 133, false, false, maxFetchSpread},
 		{"single host", 0, 1, false, true, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			assert.Equal(t, Notifies(c.rank, c.hosts, c.fromStore), c.notifies)
+			assert.Equal(t, Notifies(c.rank, c.hosts, c.entered), c.notifies)
 			assert.Equal(t, FetchSpread(c.rank, c.hosts), c.spread)
 		})
 	}
