hostd, storepoll: silent readers are replaced at once, not when their proofs are old

Cause: standbys asked the store when the freshest proof of the lower ranks was over 2 s old, other hosts at 2.9 s, whether those hosts were alive or silent. A frozen reader's last proof is as good as new, so a change right after the freeze was read only when that proof had grown old, and a poll met the silent hosts one after the other.

Change: a standby asks the store in each turn in which no host of lower rank answers, any other host in each turn in which nobody does; standbys poll every 0.5 s on average; after the first silent host a poll asks all others at once, and a host of another data centre if none answers.

--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,8 +26,6 @@
 const queryVersions = "news"
 
 const (
-	// readerPollInterval is the mean interval between polls of the readers.
-	readerPollInterval = 800 * time.Millisecond
 	// startTurnPause is the mean interval between polls of a host without a
 	// configuration.
 	startTurnPause = 200 * time.Millisecond
@@ -103,7 +102,7 @@
 		if rank < storepoll.Readers {
 			c.removeSilentHosts(ctx, time.Now())
 		}
-		h := storepoll.Host{Rank: rank, Hosts: hosts, ProofAge: c.ProofAge(), LowerProofAge: p.lowerProofAge, PeersAnswered: p.reached > 0}
+		h := storepoll.Host{Rank: rank, Hosts: hosts, ProofAge: c.ProofAge(), LowerProofAge: p.lowerProofAge, LowerAnswered: p.lowerAnswered, PeersAnswered: p.reached > 0}
 		if !p.behind && !storepoll.AsksStore(h, rand.Float64()) {
 			continue
 		}
@@ -127,7 +126,9 @@
 // polls as soon as it knows its readers. It returns false if ctx ends.
 func (c *Control) awaitTurn(ctx context.Context) bool {
 	if c.View().Config != nil {
-		return pause.For(ctx, readerPollInterval/2+rand.N(readerPollInterval))
+		rank, _ := c.rank()
+		interval := storepoll.PollInterval(rank)
+		return pause.For(ctx, interval/2+rand.N(interval))
 	}
 	for pause.For(ctx, startTurnPause/2+rand.N(startTurnPause)) {
 		if _, hosts := c.rank(); hosts >= storepoll.Readers || c.View().Config != nil {
@@ -141,7 +142,9 @@
 type peerPoll struct {
 	// behind is set if a peer knows a change that could not be fetched.
 	behind bool
-	// lowerProofAge is the age of the freshest proof of a peer of lower rank.
+	// lowerAnswered is set if a peer of lower rank has answered, and lowerProofAge
+	// is the age of the freshest proof of such a peer.
+	lowerAnswered bool
 	lowerProofAge time.Duration
 	// fresh is set if a peer had a recent proof.
 	fresh bool
@@ -166,8 +169,9 @@
 // noProof is the age of a proof that does not exist.
 const noProof = time.Hour
 
-// pollPeers polls the ranked hosts of the data centre until one has a recent
-// proof, and then a reader of another data centre if none had.
+// pollPeers polls the ranked hosts of the data centre until one has a recent proof,
+// all the remaining ones at once if one does not answer, and then a reader of another
+// data centre if none had a recent proof or none answered.
 func (c *Control) pollPeers(ctx context.Context, turn int) peerPoll {
 	p := peerPoll{lowerProofAge: noProof}
 	view := c.View()
@@ -180,12 +184,29 @@
 	if view.Config == nil {
 		order = storepoll.StartOrder(len(ranked), rand.Perm)
 	}
-	for _, rank := range order {
-		if c.pollPeer(ctx, &p, ranked[rank], rank < own); p.fresh {
+	order = slices.DeleteFunc(order, func(rank int) bool { return rank == own })
+	for i, rank := range order {
+		reply := c.askPeer(ctx, ranked[rank])
+		c.takeReply(ctx, &p, reply, rank < own)
+		if p.fresh {
 			return p
 		}
+		if reply.answered {
+			continue
+		}
+		rest := order[i+1:]
+		replies := make([]peerReply, len(rest))
+		var wg sync.WaitGroup
+		for i, rank := range rest {
+			wg.Go(func() { replies[i] = c.askPeer(ctx, ranked[rank]) })
+		}
+		wg.Wait()
+		for i, rank := range rest {
+			c.takeReply(ctx, &p, replies[i], rank < own)
+		}
+		break
 	}
-	if c.ProofAge() > storepoll.StaleAge {
+	if !p.fresh && (p.reached == 0 || c.ProofAge() > storepoll.StaleAge) {
 		if host, ok := view.remoteReader(c.dataCentre, turn); ok {
 			c.pollPeer(ctx, &p, host, true)
 		}
@@ -204,35 +225,60 @@
 	return ranked[turn/len(names)%min(len(ranked), storepoll.Readers)], true
 }
 
+// peerReply is the reply of a peer to a version query.
+type peerReply struct {
+	peer Target
+	// asked is set if the peer is known and was asked at askedAt, and answered if it
+	// has answered.
+	asked, answered bool
+	askedAt         boottime.Instant
+	versions        datagram
+}
+
 // pollPeer asks one peer and applies its reply. lower is set if its proof counts
 // as that of a host of lower rank.
 func (c *Control) pollPeer(ctx context.Context, p *peerPoll, host string, lower bool) {
+	c.takeReply(ctx, p, c.askPeer(ctx, host), lower)
+}
+
+// askPeer asks a peer for its versions.
+func (c *Control) askPeer(ctx context.Context, host string) peerReply {
 	t, ok := c.View().TargetOf(host)
 	if !ok || host == c.host {
-		return
+		return peerReply{}
 	}
-	asked := boottime.Now()
-	p.asked++
-	a, err := c.peers.query(ctx, t.Control, datagram{Kind: queryVersions, Host: c.host})
-	if err != nil {
+	r := peerReply{peer: t, asked: true, askedAt: boottime.Now()}
+	var err error
+	r.versions, err = c.peers.query(ctx, t.Control, datagram{Kind: queryVersions, Host: c.host})
+	r.answered = err == nil
+	return r
+}
+
+// takeReply applies the reply of a peer and records it in p.
+func (c *Control) takeReply(ctx context.Context, p *peerPoll, r peerReply, lower bool) {
+	if r.asked {
+		p.asked++
+	}
+	if !r.answered {
 		return
 	}
 	p.reached++
-	if !a.Result {
+	p.lowerAnswered = p.lowerAnswered || lower
+	if !r.versions.Result {
 		return
 	}
-	if a.HostsVersion > c.hostsAt.Load() {
-		c.fetchHosts(ctx, t)
+	if r.versions.HostsVersion > c.hostsAt.Load() {
+		c.fetchHosts(ctx, r.peer)
 	}
-	if a.ConfigVersion > c.configAt.Load() {
-		p.behind = !c.fetchOperatorRows(ctx, t)
+	if r.versions.ConfigVersion > c.configAt.Load() {
+		p.behind = !c.fetchOperatorRows(ctx, r.peer)
 	}
-	age := time.Duration(a.Millis) * time.Millisecond
-	c.submit(ctx, tableUpdate{proof: true, provenVersion: a.ConfigVersion, provenAt: asked.Add(-age)})
+	age := time.Duration(r.versions.Millis) * time.Millisecond
+	c.submit(ctx, tableUpdate{proof: true, provenVersion: r.versions.ConfigVersion, provenAt: r.askedAt.Add(-age)})
 	if lower {
 		p.lowerProofAge = min(p.lowerProofAge, age)
 	}
-	p.fresh = age < storepoll.StaleAge
+	p.fresh = p.fresh || age < storepoll.StaleAge
 }
 
 // fetchOperatorRows fetches the changes of the operators' table from a host. It
--- a/hostd/silentreaders_test.go
+++ b/hostd/silentreaders_test.go
@@ -12,6 +12,7 @@
 	"github.com/gooseberryshed/gooseberryshed/metrics"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/platform/standin"
+	"github.com/gooseberryshed/gooseberryshed/storepoll"
 )
 
 // freezeRounds is how often hosts freeze in a test. Their polls are at other points
@@ -24,7 +25,7 @@
 	t.Helper()
 	for revision := 2; revision < 2+freezeRounds; revision++ {
 		f.awaitRevision(revision - 1)
-		time.Sleep(2*readerPollInterval + time.Duration(revision)*130*time.Millisecond)
+		time.Sleep(2*storepoll.PollInterval(storepoll.Ranked) + time.Duration(revision)*130*time.Millisecond)
 		f.freeze(frozen...)
 		f.configure(revision)
 		took := f.awaitRevision(revision, frozen...)
@@ -58,7 +59,7 @@
 		}
 	}
 	for revision := 2; revision < 2+freezeRounds; revision++ {
-		time.Sleep(2*readerPollInterval + time.Duration(revision)*130*time.Millisecond)
+		time.Sleep(2*storepoll.PollInterval(storepoll.Ranked) + time.Duration(revision)*130*time.Millisecond)
 		cutOff.unreachable.Store(true)
 		f.configure(revision)
 		took := f.awaitRevision(revision)
--- a/storepoll/doc.go
+++ b/storepoll/doc.go
@@ -15,11 +15,16 @@
 // ranks, the standbys, ask the store once a turn: each one when the proofs of all
 // lower ranks are older than a limit that grows with the rank, so that one of
 // them usually has a new proof before the next one asks. Of all others only a few
-// ask, by chance, when their own proof grows old nevertheless. A host
-// that no peer answers at all asks. A host whose
+// ask, by chance, when their own proof grows old nevertheless. A host whose
 // readers have no recent proof asks the standbys and then a reader of another data
 // centre.
 //
+// Silence: a host that does not answer is replaced at once, whatever the age of its
+// proof. A standby asks the store in each turn in which no host of lower rank
+// answers, and any other host in each turn in which no peer answers. Otherwise a change made
+// right after the readers have failed would be read only when their last proofs had
+// grown old.
+//
 // Changes: a host that has read a change from the store or learned it from another data
 // centre, and each reader that has learned it, notifies the hosts of its data centre
 // and two hosts of each other one, which fetch it from the sender. These two are the
--- a/storepoll/storepoll.go
+++ b/storepoll/storepoll.go
@@ -39,8 +39,9 @@
 	// ProofAge is the age of its freshness proof, and LowerProofAge that of the
 	// freshest proof of a host of lower rank.
 	ProofAge, LowerProofAge time.Duration
-	// PeersAnswered is set if any peer has answered.
-	PeersAnswered bool
+	// LowerAnswered is set if any host of lower rank has answered, and PeersAnswered
+	// if any peer has.
+	LowerAnswered, PeersAnswered bool
 }
 
 const (
@@ -69,17 +70,33 @@
 // IsReader reports whether the host keeps long polls at the store.
 func IsReader(rank, hosts int) bool { return rank < Readers || hosts < Readers }
 
+const (
+	// pollInterval is the mean interval between polls of the readers, and
+	// standbyPollInterval that of the standbys, which replace silent readers in much
+	// less than the time in which a configuration must be in force.
+	pollInterval        = 800 * time.Millisecond
+	standbyPollInterval = 500 * time.Millisecond
+)
+
+// PollInterval returns the mean interval between a host's polls of the readers.
+func PollInterval(rank int) time.Duration {
+	if rank >= Readers && rank < Ranked {
+		return standbyPollInterval
+	}
+	return pollInterval
+}
+
 // AsksStore reports whether a host asks the store now. r is uniform in [0, 1).
 func AsksStore(h Host, r float64) bool {
 	switch {
 	case h.Rank < Readers:
 		return h.ProofAge > MaxAge // its long poll has failed
 	case h.Rank < Ranked:
-		return h.LowerProofAge > standbyAge+time.Duration(h.Rank-Readers)*rankDelay
-	case h.ProofAge <= MaxAge:
-		return false
+		return !h.LowerAnswered || h.LowerProofAge > standbyAge+time.Duration(h.Rank-Readers)*rankDelay
 	case !h.PeersAnswered:
 		return true
+	case h.ProofAge <= MaxAge:
+		return false
 	}
 	return r < othersPerTurn/float64(max(h.Hosts-Ranked, 1))
 }
--- a/storepoll/storepoll_test.go
+++ b/storepoll/storepoll_test.go
@@ -60,7 +60,7 @@
 					break
 				}
 			}
-			h := Host{Rank: rank, Hosts: hosts, ProofAge: at - fleet[rank].provenAt, LowerProofAge: lower, PeersAnswered: true}
+			h := Host{Rank: rank, Hosts: hosts, ProofAge: at - fleet[rank].provenAt, LowerProofAge: lower, LowerAnswered: true, PeersAnswered: true}
 			if AsksStore(h, rnd.Float64()) {
 				ask(rank, at)
 			}
@@ -201,3 +201,25 @@
 		assert.Assert(t, all <= max(one/2, 2*turn+serve), "%s", all)
 	}
 }
+
+func TestSilentReadersAreReplacedAtOnce(t *testing.T) {
+	const young = 100 * time.Millisecond
+	cases := []struct {
+		name string
+		h    Host
+		asks bool
+	}{
+		{"first standby, readers silent", Host{Rank: 2, ProofAge: young, LowerProofAge: time.Hour, PeersAnswered: true}, true},
+		{"second standby, the first one answers", Host{Rank: 3, ProofAge: young, LowerProofAge: young, LowerAnswered: true, PeersAnswered: true}, false},
+		{"last standby, all others silent", Host{Rank: 5, ProofAge: young, LowerProofAge: time.Hour}, true},
+		{"other host, nobody answers", Host{Rank: 40, ProofAge: young, LowerProofAge: time.Hour}, true},
+		{"other host, another data centre answers", Host{Rank: 40, ProofAge: young, LowerProofAge: young, LowerAnswered: true, PeersAnswered: true}, false},
+		{"reader, the other one silent", Host{Rank: 0, ProofAge: young, LowerProofAge: time.Hour}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			c.h.Hosts = 60
+			assert.Equal(t, AsksStore(c.h, 0.999), c.asks)
+		})
+	}
+}
