hostd: a change is fetched from another sender of its notice if the first one fails

Callers saw: nothing; found by reading the way of a notice during the incident.

Cause: the inbox kept the first sender of a notice and dropped those that followed with the same version. If that sender froze, or its link was congested, the host waited for the time limit of 0.5 s and then for its next poll.

Change: up to four senders are kept and tried in turn.

--- a/hostd/notices.go
+++ b/hostd/notices.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"sync/atomic"
 
 	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/storepoll"
@@ -26,28 +25,34 @@
 	entered bool
 }
 
-// changeNotice is a notice from a host that has applied a change.
+// changeNotice is the notice of a change, from some of the hosts that have applied it.
 type changeNotice struct {
 	version uint64
-	sender  string
+	// senders are in the order in which their notices arrived.
+	senders []string
 }
 
+// maxNoticeSenders is the number of senders that are kept for a change.
+const maxNoticeSenders = 4
+
 // noticeInbox keeps the notice of the latest change that is known from notices.
 type noticeInbox struct {
-	latest  atomic.Pointer[changeNotice]
+	mu      sync.Mutex
+	latest  changeNotice
 	arrived chan struct{}
 }
 
-// put keeps n if it is of a later change than the one kept.
-func (in *noticeInbox) put(n changeNotice) {
-	for {
-		old := in.latest.Load()
-		if old != nil && n.version <= old.version {
-			return
-		}
-		if in.latest.CompareAndSwap(old, &n) {
-			break
-		}
+// put records that a host gives notice of a change.
+func (in *noticeInbox) put(version uint64, sender string) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	switch {
+	case version > in.latest.version:
+		in.latest = changeNotice{version, []string{sender}}
+	case version < in.latest.version || slices.Contains(in.latest.senders, sender) || len(in.latest.senders) == maxNoticeSenders:
+		return
+	default:
+		in.latest.senders = append(slices.Clone(in.latest.senders), sender)
 	}
 	select {
 	case in.arrived <- struct{}{}:
@@ -55,6 +60,12 @@
 	}
 }
 
+func (in *noticeInbox) get() changeNotice {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.latest
+}
+
 // applied passes a change on to RunNotifications without blocking. Only the
 // goroutine that calls Run may call it.
 func (c *Control) applied(change operatorChange) {
@@ -128,32 +139,47 @@
 // recordNotice handles a notice from another host.
 func (c *Control) recordNotice(q datagram) datagram {
 	if q.ConfigVersion > c.configAt.Load() {
-		c.inbox.put(changeNotice{version: q.ConfigVersion, sender: q.Host})
+		c.inbox.put(q.ConfigVersion, q.Host)
 	}
 	return datagram{Result: true}
 }
 
 // RunNotices fetches the changes of which other hosts give notice until ctx ends.
 func (c *Control) RunNotices(ctx context.Context) error {
+	var tried changeNotice
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-c.inbox.arrived:
 		}
-		c.awaitFetch(ctx, c.inbox.latest.Load().sender)
-		n := c.inbox.latest.Load()
-		if n.version <= c.configAt.Load() {
-			continue
+		n := c.inbox.get()
+		if n.version > tried.version {
+			c.awaitFetch(ctx, n.senders[0])
+			n = c.inbox.get()
+			tried = changeNotice{version: n.version}
 		}
-		if c.proven() {
-			if sender, ok := c.View().TargetOf(n.sender); ok {
-				c.fetchOperatorRows(ctx, sender)
+		for _, sender := range n.senders {
+			if n.version <= c.configAt.Load() {
+				break
+			}
+			if !slices.Contains(tried.senders, sender) {
+				tried.senders = append(tried.senders, sender)
+				c.fetchFrom(ctx, sender)
 			}
-			continue
 		}
+	}
+}
+
+// fetchFrom fetches a change from a host that has given notice of it.
+func (c *Control) fetchFrom(ctx context.Context, sender string) {
+	if !c.proven() {
 		// The change may be the first configuration, of no use without a proof.
-		c.pollPeer(ctx, &peerPoll{}, n.sender, false)
+		c.pollPeer(ctx, &peerPoll{}, sender, false)
+		return
+	}
+	if t, ok := c.View().TargetOf(sender); ok {
+		c.fetchOperatorRows(ctx, t)
 	}
 }
 
