hostd, gate: an earlier refusal of a target, written once more, does not say not run

Callers saw: could have been told "not run, try again" for a request that its target was running; reported by another operator, not seen here.

Cause: a refusal without an attempt id was taken for that of the request waiting on a kept connection; and an attempt sent again to the target that had refused it could meet that refusal once more, with its own id, on the same connection. The same in the gate of the other daemon.

Change: on a reused connection a refusal counts only if it echoes the attempt, and a connection on which a target has refused is not used again (link.KeepConnection).

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// maxShedBody is how much of the body of a shedding response is read so
-	// that the connection can be reused.
+	// maxShedBody is how much of the body of a shedding response is read, so
+	// that the exchange ends without being aborted.
 	maxShedBody = 4 << 10
 	// deathProbeTimeout bounds the check whether a target that broke a
 	// connection still accepts connections.
--- a/gate/failure_test.go
+++ b/gate/failure_test.go
@@ -316,3 +316,39 @@
 	assert.Assert(t, asProblem(f.Announce(f.announcement), &p))
 	assert.Equal(t, p.Status, fasthttp.StatusConflict)
 }
+
+func TestEarlierShedResponseWrittenOnceMoreDoesNotSayNotRun(t *testing.T) {
+	const shed = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	tests := []struct {
+		name      string
+		responses []string
+		// run is the state of the second attempt.
+		run wire.RunState
+	}{
+		{"after another response", []string{okResponse, shed}, wire.Unknown},
+		{"after the shed response itself", []string{shed, shed}, wire.NotRun}, // on a connection of its own
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			target := startRawTarget(t, func(n int, c net.Conn, br *bufio.Reader) {
+				for _, response := range tc.responses {
+					if readRequest(br) != nil {
+						return
+					}
+					io.WriteString(c, response)
+				}
+			})
+			f := start(t, target, "shedder", nil)
+			send := func() *wire.Refusal {
+				att := f.attempt()
+				att.Idempotent = true
+				_, ref := f.forward(att)
+				return ref
+			}
+			send()
+			ref := send()
+			assert.Assert(t, ref != nil)
+			assert.Equal(t, ref.Run, tc.run)
+		})
+	}
+}
--- a/gate/forward.go
+++ b/gate/forward.go
@@ -81,20 +81,27 @@
 	if err != nil {
 		return nil, g.failAttempt(ctx, tk, err, latency)
 	}
-	if resp.Header.StatusCode() == fasthttp.StatusServiceUnavailable && tk.svc.ShedNotRun {
+	if isShed(tk, &resp.Header) {
 		return nil, g.refuseShed(tk, resp, latency)
 	}
 	return g.newAnswer(tk, resp, latency), nil
 }
 
+// isShed reports whether a response states that the target has not run the request.
+func isShed(tk *ticket, h *fasthttp.ResponseHeader) bool {
+	return h.StatusCode() == fasthttp.StatusServiceUnavailable && tk.svc.ShedNotRun
+}
+
 // errAttemptMismatch reports a response that echoes the ID of another attempt.
 var errAttemptMismatch = errors.New("the response belongs to another request; check how the target matches responses to requests")
 
 // checkAttemptEcho rejects a response that echoes the ID of another attempt.
-// Targets need not echo the attempt ID, but an echoed ID must match.
+// Targets need not echo the attempt ID, but an echoed ID must match. A shed response on
+// a reused connection must echo it, as it may be that to an earlier attempt, written
+// once more.
 func checkAttemptEcho(tk *ticket, resp *link.Response) error {
 	echo := resp.Header.Peek(headers.Attempt)
-	if len(echo) == 0 || string(echo) == tk.att.ID.String() {
+	if string(echo) == tk.att.ID.String() || len(echo) == 0 && !(resp.Reused && isShed(tk, &resp.Header)) {
 		return nil
 	}
 	resp.Body.Close()
@@ -149,6 +156,8 @@
 		LingerTimeout:    g.opts.Linger,
 		OnEnd:            x.onEnded,
 		BeforeSend:       x.beforeSend,
+		// A faulty target may write a shed response once more, to a later request.
+		KeepConnection: func(h *fasthttp.ResponseHeader) bool { return !isShed(tk, h) },
 	})
 }
 
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -232,7 +232,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	g.metrics.Add("target_probes", 1)
-	resp, err := g.links.Do(ctx, g.settings().TargetAddress, req, link.RequestOptions{FirstByteTimeout: timeout})
+	resp, err := g.links.Do(ctx, g.settings().TargetAddress, req, link.RequestOptions{FirstByteTimeout: timeout, KeepConnection: keepsTargetConnection})
 	if err != nil {
 		g.log.Decide("health-failed", "address", g.settings().TargetAddress, "err", err)
 		return karpithaz.Heartbeat{}, false
--- a/hostd/roundtrip.go
+++ b/hostd/roundtrip.go
@@ -55,10 +55,10 @@
 		FirstByteTimeout: time.Until(tk.deadline) + answerGrace,
 		IdleTimeout:      bodyIdleTimeout,
 		AllowUnframed:    true,
-		MatchResponse: func(h *fasthttp.ResponseHeader) bool {
-			echo := karpithaz.ParseResponse(h).Attempt
-			return echo == "" || echo == tk.f.Attempt
+		MatchResponse: func(h *fasthttp.ResponseHeader, reused bool) bool {
+			return answersAttempt(karpithaz.ParseResponse(h), tk.f.Attempt, reused)
 		},
+		KeepConnection: keepsTargetConnection,
 	})
 	if err != nil {
 		return nil, err
@@ -72,6 +72,22 @@
 	return a, nil
 }
 
+// answersAttempt reports whether an answer of a target belongs to an attempt. On a
+// reused connection a refusal without an attempt may be that of an earlier one.
+func answersAttempt(answer karpithaz.Response, attempt string, reused bool) bool {
+	if answer.Attempt == "" {
+		return !answer.NotRun || !reused
+	}
+	return answer.Attempt == attempt
+}
+
+// keepsTargetConnection reports whether a connection to a target may be reused after an
+// answer. A faulty target may write a refusal once more; sent again on the same
+// connection, the attempt would be taken for refused while it runs.
+func keepsTargetConnection(h *fasthttp.ResponseHeader) bool {
+	return !karpithaz.ParseResponse(h).NotRun
+}
+
 // idleCloseWindow is the time after sending within which a broken connection
 // means that the target had closed it while idle. Later, the request may have
 // been running.
--- a/link/body.go
+++ b/link/body.go
@@ -37,7 +37,8 @@
 	e.conn.readTimeout = e.IdleTimeout
 	e.conn.deadline = time.Time{}
 	b := &body{exchange: e, reader: e.conn.br}
-	b.reusable = !resp.Header.ConnectionClose() && resp.Header.IsHTTP11()
+	b.reusable = !resp.Header.ConnectionClose() && resp.Header.IsHTTP11() &&
+		(e.KeepConnection == nil || e.KeepConnection(&resp.Header))
 	resp.Length = resp.Header.ContentLength()
 	switch {
 	case req.Header.IsHead():
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -40,8 +40,11 @@
 	AllowUnframed bool
 	// MatchResponse, if set, reports whether a response belongs to this request.
 	// Others, which are late responses to earlier requests on the connection,
-	// are discarded.
-	MatchResponse func(h *fasthttp.ResponseHeader) bool
+	// are discarded. reused is set if the connection has carried such requests.
+	MatchResponse func(h *fasthttp.ResponseHeader, reused bool) bool
+	// KeepConnection, if set, reports whether the connection may be reused after a
+	// response.
+	KeepConnection func(h *fasthttp.ResponseHeader) bool
 	// OnInterim is called for each interim (1xx) response.
 	OnInterim func()
 }
@@ -201,7 +204,7 @@
 		if !hasVerifiableEnd(req, resp) && (!e.AllowUnframed || resp.Header.ContentLength() != lengthIdentity) {
 			return errUnframed
 		}
-		if e.MatchResponse == nil || e.MatchResponse(&resp.Header) {
+		if e.MatchResponse == nil || e.MatchResponse(&resp.Header, e.conn.reused) {
 			return nil
 		}
 		if err := e.discardBody(resp); err != nil {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -334,7 +334,7 @@
 			"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 5\r\n\r\nright"))
 	pool := link.New(link.Options{})
 	defer pool.Close()
-	mine := func(h *fasthttp.ResponseHeader) bool { return string(h.Peek("Id")) == "mine" }
+	mine := func(h *fasthttp.ResponseHeader, _ bool) bool { return string(h.Peek("Id")) == "mine" }
 	body, err := readResponseBody(t, pool, p.addr(), link.RequestOptions{MatchResponse: mine})
 	assert.NilError(t, err)
 	assert.Equal(t, body, "right")
