hostd: an odd heartbeat of another writer does not replace the target

Callers saw: 503 for everything at this target, until its daemon restarted.

Cause: a heartbeat was checked for its types, its state and its address alone. One that says that the target starts in the future, or names a service that does not exist, was taken for that of a later incarnation; the real target's heartbeats were old after that, and requests went to an id that the target does not have.

--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -41,9 +41,9 @@
 		x.Response.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
-	if h.Address != g.settings().TargetAddress {
+	if why := g.foreign(h, time.Now()); why != "" {
 		g.metrics.Add("heartbeats_foreign", 1)
-		g.log.Decide("heartbeat-refused", "target", id, "address", h.Address, "err", "not the address of this host's target")
+		g.log.Decide("heartbeat-refused", "target", id, "address", h.Address, "service", h.Service, "born", h.StartedAtMillis, "err", why)
 		x.Response.SetStatusCode(fasthttp.StatusConflict)
 		return
 	}
@@ -52,6 +52,25 @@
 	acknowledge(&x.Response)
 }
 
+// maxClockError is how far the time of day of a target may be ahead of this host's.
+const maxClockError = time.Minute
+
+// foreign returns why a heartbeat cannot come from this host's target, or "". One that
+// was taken for that of a later start would make all further ones of the real
+// target look old.
+func (g *Gate) foreign(h karpithaz.Heartbeat, now time.Time) string {
+	set := g.settings()
+	switch {
+	case h.Address != set.TargetAddress:
+		return "not the address of this host's target"
+	case h.StartedAtMillis > now.Add(maxClockError).UnixMilli():
+		return "the target starts in the future"
+	case h.Service != set.Service && g.view().Config != nil && g.service(h.Service) == nil:
+		return "the configuration has no such service"
+	}
+	return ""
+}
+
 func (g *Gate) applyHeartbeat(h karpithaz.Heartbeat, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
