hostd: odd rows of another writer name no target, and a replaced row is written again

Callers saw: less capacity; a target whose row another writer had replaced by bytes that cannot be read was unknown to each host that started after that.

Cause: rows with port 0 or absurd numbers of slots passed the checks. An unreadable row keeps the former target in force at the hosts that know it, its own among them, so its own host saw nothing to mend.

Change: such rows are refused; a host writes its row again if the row's version is not one that it has written or found.

TestOddRowsOfAnotherWriterStopNoHost passes before and after: no host ended or stopped following the table.

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -41,7 +41,10 @@
 	configAt, hostsAt atomic.Uint64
 	updates           chan tableUpdate
 	ownRow            chan ownRowChange
-	liveness          livenessTracker
+	// ownRowVersion is the version of the host's own row as this process has written
+	// or found it, or 0.
+	ownRowVersion atomic.Uint64
+	liveness      livenessTracker
 	// firstReadDelay is how long after the start the hosts table is read.
 	firstReadDelay time.Duration
 	// tableWrites is how many writes of a table the store performs a second.
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -249,7 +249,7 @@
 	for pause.For(ctx, ownRowCheckInterval) {
 		if view := h.control.View(); view.Ready() && !h.stopping() {
 			row, listed := view.TargetOf(h.settings.Host)
-			h.gate.refreshRow(row, listed)
+			h.gate.refreshRow(row, listed && !h.control.ownRowReplaced(view))
 		}
 	}
 	return nil
--- a/hostd/ownrow.go
+++ b/hostd/ownrow.go
@@ -58,6 +58,7 @@
 		case err == nil:
 			close(wanted.written)
 			pending, failures = false, 0
+			c.ownRowVersion.Store(version)
 		case platform.IsKind(err, platform.KindConflict):
 			// writeOwnRow has updated version.
 		default:
@@ -78,6 +79,13 @@
 	}
 }
 
+// ownRowReplaced reports whether another writer has replaced the host's own row, perhaps
+// by one that cannot be read and that other hosts do not pass on.
+func (c *Control) ownRowReplaced(view *View) bool {
+	known := c.ownRowVersion.Load()
+	return known != 0 && view.hostVersions[c.host] > known
+}
+
 const (
 	// ownVersionTimeout bounds how long a starting host waits for the hosts table,
 	// which tells it the version of its own row, before it writes that row.
--- a/hostd/view.go
+++ b/hostd/view.go
@@ -54,13 +54,17 @@
 	if err := json.Unmarshal(value, &t); err != nil {
 		return t, errors.Wrap(err, "decode host row")
 	}
-	if t.Host != key || t.ID == "" || t.Service == "" || t.DataCentre == "" || t.Slots <= 0 {
+	if t.Host != key || t.ID == "" || t.Service == "" || t.DataCentre == "" || t.Slots <= 0 || t.Slots > karpithaz.MaxSlots {
 		return t, errors.New("host row: missing or invalid field")
 	}
 	for _, addr := range []string{t.Gate, t.Control} {
-		if _, err := netip.ParseAddrPort(addr); err != nil {
+		parsed, err := netip.ParseAddrPort(addr)
+		if err != nil {
 			return t, errors.Wrap(err, "decode host row")
 		}
+		if parsed.Port() == 0 {
+			return t, errors.Errorf("host row: address %s has no port", addr)
+		}
 	}
 	return t, nil
 }
