limiter: a query for a rate is relayed through more than one host

Cause: where the second owner of a rate does not reach the first, it asked one witness, in a third data centre or in the owner's. If that host was down as well, the second owner took the whole data centre for cut off and granted its share, although a host of its own data centre still reached the first owner.

Change: witnesses of a third data centre, of the owner's and of any other are asked in turn; ways that have failed recently are left out, and at most two may time out for a query.

The other models of rates as before.

--- a/hostd/limiter.go
+++ b/hostd/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,9 +29,11 @@
 	maxOwnersTried = 2
 	// ownerBackoff is how long an owner that did not answer is avoided.
 	ownerBackoff = 1500 * time.Millisecond
-	// relayTimeout bounds each of the two ways in which a query is relayed, so
-	// that the sender has an answer before it gives up (queryTimeouts).
+	// relayTimeout bounds each way in which a query is relayed, and maxRelayWays how
+	// many of them may time out, so that the sender has an answer before it gives up
+	// (queryTimeouts).
 	relayTimeout = 60 * time.Millisecond
+	maxRelayWays = 2
 	// burstSlackShare is the share of the platform's slack on rates that is
 	// added to a burst, since requests arrive in bursts.
 	burstSlackShare = 0.4
@@ -185,13 +188,18 @@
 
 // relay passes a query on to the first owner, directly or through a witness, and
 // does so only once, so that hosts that know different owners do not pass it on to
-// each other.
+// each other. Ways that have recently failed are left out, so that the next query finds
+// the others.
 func (l *fleetLimiter) relay(ctx context.Context, b bucketSpec, owners []string, origin string) (datagram, bool) {
 	if len(owners) == 0 {
 		return datagram{}, false
 	}
 	q := datagram{Kind: b.kind, Name: b.name, Host: l.host, Owner: owners[0], Origin: origin}
-	for _, host := range []string{owners[0], l.witness(owners)} {
+	deadline := time.Now().Add(maxRelayWays * relayTimeout)
+	for _, host := range append([]string{owners[0]}, l.witnesses(owners)...) {
+		if time.Until(deadline) < relayTimeout {
+			break
+		}
 		ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 		a, ok := l.ask(ctx, host, owners[0], q)
 		cancel()
@@ -202,27 +210,27 @@
 	return datagram{}, false
 }
 
-// witness returns a host that may reach the first owner where this host does not, or
-// "" if there is none: of the hosts that are not owners the one of highest rank in a
-// third data centre, or else in the owner's data centre, or else in any.
-func (l *fleetLimiter) witness(owners []string) string {
+// witnesses returns hosts that may reach the first owner where this host does not: of
+// the hosts that are not owners those of highest rank in a third data centre, in the
+// owner's data centre and in any other.
+func (l *fleetLimiter) witnesses(owners []string) []string {
 	view := l.view()
 	own, _ := view.TargetOf(l.host)
 	first, _ := view.TargetOf(owners[0])
-	ownersDataCentre, other := "", ""
+	var third, ownersDataCentre, other string
 	for _, host := range owners[min(len(owners), maxOwnersTried):] {
 		t, ok := view.TargetOf(host)
 		switch {
 		case !ok || host == l.host:
-		case t.DataCentre != own.DataCentre && t.DataCentre != first.DataCentre:
-			return host
 		case t.DataCentre == first.DataCentre:
 			ownersDataCentre = cmp.Or(ownersDataCentre, host)
+		case t.DataCentre != own.DataCentre:
+			third = cmp.Or(third, host)
 		default:
 			other = cmp.Or(other, host)
 		}
 	}
-	return cmp.Or(ownersDataCentre, other)
+	return slices.DeleteFunc([]string{third, ownersDataCentre, other}, func(host string) bool { return host == "" })
 }
 
 // grant takes a token as an owner. relay is set if a host that is not the first
