hostd: a request is not offered to a host that does not answer

Cause: the first sign of a silent host was an offer without a reply. An order offered to it can be neither withdrawn nor offered elsewhere, a read waits 0.35 s and takes a retry, and each of a hundred hosts found out about each silent one with requests of its own: 194 of 309 first offers of two seconds went to frozen hosts.

--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -23,9 +23,11 @@
 	// restrictTo, if not empty, lists the only targets that the request may go
 	// to.
 	restrictTo []string
-	pending    *pendingOffers
-	hedgeSoon  chan<- struct{}
-	hedge      bool
+	// silent are the hosts that did not answer.
+	silent    []string
+	pending   *pendingOffers
+	hedgeSoon chan<- struct{}
+	hedge     bool
 	// mayHaveArrived is set when a gate has sent the request to its target, or has
 	// been silent for so long that this is not known.
 	mayHaveArrived atomic.Bool
@@ -77,10 +79,24 @@
 // first for a free slot of a healthy target, then for a short wait in the local
 // data centre, and finally on any terms.
 func (a *attempt) run(ctx context.Context) attemptResult {
-	cands := a.candidates()
-	if len(cands) == 0 {
+	s := &gateSearch{a: a}
+	found := a.search(ctx, s)
+	if !found && len(a.silent) > 0 {
+		found = a.search(ctx, s) // among the hosts that answer
+	}
+	switch {
+	case found || s.tryLastResort(ctx):
+		return s.result
+	case s.last == nil:
 		return a.result(Reply{Refusal: wire.Refuse(wire.ReasonNoTarget, "no eligible target of service %s", a.e.service)}, Target{})
 	}
+	return a.result(Reply{Refusal: s.last}, Target{})
+}
+
+// search offers the request to the candidates of least cost, for a free slot or a short
+// wait. It reports whether the attempt has a result.
+func (a *attempt) search(ctx context.Context, s *gateSearch) bool {
+	cands := a.candidates()
 	placing.SortByCost(time.Now(), cands, a.placementRequest(), random{})
 	if a.placementRequest().Repeatable {
 		moveStaleFirst(cands, time.Now())
@@ -88,15 +104,8 @@
 	local, remote := splitByLocality(cands[:min(len(cands), maxGatesTried)])
 	first := offerTerms{maxGray: a.grayLimit()}
 	short := offerTerms{maxGray: a.grayLimit(), maxWait: a.shortWait()}
-	s := &gateSearch{a: a}
 	remote = remote[:min(len(remote), maxRemoteGatesTried)]
-	if s.tryAll(ctx, local, first) || s.tryAll(ctx, local, short) || s.tryAll(ctx, remote, first) {
-		return s.result
-	}
-	if s.tryLastResort(ctx) {
-		return s.result
-	}
-	return a.result(Reply{Refusal: s.last}, Target{})
+	return s.tryAll(ctx, local, first) || s.tryAll(ctx, local, short) || s.tryAll(ctx, remote, first)
 }
 
 // explorationInterval is the age of a local target's last report after which a
@@ -176,7 +185,7 @@
 	targets := view.Targets(a.e.service)
 	out := make([]placing.Candidate, 0, len(targets))
 	for _, t := range targets {
-		if view.Evacuated(t.DataCentre) || slices.Contains(a.exclude, t.ID) || !a.regionAllowed(t) {
+		if view.Evacuated(t.DataCentre) || slices.Contains(a.exclude, t.ID) || slices.Contains(a.silent, t.Host) || !a.regionAllowed(t) {
 			continue
 		}
 		if a.e.in.states.isUnavailable(t.ID, now) {
@@ -213,6 +222,9 @@
 	if !ok || t.ID != c.Target {
 		return Reply{Refusal: wire.Refuse(wire.ReasonNoTarget, "target %s no longer exists", c.Target)}, t
 	}
+	if !a.answers(ctx, t) {
+		return Reply{Refusal: wire.Refuse(wire.ReasonUnreachable, "host %s does not answer", t.Host)}, t
+	}
 	incarnation := a.e.in.states.incarnation(t.Host)
 	if !a.pending.add(t, incarnation) {
 		return Reply{Refusal: wire.Refuse(wire.ReasonBusy, "request not offered to target %s: another attempt is pending there or the request has been withdrawn", t.ID)}, t
--- a/hostd/datagrams.go
+++ b/hostd/datagrams.go
@@ -47,6 +47,9 @@
 	HostsVersion  uint64 `json:"t,omitempty"`
 }
 
+// queryAlive asks a host whether it is alive.
+const queryAlive = "alive"
+
 const maxDatagramBytes = 1200
 
 // queryTimeouts are the times to wait for an answer after each transmission of
--- a/hostd/execution_test.go
+++ b/hostd/execution_test.go
@@ -28,6 +28,12 @@
 	offers   []string
 	forward  func(ctx context.Context, t Target, f Forward, onSend func()) Reply
 	withdraw func(host, attempt string, life int64) (bool, error)
+	// silent are hosts that answer no query.
+	silent []string
+}
+
+func (g *scriptedGates) Answers(_ context.Context, t Target) bool {
+	return !slices.Contains(g.silent, t.Host)
 }
 
 func (g *scriptedGates) Forward(ctx context.Context, t Target, f Forward, _ *fasthttp.Request, onSend func()) Reply {
--- a/hostd/fleet_test.go
+++ b/hostd/fleet_test.go
@@ -26,7 +26,9 @@
 // testFleet is a set of hosts in this process with a simulated store and
 // simulated targets.
 type testFleet struct {
-	t          *testing.T
+	t *testing.T
+	// subnet keeps the addresses of fleets apart that run at the same time.
+	subnet     int64
 	store      *standin.Platform
 	hosts      []*testHostd
 	routes     []standin.Route
@@ -87,12 +89,16 @@
 	return newFleetIn(t, slices.Repeat([]string{"dc-a"}, hosts)...)
 }
 
+const maxSubnets = 200
+
+var fleetsStarted atomic.Int64
+
 // newFleetIn starts a host in each of the data centres given.
 func newFleetIn(t *testing.T, dataCentres ...string) *testFleet {
 	t.Helper()
 	store, err := standin.Start()
 	assert.NilError(t, err)
-	f := &testFleet{t: t, store: store, routes: defaultRoutes(), workspaces: []standin.Workspace{{Name: testWorkspace, Key: testKey}}}
+	f := &testFleet{t: t, subnet: 1 + fleetsStarted.Add(1)%maxSubnets, store: store, routes: defaultRoutes(), workspaces: []standin.Workspace{{Name: testWorkspace, Key: testKey}}}
 	t.Cleanup(store.Close)
 	f.configure(1)
 	for i, dc := range dataCentres {
@@ -116,7 +122,7 @@
 }
 
 func (f *testFleet) settings(n int) *karpithaz.Settings {
-	ip := fmt.Sprintf("127.0.1.%d", n)
+	ip := fmt.Sprintf("127.0.%d.%d", f.subnet, n)
 	addr := func() string { return freeAddr(f.t, ip) }
 	return &karpithaz.Settings{
 		Host: fmt.Sprintf("host-%d", n), DataCentre: "dc-a", Region: "r", Regions: map[string]string{"dc-a": "r"}, IP: ip,
--- a/hostd/gatestate.go
+++ b/hostd/gatestate.go
@@ -12,8 +12,9 @@
 	mu       sync.Mutex
 	byTarget map[string]placing.Report
 	gates    map[string]reachability
-	// incarnations are those of the hosts' gates.
+	// incarnations are those of the hosts' gates, and contacts when they last replied.
 	incarnations map[string]int64
+	contacts     map[string]time.Time
 	// unavailable holds the targets that their gates refuse to serve, with the
 	// time at which the entry expires.
 	unavailable map[string]time.Time
@@ -33,7 +34,7 @@
 )
 
 func newGateStates() *gateStates {
-	return &gateStates{byTarget: map[string]placing.Report{}, gates: map[string]reachability{}, unavailable: map[string]time.Time{}, incarnations: map[string]int64{}}
+	return &gateStates{byTarget: map[string]placing.Report{}, gates: map[string]reachability{}, unavailable: map[string]time.Time{}, incarnations: map[string]int64{}, contacts: map[string]time.Time{}}
 }
 
 func (s *gateStates) set(target string, rep placing.Report) {
@@ -73,6 +74,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.gates, host)
+	s.contacts[host] = time.Now()
+}
+
+// recordContact records that a host has answered a query. Its gate may yet be slow.
+func (s *gateStates) recordContact(host string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.contacts[host] = now
+}
+
+// contact returns when a host's gate last replied.
+func (s *gateStates) contact(host string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.contacts[host]
 }
 
 // recordFailure records that a host could not be reached or that a request sent
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -255,6 +255,12 @@
 	return nil
 }
 
+// Answers implements gateForwarder.
+func (h *Host) Answers(ctx context.Context, t Target) bool {
+	_, err := h.datagrams.query(ctx, t.Control, datagram{Kind: queryAlive, Host: h.settings.Host})
+	return err == nil
+}
+
 // Forward implements gateForwarder.
 func (h *Host) Forward(ctx context.Context, t Target, f Forward, req *fasthttp.Request, onSend func()) Reply {
 	if t.Host == h.settings.Host {
@@ -272,6 +278,8 @@
 		return h.limiter.answer(ctx, q)
 	case queryVersions:
 		return h.control.reportVersions(q.Host)
+	case queryAlive:
+		return datagram{Result: true}
 	case queryChanged:
 		return h.control.recordNotice(q)
 	case queryCrash, queryQuarantine:
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -31,6 +31,8 @@
 	// may have been. If it returns false, the attempt will never be sent.
 	// incarnation is that of the gate's process when the attempt was offered.
 	Withdraw(ctx context.Context, host, attempt string, incarnation int64) (sent bool, err error)
+	// Answers reports whether the host of a target answers a query.
+	Answers(ctx context.Context, t Target) bool
 }
 
 // rateLimiter enforces limits that apply to the whole fleet.
--- a/hostd/oddrows_test.go
+++ b/hostd/oddrows_test.go
@@ -29,6 +29,7 @@
 }
 
 func TestOddRowsOfAnotherWriterStopNoHost(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 3)
 	for key, value := range oddRows {
 		f.store.Put(hostsTable, key, []byte(value))
@@ -51,6 +52,7 @@
 }
 
 func TestHostWritesItsRowAgainAfterAnotherWriterHasReplacedIt(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 3)
 	time.Sleep(ownRowCheckInterval) // rows of targets that have just started are not checked
 	f.store.Put(hostsTable, "host-2", []byte(`{"target":[[[`))
--- a/hostd/silentreaders_test.go
+++ b/hostd/silentreaders_test.go
@@ -36,12 +36,14 @@
 }
 
 func TestChangeIsInForceInTimeWhileReadersOfADataCentreAreFrozen(t *testing.T) {
+	t.Parallel()
 	f := newFleetIn(t, append(slices.Repeat([]string{"dc-a"}, 10), "dc-b", "dc-b", "dc-b")...)
 	time.Sleep(startPollPause * 3 / 2) // every host knows its readers
 	checkChangesWhileFrozen(t, f, f.hosts[0].control.View().ranked("dc-a"))
 }
 
 func TestChangeIsInForceInTimeWhileAllReadersAreFrozen(t *testing.T) {
+	t.Parallel()
 	f := newFleetIn(t, append(slices.Repeat([]string{"dc-a"}, 9), slices.Repeat([]string{"dc-b"}, 9)...)...)
 	time.Sleep(startPollPause * 3 / 2) // every host knows its readers
 	view := f.hosts[0].control.View()
@@ -49,6 +51,7 @@
 }
 
 func TestChangeIsInForceInTimeOnAHostThatReachesNoOther(t *testing.T) {
+	t.Parallel()
 	f := newFleetIn(t, "dc-a", "dc-a", "dc-a", "dc-a", "dc-a", "dc-a", "dc-a", "dc-b")
 	time.Sleep(startPollPause * 3 / 2) // every host knows its readers
 	ranked := f.hosts[0].control.View().ranked("dc-a")
