hostd: a reader that was cut off or stood still takes no live host for silent

Cause: a reader drops hosts that have not polled it for 5 s, if it has heard from half of them.

Change: hosts count as silent only if the reader has heard from most hosts within 3 s at each check for as long as the time-out; a process that stood still starts anew.

--- a/hostd/liveness.go
+++ b/hostd/liveness.go
@@ -19,17 +19,20 @@
 	// removed: several poll intervals, and longer than a restart takes.
 	silenceTimeout = 5 * time.Second
 	// minHeardShare is the share of the data centre's hosts that must have been
-	// heard from recently. If fewer were, the reader itself is probably
-	// partitioned.
+	// heard from within hearingWindow, which is longer than the time between two
+	// polls of a host. If fewer were, the reader itself is probably partitioned, or
+	// was.
 	minHeardShare = 0.5
+	hearingWindow = 3 * time.Second
 )
 
 // livenessTracker records when hosts last polled this reader.
 type livenessTracker struct {
 	mu          sync.Mutex
 	lastContact map[string]time.Time
-	// startedAt is when this host first acted as a reader.
-	startedAt time.Time
+	// hearingSince is since when this host has acted as a reader and heard from most
+	// hosts, and checkedAt when it last checked that.
+	hearingSince, checkedAt time.Time
 	// departedSince is when this host first saw a departed target, by host.
 	departedSince map[string]departure
 }
@@ -75,14 +78,12 @@
 	h.lastContact[host] = now
 }
 
-// silentHosts returns the hosts that have exceeded silenceTimeout, or none if
-// too few hosts have been heard from to tell.
+// silentHosts returns the hosts that have exceeded silenceTimeout, or none if this host
+// has not heard from most hosts for as long: after a partition, or after the process
+// stood still, the hosts that have not polled it yet are not silent.
 func (h *livenessTracker) silentHosts(hosts []string, self string, now time.Time) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.startedAt.IsZero() {
-		h.startedAt = now
-	}
 	var silent []string
 	heard, others := 0, 0
 	for _, host := range hosts {
@@ -98,11 +99,16 @@
 		}
 		if now.Sub(at) > silenceTimeout {
 			silent = append(silent, host)
-		} else {
+		}
+		if now.Sub(at) <= hearingWindow {
 			heard++
 		}
 	}
-	if now.Sub(h.startedAt) < silenceTimeout || float64(heard) < minHeardShare*float64(others) {
+	if now.Sub(h.checkedAt) > hearingWindow || float64(heard) < minHeardShare*float64(others) {
+		h.hearingSince = now
+	}
+	h.checkedAt = now
+	if now.Sub(h.hearingSince) < silenceTimeout {
 		return nil
 	}
 	return silent
