hostd: a host whose row was removed writes it again at once

Cause: a host looked for its own row every 3 s only, and not in the first 3 s after its target was known, since the first row may still be under way.

Change: the removal of the row is signalled when it is applied, and such a row is written again whatever the age of the target.

Evidence: TestRemovalOfTheOwnRowIsNoticedAtOnce.

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -44,7 +44,9 @@
 	// ownRowVersion is the version of the host's own row as this process has written
 	// or found it, or 0.
 	ownRowVersion atomic.Uint64
-	liveness      livenessTracker
+	// ownRowLost is signalled when the host's own row is no longer listed.
+	ownRowLost chan struct{}
+	liveness   livenessTracker
 	// firstReadDelay is how long after the start the hosts table is read.
 	firstReadDelay time.Duration
 	// tableWrites is how many writes of a table the store performs a second.
@@ -105,6 +107,7 @@
 		metrics:      m,
 		updates:      make(chan tableUpdate),
 		ownRow:       make(chan ownRowChange, 1),
+		ownRowLost:   make(chan struct{}, 1),
 		evacuated:    map[string]bool{},
 		hosts:        map[string]Target{},
 		operatorRows: map[string]karpithaz.Row{},
@@ -172,6 +175,7 @@
 
 func (c *Control) apply(n tableUpdate) {
 	changed := n.full || len(n.rows) > 0
+	_, listed := c.hosts[c.host]
 	switch n.table {
 	case karpithaz.OperatorTable:
 		c.applyOperatorRows(n)
@@ -181,6 +185,9 @@
 	if changed {
 		c.publish()
 	}
+	if listed {
+		c.signalOwnRowLost()
+	}
 	switch n.table {
 	case karpithaz.OperatorTable:
 		raise(&c.configAt, n.version)
@@ -315,3 +322,14 @@
 		c.log.Decide("host-known", "host", t.Host, "target", t.ID, "service", t.Service, "row_version", row.Version)
 	}
 }
+
+// signalOwnRowLost signals ownRowLost if the host is not listed.
+func (c *Control) signalOwnRowLost() {
+	if _, listed := c.hosts[c.host]; listed {
+		return
+	}
+	select {
+	case c.ownRowLost <- struct{}{}:
+	default:
+	}
+}
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -135,12 +135,13 @@
 	}
 }
 
-// refreshRow publishes the target again if its row is missing or out of date.
-func (g *Gate) refreshRow(row Target, listed bool) {
+// refreshRow publishes the target again if its row is missing or out of date. lost is set
+// if the row has been removed, rather than not written yet.
+func (g *Gate) refreshRow(row Target, listed, lost bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t := g.target
-	if t == nil || t.leaving || time.Since(t.firstSeen) < ownRowCheckInterval ||
+	if t == nil || t.leaving || !lost && time.Since(t.firstSeen) < ownRowCheckInterval ||
 		g.view().hasDeparted(g.settings().Host, t.id, t.born) {
 		return
 	}
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -244,15 +244,25 @@
 // than a written row takes to come back through the readers.
 const ownRowCheckInterval = 3 * time.Second
 
-// runOwnRowWatch rewrites the host's own row if it is missing or out of date.
+// runOwnRowWatch rewrites the host's own row if it is missing or out of date. A row that
+// another host has removed, after a partition, is rewritten at once.
 func (h *Host) runOwnRowWatch(ctx context.Context) error {
-	for pause.For(ctx, ownRowCheckInterval) {
+	ticker := time.NewTicker(ownRowCheckInterval)
+	defer ticker.Stop()
+	for {
+		lost := false
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-h.control.ownRowLost:
+			lost = true
+		case <-ticker.C:
+		}
 		if view := h.control.View(); view.Ready() && !h.stopping() {
 			row, listed := view.TargetOf(h.settings.Host)
-			h.gate.refreshRow(row, listed && !h.control.ownRowReplaced(view))
+			h.gate.refreshRow(row, listed && !h.control.ownRowReplaced(view), lost)
 		}
 	}
-	return nil
 }
 
 // Answers implements gateForwarder.
--- a/hostd/oddrows_test.go
+++ b/hostd/oddrows_test.go
@@ -6,6 +6,10 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/gooseberryshed/gooseberryshed/decisions"
+	"github.com/gooseberryshed/gooseberryshed/metrics"
+	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 )
 
 // oddRows are values of another writer in the table of hosts, by key. The keys of the
@@ -65,3 +69,50 @@
 		assert.Equal(t, len(h.control.View().Targets("svc")), 3, "%s", h.settings.Host)
 	}
 }
+
+func TestHostWritesItsRowAgainAtOnceAfterItsRemoval(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 4)
+	for round := range 4 {
+		time.Sleep(time.Duration(round) * 400 * time.Millisecond)
+		before, _ := f.store.Row(hostsTable, "host-2")
+		f.store.Remove(hostsTable, "host-2")
+		removed := time.Now()
+		f.await("the row of host-2 is back", func() bool {
+			row, ok := f.store.Row(hostsTable, "host-2")
+			return ok && !row.Removed && row.Version > before.Version
+		})
+		took := time.Since(removed)
+		t.Logf("back after %s", took)
+		assert.Check(t, took < 2500*time.Millisecond, "back after %s", took)
+		f.await("all hosts list host-2", func() bool {
+			for _, h := range f.hosts {
+				if _, ok := h.control.View().TargetOf("host-2"); !ok {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
+func TestRemovalOfTheOwnRowIsNoticedAtOnce(t *testing.T) {
+	row := Target{ID: "i-1", Service: "svc", Host: "h", DataCentre: "dc", Gate: "127.0.0.1:1", Control: "127.0.0.1:2", Slots: 4}
+	for _, removal := range []tableUpdate{
+		{table: hostsTable, version: 2, rows: []karpithaz.Row{{Table: hostsTable, Key: "h", Version: 2, Removed: true}}},
+		{table: hostsTable, version: 2, full: true},
+	} {
+		c := NewControl("h", "dc", nil, nil, decisions.New(&logBuffer{}), metrics.New())
+		c.apply(tableUpdate{table: hostsTable, version: 1, full: true,
+			rows: []karpithaz.Row{{Table: hostsTable, Key: "h", Version: 1, Value: []byte(encodeHeader(row))}}})
+		assert.Equal(t, len(c.ownRowLost), 0)
+		c.apply(removal)
+		assert.Equal(t, len(c.ownRowLost), 1)
+	}
+	g, announced := newTestGate(t)
+	g.applyHeartbeat(newHeartbeat("a", 1, 1, false), time.Now())
+	g.refreshRow(Target{}, false, false)
+	assert.Equal(t, len(*announced), 1, "the first row may still be under way")
+	g.refreshRow(Target{}, false, true)
+	assert.Equal(t, len(*announced), 2)
+}
