--- a/gate/forward.go
+++ b/gate/forward.go
@@ -96,9 +96,9 @@
 var errAttemptMismatch = errors.New("the response belongs to another request; check how the target matches responses to requests")
 
 // checkAttemptEcho rejects a response that echoes the ID of another attempt.
-// Targets need not echo the attempt ID, but an echoed ID must match. A shed response on
-// a reused connection must echo it, as it may be that to an earlier attempt, written
-// once more.
+// Targets need not echo the attempt ID, but an echoed ID must match. On a reused
+// connection a shed response must echo it, because a faulty target may repeat its
+// response to an earlier attempt.
 func checkAttemptEcho(tk *ticket, resp *link.Response) error {
 	echo := resp.Header.Peek(headers.Attempt)
 	if string(echo) == tk.att.ID.String() || len(echo) == 0 && !(resp.Reused && isShed(tk, &resp.Header)) {
@@ -156,7 +156,7 @@
 		LingerTimeout:    g.opts.Linger,
 		OnEnd:            x.onEnded,
 		BeforeSend:       x.beforeSend,
-		// A faulty target may write a shed response once more, to a later request.
+		// A faulty target may repeat a shed response when the next request arrives.
 		KeepConnection: func(h *fasthttp.ResponseHeader) bool { return !isShed(tk, h) },
 	})
 }
--- a/hostd/aliveness.go
+++ b/hostd/aliveness.go
@@ -19,8 +19,9 @@
 
 // answers reports whether the host of a target is alive. A request offered to a host
 // that is frozen or cut off can be neither withdrawn nor, if it must not run twice,
-// offered elsewhere, and each host would find that out with a request of its own. Hosts
-// fail together, so the first that does not answer has others probed at once.
+// offered elsewhere, and each sender would lose requests until it had backed off from
+// every such host. Failures are often correlated, so once a host does not answer, others
+// are probed concurrently.
 func (a *attempt) answers(ctx context.Context, t Target) bool {
 	switch {
 	case slices.Contains(a.silent, t.Host):
--- a/hostd/control.go
+++ b/hostd/control.go
@@ -44,7 +44,7 @@
 	// ownRowVersion is the version of the host's own row as this process has written
 	// or found it, or 0.
 	ownRowVersion atomic.Uint64
-	// ownRowLost is signalled when the host's own row is no longer listed.
+	// ownRowLost is signalled when the host's own row has been removed.
 	ownRowLost chan struct{}
 	liveness   livenessTracker
 	// firstReadDelay is how long after the start the hosts table is read.
@@ -196,7 +196,7 @@
 	}
 	if v := c.View().operatorVersion; v > c.appliedVersion {
 		c.appliedVersion = v
-		c.applied(operatorChange{version: v, entered: n.from == "" || c.isOutside(n.from)})
+		c.applied(operatorChange{version: v, external: n.from == "" || c.isOutside(n.from)})
 	}
 	if n.proof && c.config != nil && n.provenVersion <= c.configAt.Load() && (!c.proven() || int64(n.provenAt) > c.proof.Load()) {
 		// The proof is stored after the view, so that nobody sees it with an
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -55,9 +55,9 @@
 // maxClockError is how far the time of day of a target may be ahead of this host's.
 const maxClockError = time.Minute
 
-// foreign returns why a heartbeat cannot come from this host's target, or "". One that
-// was taken for that of a later start would make all further ones of the real
-// target look old.
+// foreign returns why a heartbeat cannot come from this host's target, or "" if it can.
+// Once a heartbeat with a later start time is accepted, those of the real target are
+// ignored as old.
 func (g *Gate) foreign(h karpithaz.Heartbeat, now time.Time) string {
 	set := g.settings()
 	switch {
--- a/hostd/limiter.go
+++ b/hostd/limiter.go
@@ -29,11 +29,11 @@
 	maxOwnersTried = 2
 	// ownerBackoff is how long an owner that did not answer is avoided.
 	ownerBackoff = 1500 * time.Millisecond
-	// relayTimeout bounds each way in which a query is relayed, and maxRelayWays how
-	// many of them may time out, so that the sender has an answer before it gives up
-	// (queryTimeouts).
-	relayTimeout = 60 * time.Millisecond
-	maxRelayWays = 2
+	// relayTimeout bounds each path on which a query is relayed, and maxRelayTimeouts
+	// is how many of them may time out, so that the sender has an answer before it
+	// gives up (queryTimeouts).
+	relayTimeout     = 60 * time.Millisecond
+	maxRelayTimeouts = 2
 	// burstSlackShare is the share of the platform's slack on rates that is
 	// added to a burst, since requests arrive in bursts.
 	burstSlackShare = 0.4
@@ -188,14 +188,14 @@
 
 // relay passes a query on to the first owner, directly or through a witness, and
 // does so only once, so that hosts that know different owners do not pass it on to
-// each other. Ways that have recently failed are left out, so that the next query finds
-// the others.
+// each other. Paths that have failed recently are skipped, so that later queries try the
+// remaining ones.
 func (l *fleetLimiter) relay(ctx context.Context, b bucketSpec, owners []string, origin string) (datagram, bool) {
 	if len(owners) == 0 {
 		return datagram{}, false
 	}
 	q := datagram{Kind: b.kind, Name: b.name, Host: l.host, Owner: owners[0], Origin: origin}
-	deadline := time.Now().Add(maxRelayWays * relayTimeout)
+	deadline := time.Now().Add(maxRelayTimeouts * relayTimeout)
 	for _, host := range append([]string{owners[0]}, l.witnesses(owners)...) {
 		if time.Until(deadline) < relayTimeout {
 			break
--- a/hostd/liveness.go
+++ b/hostd/liveness.go
@@ -18,21 +18,21 @@
 	// silenceTimeout is how long a host must be silent before its row is
 	// removed: several poll intervals, and longer than a restart takes.
 	silenceTimeout = 5 * time.Second
-	// minHeardShare is the share of the data centre's hosts that must have been
-	// heard from within hearingWindow, which is longer than the time between two
-	// polls of a host. If fewer were, the reader itself is probably partitioned, or
-	// was.
-	minHeardShare = 0.5
-	hearingWindow = 3 * time.Second
+	// minContactShare is the share of the data centre's hosts that must have polled
+	// this reader within contactWindow, which is longer than the time between two
+	// polls of a host. If fewer have, the reader itself is or was probably
+	// partitioned.
+	minContactShare = 0.5
+	contactWindow   = 3 * time.Second
 )
 
 // livenessTracker records when hosts last polled this reader.
 type livenessTracker struct {
 	mu          sync.Mutex
 	lastContact map[string]time.Time
-	// hearingSince is since when this host has acted as a reader and heard from most
-	// hosts, and checkedAt when it last checked that.
-	hearingSince, checkedAt time.Time
+	// inContactSince is since when most hosts have polled this reader at each check,
+	// and checkedAt is the time of the last check.
+	inContactSince, checkedAt time.Time
 	// departedSince is when this host first saw a departed target, by host.
 	departedSince map[string]departure
 }
@@ -78,14 +78,14 @@
 	h.lastContact[host] = now
 }
 
-// silentHosts returns the hosts that have exceeded silenceTimeout, or none if this host
-// has not heard from most hosts for as long: after a partition, or after the process
-// stood still, the hosts that have not polled it yet are not silent.
+// silentHosts returns the hosts that have exceeded silenceTimeout. It returns none unless
+// most hosts have polled this reader throughout that time: after a partition or a pause
+// of this process, the hosts that have not polled it yet are not silent.
 func (h *livenessTracker) silentHosts(hosts []string, self string, now time.Time) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var silent []string
-	heard, others := 0, 0
+	inContact, others := 0, 0
 	for _, host := range hosts {
 		if host == self {
 			continue
@@ -100,15 +100,15 @@
 		if now.Sub(at) > silenceTimeout {
 			silent = append(silent, host)
 		}
-		if now.Sub(at) <= hearingWindow {
-			heard++
+		if now.Sub(at) <= contactWindow {
+			inContact++
 		}
 	}
-	if now.Sub(h.checkedAt) > hearingWindow || float64(heard) < minHeardShare*float64(others) {
-		h.hearingSince = now
+	if now.Sub(h.checkedAt) > contactWindow || float64(inContact) < minContactShare*float64(others) {
+		h.inContactSince = now
 	}
 	h.checkedAt = now
-	if now.Sub(h.hearingSince) < silenceTimeout {
+	if now.Sub(h.inContactSince) < silenceTimeout {
 		return nil
 	}
 	return silent
--- a/hostd/notices.go
+++ b/hostd/notices.go
@@ -21,11 +21,12 @@
 // operatorChange is a change of the operators' table that a host has applied.
 type operatorChange struct {
 	version uint64
-	// entered is set if the host has it from outside of its data centre.
-	entered bool
+	// external is set if the host learned it from the store or from a host of another
+	// data centre.
+	external bool
 }
 
-// changeNotice is the notice of a change, from some of the hosts that have applied it.
+// changeNotice is the notice of a change by one or more hosts that have applied it.
 type changeNotice struct {
 	version uint64
 	// senders are in the order in which their notices arrived.
@@ -71,14 +72,14 @@
 func (c *Control) applied(change operatorChange) {
 	select {
 	case older := <-c.appliedChanges:
-		change.entered = change.entered || older.entered
+		change.external = change.external || older.external
 	default:
 	}
 	c.appliedChanges <- change
 }
 
-// RunNotifications notifies other hosts of changes until ctx ends. A change does not
-// wait for hosts that have not answered to notices of an earlier one.
+// RunNotifications notifies other hosts of changes until ctx ends. Notices of a change
+// are not delayed by hosts that have not answered those of an earlier one.
 func (c *Control) RunNotifications(ctx context.Context) error {
 	var running sync.WaitGroup
 	defer running.Wait()
@@ -87,15 +88,15 @@
 		case <-ctx.Done():
 			return nil
 		case change := <-c.appliedChanges:
-			if rank, hosts := c.rank(); storepoll.Notifies(rank, hosts, change.entered) {
+			if rank, hosts := c.rank(); storepoll.Notifies(rank, hosts, change.external) {
 				running.Go(func() { c.notify(ctx, change.version) })
 			}
 		}
 	}
 }
 
-// notify sends notices to the hosts of the data centre and to a few of each other one,
-// and waits until all have answered or failed to.
+// notify sends notices to all hosts of the data centre and, in each other data centre, to
+// candidates until storepoll.Readers of them have answered.
 func (c *Control) notify(ctx context.Context, version uint64) {
 	view := c.View()
 	var wg sync.WaitGroup
@@ -183,8 +184,9 @@
 	}
 }
 
-// awaitFetch waits until the host's turn to fetch a change from the sender of a notice.
-// A host that has notice from another data centre is one of few and fetches at once.
+// awaitFetch spreads the fetches of the hosts of a data centre from the sender of a
+// notice. Only a few hosts receive a notice from another data centre, and these fetch at
+// once.
 func (c *Control) awaitFetch(ctx context.Context, sender string) {
 	rank, hosts := c.rank()
 	if spread := storepoll.FetchSpread(rank, hosts); spread > 0 && !c.isOutside(sender) {
--- a/hostd/ownrow.go
+++ b/hostd/ownrow.go
@@ -79,8 +79,8 @@
 	}
 }
 
-// ownRowReplaced reports whether another writer has replaced the host's own row, perhaps
-// by one that cannot be read and that other hosts do not pass on.
+// ownRowReplaced reports whether another writer has replaced the host's own row. Its
+// version tells, because hosts do not pass on rows that they cannot decode.
 func (c *Control) ownRowReplaced(view *View) bool {
 	known := c.ownRowVersion.Load()
 	return known != 0 && view.hostVersions[c.host] > known
--- a/hostd/roundtrip.go
+++ b/hostd/roundtrip.go
@@ -82,8 +82,8 @@
 }
 
 // keepsTargetConnection reports whether a connection to a target may be reused after an
-// answer. A faulty target may write a refusal once more; sent again on the same
-// connection, the attempt would be taken for refused while it runs.
+// answer. A faulty target may repeat a refusal, and if the attempt were sent again on the
+// same connection, the repeat would be taken for its answer.
 func keepsTargetConnection(h *fasthttp.ResponseHeader) bool {
 	return !karpithaz.ParseResponse(h).NotRun
 }
--- a/storepoll/storepoll.go
+++ b/storepoll/storepoll.go
@@ -54,9 +54,8 @@
 )
 
 // Notifies reports whether a host that has applied a change notifies others of it.
-// entered is set if it has the change from outside of its data centre: from the store
-// or from a host of another one.
-func Notifies(rank, hosts int, entered bool) bool { return entered || IsReader(rank, hosts) }
+// external is set if it learned the change from the store or from another data centre.
+func Notifies(rank, hosts int, external bool) bool { return external || IsReader(rank, hosts) }
 
 // FetchSpread returns the time over which a host spreads the fetch of a change of
 // which it has notice. Readers fetch at once, as other hosts learn from them.
--- a/storepoll/storepoll_test.go
+++ b/storepoll/storepoll_test.go
@@ -126,7 +126,7 @@
 	cases := []struct {
 		name        string
 		rank, hosts int
-		entered     bool
+		external    bool
 		notifies    bool
 		spread      time.Duration
 	}{
@@ -139,7 +139,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			assert.Equal(t, Notifies(c.rank, c.hosts, c.entered), c.notifies)
+			assert.Equal(t, Notifies(c.rank, c.hosts, c.external), c.notifies)
 			assert.Equal(t, FetchSpread(c.rank, c.hosts), c.spread)
 		})
 	}
