limiter: two witnesses in each place relay a query for a rate

Cause: where the two owners of a rate are in one data centre and lose each other, the second asked one host of another data centre to relay.

Change: two hosts in each place are asked in turn, in a third data centre, in the owner's and in any other; paths that have failed are skipped as before.

--- a/hostd/limiter.go
+++ b/hostd/limiter.go
@@ -1,9 +1,7 @@
 package hostd
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +32,9 @@
 	// gives up (queryTimeouts).
 	relayTimeout     = 60 * time.Millisecond
 	maxRelayTimeouts = 2
+	// witnessesPerPlace is the number of witnesses in each of the three places in
+	// which they are looked for.
+	witnessesPerPlace = 2
 	// burstSlackShare is the share of the platform's slack on rates that is
 	// added to a burst, since requests arrive in bursts.
 	burstSlackShare = 0.4
@@ -211,26 +212,30 @@
 }
 
 // witnesses returns hosts that may reach the first owner where this host does not: of
-// the hosts that are not owners those of highest rank in a third data centre, in the
+// the hosts that are not owners a few of highest rank in a third data centre, in the
 // owner's data centre and in any other.
 func (l *fleetLimiter) witnesses(owners []string) []string {
 	view := l.view()
 	own, _ := view.TargetOf(l.host)
 	first, _ := view.TargetOf(owners[0])
-	var third, ownersDataCentre, other string
+	var third, ownersDataCentre, other []string
 	for _, host := range owners[min(len(owners), maxOwnersTried):] {
 		t, ok := view.TargetOf(host)
 		switch {
 		case !ok || host == l.host:
 		case t.DataCentre == first.DataCentre:
-			ownersDataCentre = cmp.Or(ownersDataCentre, host)
+			ownersDataCentre = append(ownersDataCentre, host)
 		case t.DataCentre != own.DataCentre:
-			third = cmp.Or(third, host)
+			third = append(third, host)
 		default:
-			other = cmp.Or(other, host)
+			other = append(other, host)
 		}
 	}
-	return slices.DeleteFunc([]string{third, ownersDataCentre, other}, func(host string) bool { return host == "" })
+	var all []string
+	for _, hosts := range [][]string{third, ownersDataCentre, other} {
+		all = append(all, hosts[:min(len(hosts), witnessesPerPlace)]...)
+	}
+	return all
 }
 
 // grant takes a token as an owner. relay is set if a host that is not the first
