hostd: the store of a test keeps its port until its hosts have stopped

Hosts of hostd's tests stop for some seconds after their test; the store had closed its port by then, and another test's server on that port receives their calls.

Change: the store closes when its hosts have stopped; the message of the violation names target, method, path and headers. No check is changed.

--- a/hostd/fleet_test.go
+++ b/hostd/fleet_test.go
@@ -30,6 +30,7 @@
 	// subnet keeps the addresses of fleets apart that run at the same time.
 	subnet     int64
 	store      *standin.Platform
+	running    sync.WaitGroup
 	hosts      []*testHostd
 	routes     []standin.Route
 	workspaces []standin.Workspace
@@ -99,7 +100,7 @@
 	store, err := standin.Start()
 	assert.NilError(t, err)
 	f := &testFleet{t: t, subnet: 1 + fleetsStarted.Add(1)%maxSubnets, store: store, routes: defaultRoutes(), workspaces: []standin.Workspace{{Name: testWorkspace, Key: testKey}}}
-	t.Cleanup(store.Close)
+	f.closeStoreAfterHosts()
 	f.configure(1)
 	for i, dc := range dataCentres {
 		set := f.settings(i + 1)
@@ -146,6 +147,17 @@
 	return h
 }
 
+// closeStoreAfterHosts keeps the store's port until the hosts have stopped, some seconds
+// after the test. A server of another test on that port would receive their calls.
+func (f *testFleet) closeStoreAfterHosts() {
+	f.t.Cleanup(func() {
+		go func() {
+			f.running.Wait()
+			f.store.Close()
+		}()
+	})
+}
+
 // runningHosts are the hosts of all tests. They stop for some seconds after the end of
 // their test.
 var runningHosts sync.WaitGroup
@@ -165,8 +177,10 @@
 	host.control.peers = cutPeers{host.control.peers, unreachable}
 	h := &testHostd{Host: host, unreachable: unreachable, target: target, cancel: cancel, done: make(chan error, 1), logs: logs}
 	runningHosts.Add(1)
+	f.running.Add(1)
 	go func() {
 		defer runningHosts.Done()
+		defer f.running.Done()
 		h.done <- host.Run(ctx)
 	}()
 	f.t.Cleanup(cancel)
--- a/hostd/host_test.go
+++ b/hostd/host_test.go
@@ -118,8 +118,8 @@
 func TestEmptyStoreIsNotReadInALoop(t *testing.T) {
 	store, err := standin.Start()
 	assert.NilError(t, err)
-	defer store.Close()
 	f := &testFleet{t: t, store: store}
+	f.closeStoreAfterHosts()
 	set := f.settings(1)
 	target, err := standin.StartTarget("i-1", "svc", set.TargetAddress, 4, 0)
 	assert.NilError(t, err)
--- a/internal/e2e/trace/trace.go
+++ b/internal/e2e/trace/trace.go
@@ -129,7 +129,7 @@
 	var out []Violation
 	for _, r := range runs {
 		if ws, known := want[r.RequestID]; !known || ws != r.Workspace {
-			out = append(out, newViolation("workspace isolation", "request %s of %q ran for %q", r.RequestID, ws, r.Workspace))
+			out = append(out, newViolation("workspace isolation", "request %s of %q ran for %q at %s: %s %s, headers %v", r.RequestID, ws, r.Workspace, r.Target, r.Method, r.Path, r.Headers))
 		}
 	}
 	return out
