--- a/review/_play/client.go
+++ b/review/_play/client.go
@@ -20,7 +20,7 @@
 	status            int
 	// kept is set if the request went over a connection that had carried others.
 	signed, kept bool
-	err          string
+	err, body    string
 }
 
 // clients sends requests to daemons and keeps what became of them.
@@ -67,7 +67,9 @@
 	resp, err := h.Do(req)
 	if err == nil {
 		a.status, a.signed = resp.StatusCode, resp.Header.Get(headerSigned) != ""
-		_, err = io.Copy(io.Discard, resp.Body)
+		var data []byte
+		data, err = io.ReadAll(resp.Body)
+		a.body = string(data)
 		resp.Body.Close()
 	}
 	a.ended = time.Now()
