review: case 3, a silent worker's answer is cut off around a planned stop

What was tried: workers begin their answers at once and are silent for 5.7 s before they end them, within the deadline and the route's timeout, while the machine that took the requests gets SIGTERM.

--- a/review/_play/worker.go
+++ b/review/_play/worker.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -120,6 +121,20 @@
 	w.mu.Lock()
 	w.runs = append(w.runs, n)
 	w.mu.Unlock()
+	answer := fmt.Sprintf("%s ran %s", w.id, attempt)
+	if size, _ := strconv.Atoi(r.URL.Query().Get("size")); size > len(answer) {
+		answer += strings.Repeat(".", size-len(answer))
+	}
+	begun := r.URL.Query().Get("begin") != ""
+	if begun {
+		// The first bytes of the answer go out before the work is done.
+		h.Set(headerSigned, fmt.Sprintf("%s.%d", w.id, len(body)))
+		h.Set("Content-Length", strconv.Itoa(len(answer)))
+		rw.WriteHeader(http.StatusOK)
+		io.WriteString(rw, answer[:1]) //nolint:errcheck // the context tells
+		rw.(http.Flusher).Flush()      //nolint:errcheck // every writer of the server is one
+		answer = answer[1:]
+	}
 	timer := time.NewTimer(w.work(r))
 	defer timer.Stop()
 	status := http.StatusOK
@@ -133,9 +148,14 @@
 	}
 	n.status.Store(int64(status))
 	n.ended.Store(time.Now().UnixNano())
-	h.Set(headerSigned, fmt.Sprintf("%s.%d", w.id, len(body)))
-	rw.WriteHeader(status)
-	fmt.Fprintf(rw, "%s ran %s", w.id, attempt)
+	if begun && status != http.StatusOK {
+		panic(http.ErrAbortHandler) // the answer stays incomplete
+	}
+	if !begun {
+		h.Set(headerSigned, fmt.Sprintf("%s.%d", w.id, len(body)))
+		rw.WriteHeader(status)
+	}
+	io.WriteString(rw, answer) //nolint:errcheck // the caller may have left
 }
 
 func (w *worker) shed(rw http.ResponseWriter) {
