review: case 4, orders are cut where two planned stops overlap

What was tried: a machine gets SIGTERM twice, 2 s apart, and SIGKILL 6 s after the first, while ten orders that it has read wait for a worker.

--- a/review/_play/main.go
+++ b/review/_play/main.go
@@ -23,10 +23,11 @@
 
 // cases are the plays by name. A play returns whether the rule was broken.
 var cases = map[string]func(trouble bool, record string) (broken bool, err error){
-	"rate":    playRate,
-	"silence": playSilence,
-	"stops":   playStops,
-	"uploads": playUploads,
+	"rate":      playRate,
+	"two-stops": playTwoStops,
+	"silence":   playSilence,
+	"stops":     playStops,
+	"uploads":   playUploads,
 }
 
 func main() {
