--- a/review/_play/main.go
+++ b/review/_play/main.go
@@ -35,6 +35,10 @@
 		fmt.Fprintln(os.Stderr, "usage: play CASE RECORD, in the repository's root")
 		os.Exit(exitNotRun)
 	}
+	if err := learnNames(); err != nil {
+		fmt.Fprintln(os.Stderr, "not run:", err)
+		os.Exit(exitNotRun)
+	}
 	// A play that hangs or is stopped must end its processes too.
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
--- a/review/_play/worker.go
+++ b/review/_play/worker.go
@@ -13,13 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
-)
 
-const (
-	headerAttempt  = "X-Gooseberryshed-Attempt-Id"
-	headerDeadline = "X-Gooseberryshed-Request-Deadline"
-	headerNotRun   = "X-Gooseberryshed-Not-Executed"
-	headerSigned   = "X-Gooseberryshed-Response-Signature"
+	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 )
 
 // run is a request that a worker began to work on.
@@ -81,14 +76,14 @@
 
 func (w *worker) serve(rw http.ResponseWriter, r *http.Request) {
 	h := rw.Header()
-	h.Set("X-Gooseberryshed-Server-Load", fmt.Sprintf("%d,%d,%d", len(w.slots), w.waiting.Load(), cap(w.slots)))
-	h.Set("X-Gooseberryshed-Instance-Id", w.id)
+	h.Set(headerLoad, fmt.Sprintf("%d,%d,%d", len(w.slots), w.waiting.Load(), cap(w.slots)))
+	h.Set(headerInstance, w.id)
 	if r.URL.Path == "/health" {
 		return
 	}
 	attempt := r.Header.Get(headerAttempt)
 	h.Set(headerAttempt, attempt)
-	if e := r.Header.Get("X-Gooseberryshed-Expected-Instance"); e != "" && e != w.id {
+	if e := r.Header.Get(headerExpected); e != "" && e != w.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -117,7 +112,7 @@
 		return
 	}
 	defer func() { <-w.slots }()
-	n := &run{attempt: attempt, worker: w.id, service: w.m.service, caller: r.Header.Get("X-Gooseberryshed-Caller-Service"), at: time.Now()}
+	n := &run{attempt: attempt, worker: w.id, service: w.m.service, caller: r.Header.Get(headerCaller), at: time.Now()}
 	w.mu.Lock()
 	w.runs = append(w.runs, n)
 	w.mu.Unlock()
@@ -165,8 +160,8 @@
 
 // heartbeat returns the next heartbeat.
 func (w *worker) heartbeat(state string) []byte {
-	data, _ := json.Marshal(map[string]any{"service": w.m.service, "address": w.m.app, "zone": w.m.zone, "version": "v1", "capacitySlots": w.m.slots,
-		"state": state, "coldRemainingMs": 0, "sequence": w.seq.Add(1), "born": w.born.UnixMilli()})
+	data, _ := json.Marshal(map[string]any{"service": w.m.service, "address": w.m.app, "zone": w.m.zone, "version": "v1", standin.FieldSlots: w.m.slots,
+		"state": state, standin.FieldCold: 0, "sequence": w.seq.Add(1), "born": w.born.UnixMilli()})
 	return data
 }
 
