--- a/review/_play/rate.go
+++ b/review/_play/rate.go
@@ -20,6 +20,8 @@
 	hotDemand = 7.5 * hotRate / 1.6
 	// killAfter is how long the tenant has been hot when the daemon is killed.
 	killAfter = 2200 * time.Millisecond
+	// hotFor is how long the tenant is hot, the site's longest at this strength.
+	hotFor = 6500 * time.Millisecond
 	// restartDelay is the time between the end of a process and its start.
 	restartDelay = 300 * time.Millisecond
 	// rateWindow, rateOverage and rateSlack are quotaWindowS, quotaOverage and quotaSlack.
@@ -69,6 +71,7 @@
 		}()
 	}
 	f.record.line("%s sends %.0f requests a second, its limit is %d with a burst of %d; %s holds its tokens", hotTenant, float64(hotDemand), hotRate, hotBurst, owner)
+	hotSince := time.Now()
 	time.Sleep(killAfter)
 	if trouble {
 		f.record.line("SIGKILL to %s", holder.name)
@@ -78,7 +81,7 @@
 			return false, err
 		}
 	}
-	time.Sleep(8 * time.Second)
+	time.Sleep(time.Until(hotSince.Add(hotFor)))
 	close(stop)
 	c.wg.Wait()
 	runs := allRuns(workers)
