hostd: one record of the offers of a request decides whether it has run

Cause: at the end of a stop a request was taken for "not run" from three places, the offers in progress, a channel of results and a flag. An offer left the first when its gate's reply arrived and entered the third when its result had been read. Between the two an order that had run was answered 503, and its caller sends such an order again.

Change: hostd/offers.go holds every offer until the run state of its result is recorded in the same step that closes it. The refusal at the end of a stop and the last refusal of a search take "not run" from there alone; pendingOffers and the flag are gone.

--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -25,7 +25,7 @@
 	restrictTo []string
 	// silent are the hosts that did not answer.
 	silent    []string
-	pending   *pendingOffers
+	offers    *offers
 	hedgeSoon chan<- struct{}
 	hedge     bool
 	// mayHaveArrived is set when a gate has sent the request to its target, or has
@@ -226,10 +226,10 @@
 		return Reply{Refusal: wire.Refuse(wire.ReasonUnreachable, "host %s does not answer", t.Host)}, t
 	}
 	incarnation := a.e.in.states.incarnation(t.Host)
-	if !a.pending.add(t, incarnation) {
+	record := a.offers.begin(t, incarnation)
+	if record == nil {
 		return Reply{Refusal: wire.Refuse(wire.ReasonBusy, "request not offered to target %s: another attempt is pending there or the request has been withdrawn", t.ID)}, t
 	}
-	defer a.pending.remove(t.ID)
 	e := a.e
 	f := Forward{
 		Attempt:         e.caller.Attempt,
@@ -255,7 +255,7 @@
 	stopWatch := a.watchSilence(t, terms)
 	reply := e.in.gates.Forward(ctx, t, f, a.req, func() {
 		stopWatch()
-		a.onSent(t, terms)
+		a.onSent(record, t, terms)
 	})
 	stopWatch()
 	switch {
@@ -270,6 +270,7 @@
 	if r := reply.Refusal; r != nil && r.Reason == wire.ReasonUnreachable && r.Run != wire.NotRun && ctx.Err() == nil {
 		a.resolveRunState(ctx, t, incarnation, r)
 	}
+	a.offers.end(record, runStateOf(reply))
 	return reply, t
 }
 
@@ -302,9 +303,9 @@
 
 // onSent handles the gate's notice that it is sending the request to the
 // target.
-func (a *attempt) onSent(t Target, terms offerTerms) {
+func (a *attempt) onSent(record *offer, t Target, terms offerTerms) {
 	a.mayHaveArrived.Store(true)
-	a.pending.markSent(t.ID)
+	a.offers.markSent(record)
 	if r := a.e.in.states.get(t.ID); a.hedge || r.GrayProbability <= min(terms.maxGray, a.grayLimit()) {
 		return
 	}
--- a/hostd/execution.go
+++ b/hostd/execution.go
@@ -41,15 +41,14 @@
 	// failedTargets are the targets that failed the request, and shedBy those
 	// that did not run it for lack of capacity.
 	failedTargets, shedBy []string
-	// pending are the offers of the attempts in progress.
-	pending *pendingOffers
+	// offers tells whether the request may have run.
+	offers *offers
 	// hedgeSoon is signalled when an early hedge is wanted.
 	hedgeSoon chan struct{}
 	// failure is the last error answer of a target. It is passed on if no
 	// better answer arrives.
 	failure     *outcome
 	lastRefusal *wire.Refusal
-	mayHaveRun  bool
 }
 
 // maxShedReplies bounds how often targets may shed one request. Each time costs
@@ -100,7 +99,7 @@
 func newExecution(e *exchange) *execution {
 	b := e.in.budget(e.service)
 	b.Deposit()
-	return &execution{e: e, budget: b, results: make(chan attemptResult, resultBuffer), pending: &pendingOffers{}, hedgeSoon: make(chan struct{}, 1)}
+	return &execution{e: e, budget: b, results: make(chan attemptResult, resultBuffer), offers: &offers{}, hedgeSoon: make(chan struct{}, 1)}
 }
 
 // hedgeQuantile is the latency quantile after which a request is hedged.
@@ -159,21 +158,10 @@
 // withdrawAll withdraws the request from all gates that have it. It returns
 // false if a target is working on the request, has worked on it, or may have.
 func (ex *execution) withdrawAll(ctx context.Context) bool {
-	// A withdrawn attempt must not be offered to the next gate.
-	ex.pending.close()
-	if ex.mayHaveRun {
-		return false
-	}
-	for _, p := range ex.pending.snapshot() {
-		if p.sent {
-			return false
-		}
-		sent, err := ex.e.in.gates.Withdraw(ctx, p.host, ex.e.caller.Attempt, p.incarnation)
-		if err != nil || sent {
-			return false
-		}
-	}
-	return true
+	return ex.offers.withdraw(func(x offer) bool {
+		sent, err := ex.e.in.gates.Withdraw(ctx, x.host, ex.e.caller.Attempt, x.incarnation)
+		return err == nil && !sent
+	})
 }
 
 func (ex *execution) cancelAll() {
@@ -260,7 +248,7 @@
 	req := &fasthttp.Request{}
 	ex.e.x.Request.Header.CopyTo(&req.Header)
 	req.SetBodyRaw(ex.e.x.Request.Body())
-	a := &attempt{e: ex.e, req: req, exclude: slices.Clone(ex.failedTargets), pending: ex.pending, hedgeSoon: ex.hedgeSoon, hedge: kind == hedgeAttempt}
+	a := &attempt{e: ex.e, req: req, exclude: slices.Clone(ex.failedTargets), offers: ex.offers, hedgeSoon: ex.hedgeSoon, hedge: kind == hedgeAttempt}
 	if ex.sent+ex.running+countDistinct(ex.shedBy) > ex.e.route.MaxAttempts {
 		a.restrictTo = slices.Clone(ex.shedBy)
 	}
@@ -285,7 +273,6 @@
 	refusal := r.reply.Refusal
 	if refusal.Run != wire.NotRun {
 		ex.sent++
-		ex.mayHaveRun = true
 	}
 	switch {
 	case refusal.Reason == wire.ReasonTargetShed:
@@ -329,7 +316,6 @@
 	}
 	ex.failure = out
 	ex.failedTargets = append(ex.failedTargets, r.target.ID)
-	ex.mayHaveRun = true
 	if ex.running > 0 {
 		return nil
 	}
@@ -346,9 +332,7 @@
 		return ex.failure
 	}
 	r := *ex.lastRefusal
-	if ex.mayHaveRun {
-		r.Run = wire.Unknown
-	}
+	r.Run = ex.offers.runState()
 	return &outcome{refusal: &r, attempts: ex.sent}
 }
 
