hostd: an answer to an earlier process or from another address matches no query

Cause: each process numbered its queries from 1, and an answer was matched by that number alone. After a restart a late answer to the earlier process, "not sent", could be taken for that of a withdrawal of the new one, and a caller be told that its running order had not run. The same number made the owner of a rate give a restarted host the cached answer to its predecessor.

Change: numbers start at a random one, and an answer must come from the address that was asked. datagrams_unmatched counts the others.

--- a/hostd/datagrams.go
+++ b/hostd/datagrams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -67,9 +68,18 @@
 	// answer returns the answer to a query. It runs in a goroutine of its own.
 	answer func(ctx context.Context, q datagram) datagram
 
+	// lastID starts at a random number, so that an answer to an earlier process at
+	// this address matches no query of this one.
 	lastID  atomic.Uint64
 	mu      sync.Mutex
-	pending map[uint64]chan datagram
+	pending map[uint64]pendingQuery
+}
+
+// pendingQuery is a query without an answer.
+type pendingQuery struct {
+	// to is the address that may answer.
+	to     netip.AddrPort
+	answer chan datagram
 }
 
 func newDatagramConn(addr string, m *metrics.Registry, answer func(context.Context, datagram) datagram) (*datagramConn, error) {
@@ -81,7 +91,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for datagrams on %s; check that the address is this host's and free", addr)
 	}
-	return &datagramConn{conn: conn, metrics: m, answer: answer, pending: map[uint64]chan datagram{}}, nil
+	d := &datagramConn{conn: conn, metrics: m, answer: answer, pending: map[uint64]pendingQuery{}}
+	d.lastID.Store(rand.Uint64())
+	return d, nil
 }
 
 func (d *datagramConn) close() { d.conn.Close() }
@@ -106,20 +118,25 @@
 			continue
 		}
 		if m.Kind == "" {
-			d.deliver(m)
+			d.deliver(m, from)
 			continue
 		}
 		go d.reply(ctx, m, from)
 	}
 }
 
-func (d *datagramConn) deliver(m datagram) {
+// deliver passes an answer to its query, unless it comes from another address than the
+// query went to.
+func (d *datagramConn) deliver(m datagram, from netip.AddrPort) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if ch := d.pending[m.ID]; ch != nil {
-		delete(d.pending, m.ID)
-		ch <- m
+	q, ok := d.pending[m.ID]
+	if !ok || q.to != from {
+		d.metrics.Add("datagrams_unmatched", 1) // late, repeated or of another query
+		return
 	}
+	delete(d.pending, m.ID)
+	q.answer <- m
 }
 
 func (d *datagramConn) reply(ctx context.Context, q datagram, to netip.AddrPort) {
@@ -148,7 +165,7 @@
 	q.ID = d.lastID.Add(1)
 	ch := make(chan datagram, 1)
 	d.mu.Lock()
-	d.pending[q.ID] = ch
+	d.pending[q.ID] = pendingQuery{to: to, answer: ch}
 	d.mu.Unlock()
 	defer func() {
 		d.mu.Lock()
