hostd: a withdrawal at a reused address is relayed once, not in a circle

Cause: a host passed on every withdrawal that was not for itself.

Change: only a query that asks for it is passed on, once.

--- a/hostd/datagrams.go
+++ b/hostd/datagrams.go
@@ -36,6 +36,8 @@
 	Owner string `json:"x,omitempty"`
 	// Origin is the host whose request needs the token of a relayed query.
 	Origin string `json:"g,omitempty"`
+	// Relay asks the receiver of a withdrawal to pass it on to its host.
+	Relay bool `json:"v,omitempty"`
 	// Authoritative is set if the answer comes from the host that the query is
 	// addressed to.
 	Authoritative bool `json:"o,omitempty"`
--- a/hostd/withdraw.go
+++ b/hostd/withdraw.go
@@ -39,6 +39,7 @@
 	if a, err := w.query(ctx, t.Control, q); err == nil && a.Authoritative {
 		return a.Result, nil
 	}
+	q.Relay = true
 	for _, relay := range w.relayCandidates(view, host) {
 		if a, err := w.query(ctx, relay.Control, q); err == nil && a.Authoritative {
 			return a.Result, nil
@@ -62,15 +63,18 @@
 	return out
 }
 
-// answer answers another host's query or relays it.
+// answer answers another host's query, or relays it if asked to. A query that is not to
+// be relayed was sent to the address of a host that has gone: relayed, it would come back
+// to this host for as long as the view shows that address.
 func (w *withdrawals) answer(ctx context.Context, q datagram) datagram {
 	if q.Host == w.host {
 		return datagram{Authoritative: true, Result: w.gate.Withdraw(q.Name, q.Incarnation)}
 	}
 	t, ok := w.view().TargetOf(q.Host)
-	if !ok {
+	if !ok || !q.Relay {
 		return datagram{}
 	}
+	q.Relay = false
 	a, err := w.query(ctx, t.Control, q)
 	if err != nil {
 		return datagram{}
