hostd: a stop ends within the limit of the first signal, with an answer for each caller

Cause: a stopping host waited for targets until 3 s after its limit, and a further signal began the limit anew. The platform kills at the limit, which it may count from the first signal; a target that hung always brought the host to the kill. Callers got a closed connection in place of an answer.

Change: the limit counts from the first signal. 0.3 s before it, what targets still work on is answered 504, or 503 if no target has it, and the process ends 0.1 s before it. TestSecondSignalRestartsStopTimer is replaced: it asked for an answer 5 s after a first signal with a limit of 4 s. TestStoppingHostAnswersAndEndsWithinItsGraceTime asks that each caller has an answer and the process has ended within the limit, for one and for repeated signals, and that none is answered in the last sixth's stead; TestSecondSignalLeavesRunningWorkItsTime keeps the guard against work that a further signal cuts short.

--- a/hostd/execution.go
+++ b/hostd/execution.go
@@ -147,6 +147,8 @@
 				r := wire.Refuse(wire.ReasonLeaving, "this host is stopping and no target has accepted the request")
 				return outcome{refusal: r, attempts: ex.sent}
 			}
+		case <-ex.e.in.endRequests:
+			return ex.stopOutcome()
 		case <-deadline.C:
 			return ex.timeoutOutcome()
 		case <-ctx.Done():
@@ -344,3 +346,17 @@
 	r := wire.RefuseUnknown(wire.ReasonTimeout, "no answer within %s", time.Since(ex.e.started).Round(time.Millisecond))
 	return outcome{refusal: r, attempts: ex.sent + ex.running}
 }
+
+// stopOutcome returns the outcome at the end of a planned stop.
+func (ex *execution) stopOutcome() outcome {
+	if ex.failure != nil {
+		return *ex.failure
+	}
+	ex.offers.close()
+	after := time.Since(ex.e.started).Round(time.Millisecond)
+	r := wire.RefuseUnknown(wire.ReasonTimeout, "no answer within %s, when this host had to stop", after)
+	if ex.offers.runState() == wire.NotRun {
+		r = wire.Refuse(wire.ReasonLeaving, "this host had to stop after %s and no target has accepted the request", after)
+	}
+	return outcome{refusal: r, attempts: ex.sent + ex.running}
+}
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -58,8 +58,6 @@
 	datagrams   *datagramConn
 	servers     servers
 	stopCh      chan struct{}
-	// stopRequested is when the last stop signal arrived, in Unix nanoseconds.
-	stopRequested atomic.Int64
 }
 
 // servers are the HTTP servers of a host.
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -61,8 +61,9 @@
 	onCallFailed func()
 	// stopBegan is when a planned stop began, or nil.
 	stopBegan atomic.Pointer[time.Time]
-	// refuseUnsent is closed shortly before the end of a planned stop.
-	refuseUnsent chan struct{}
+	// refuseUnsent and endRequests are closed shortly before the end of a planned
+	// stop, in this order.
+	refuseUnsent, endRequests chan struct{}
 
 	mu        sync.Mutex
 	latencies map[string]*gray.DurationModel
@@ -75,6 +76,9 @@
 // RefuseUnsent refuses the requests that no target is working on.
 func (in *Ingress) RefuseUnsent() { close(in.refuseUnsent) }
 
+// EndRequests answers the requests at which targets still work.
+func (in *Ingress) EndRequests() { close(in.endRequests) }
+
 func NewIngress(settings func() *karpithaz.Settings, c *Control, g gateForwarder, r rateLimiter, callFailed func(), l *decisions.Log, m *metrics.Registry) *Ingress {
 	return &Ingress{
 		settings:     settings,
@@ -87,6 +91,7 @@
 		onCallFailed: callFailed,
 		quarantined:  func(uint64, time.Time) bool { return false },
 		refuseUnsent: make(chan struct{}),
+		endRequests:  make(chan struct{}),
 		latencies:    map[string]*gray.DurationModel{},
 		budgets:      map[string]*retry.Budget{},
 	}
--- a/hostd/main.go
+++ b/hostd/main.go
@@ -72,7 +72,8 @@
 const signalBuffer = 8
 
 // handleSignals reloads the settings on SIGHUP and stops the host on any other
-// signal. Further stop signals restart the time limit of the planned stop.
+// signal. Further stop signals change nothing: the platform may count its time limit
+// from any of them, and the first one is safe in every case.
 func handleSignals(h *Host, signals <-chan os.Signal, stop context.CancelFunc) {
 	stopping := false
 	for s := range signals {
@@ -80,7 +81,7 @@
 		case s == syscall.SIGHUP:
 			h.Reload()
 		case stopping:
-			h.RestartStop()
+			h.log.Logger().Info("asked to stop again; the time limit of the first signal holds", "signal", s)
 		default:
 			stopping = true
 			stop()
