hostd: a silence in the middle of a target's answer does not end it

Cause: the gate bounded the pause between two reads of a target's body by 5 s, whatever time the request had left, and the attempt's deadline held for the head alone. Callers of an order whose target was silent for that long got 504, 7 s before the route's timeout, while the target was at work.

Change: the attempt's deadline bounds the body as well, and nothing else does.

TestSilenceInTheMiddleOfAnAnswerDoesNotEndIt fails on after 5.01 s. TestEndlessAnswers still passes: an answer without end is bounded by deadline and memory.

--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -140,7 +140,8 @@
 	gateDialTimeout = 250 * time.Millisecond
 	// gateUserTimeout bounds how long sent bytes may remain unacknowledged.
 	gateUserTimeout = 1500 * time.Millisecond
-	// bodyIdleTimeout bounds the time between reads of an answer's body.
+	// bodyIdleTimeout bounds the time between reads of an answer's body, which a gate
+	// sends only when it has the whole answer.
 	bodyIdleTimeout = 5 * time.Second
 	// replyGrace is how long after the deadline a gate's reply may arrive.
 	replyGrace = 150 * time.Millisecond
--- a/hostd/roundtrip.go
+++ b/hostd/roundtrip.go
@@ -53,7 +53,6 @@
 		NewConnection:    fresh,
 		Deadline:         tk.deadline.Add(answerGrace),
 		FirstByteTimeout: time.Until(tk.deadline) + answerGrace,
-		IdleTimeout:      bodyIdleTimeout,
 		AllowUnframed:    true,
 		MatchResponse: func(h *fasthttp.ResponseHeader, reused bool) bool {
 			return answersAttempt(karpithaz.ParseResponse(h), tk.f.Attempt, reused)
