hostd: a reply is not lost with its connection, and a silent connection is replaced

Cause: the connection between two hosts stood for the attempt on it. A connection that went silent was noticed by the kernel after 1.5 s of unacknowledged data, or by nobody while a target worked, and the reply was written to it and forgotten. Callers of orders got 502 or 504 although the order had run well; reads ran again; each request found a silent connection for itself.

Change: a gate holds the attempts of other hosts apart from their connections, sends heartbeats while they are in progress and keeps their replies for 4 s, within 1 MiB. A host that gets nothing for 0.35 s after an offer, or 1.2 s while it is in progress, or whose connection breaks, offers the attempt again on a new connection; the gate joins it to the attempt that it has.

--- a/h1/conn.go
+++ b/h1/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -39,10 +40,7 @@
 	writeBufferBytes = 4 << 10
 )
 
-const (
-	interimResponse  = "HTTP/1.1 102 Processing\r\n\r\n"
-	continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
-)
+const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 
 // conn is a connection from a peer.
 type conn struct {
@@ -323,7 +321,9 @@
 	return err
 }
 
-func (c *conn) sendInterim() error { return c.write([]byte(interimResponse)) }
+func (c *conn) sendInterim(status int) error {
+	return c.write(fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n\r\n", status, fasthttp.StatusMessage(status)))
+}
 
 // closeWrite shuts down the write side of the connection. The reader continues
 // until the peer closes its side or lingerTime has passed.
--- a/h1/h1_test.go
+++ b/h1/h1_test.go
@@ -165,7 +165,7 @@
 
 func TestInterimResponsePrecedesFinalResponse(t *testing.T) {
 	addr := serve(t, Options{Handler: func(ctx context.Context, x *Exchange) {
-		if err := x.SendInterim(); err != nil {
+		if err := x.SendInterim(fasthttp.StatusProcessing); err != nil {
 			t.Error(err)
 		}
 		echo(ctx, x)
--- a/h1/server.go
+++ b/h1/server.go
@@ -59,9 +59,9 @@
 	conn       *conn
 }
 
-// SendInterim sends an interim response (102 Processing). It must not be used
+// SendInterim sends an interim response with a status below 200. It must not be used
 // with pipelining peers: the responses to earlier requests must have been sent.
-func (x *Exchange) SendInterim() error { return x.conn.sendInterim() }
+func (x *Exchange) SendInterim(status int) error { return x.conn.sendInterim(status) }
 
 // Options configures a Server. Handler is required.
 type Options struct {
--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -252,11 +253,22 @@
 	e.in.log.Decide("offered", "id", f.Attempt, "target", t.ID, "host", t.Host, "near", c.Local, "doubtful", c.PathFailed, "max_wait_ms", f.MaxWaitMs, "max_gray", f.MaxGray,
 		"hedge", a.hedge, "time_left_ms", f.TimeLeftMs, "known_gray", c.Report.GrayProbability, "known_running", c.Report.Running,
 		"known_age_ms", ageMillis(c.Report.ReceivedAt), "revision", f.Revision)
-	stopWatch := a.watchSilence(t, terms)
-	reply := e.in.gates.Forward(ctx, t, f, a.req, func() {
+	quiet := quietTime(terms, e.in.states.get(t.ID))
+	stopWatch := a.watchSilence(t, terms, quiet)
+	onSent := sync.OnceFunc(func() {
 		stopWatch()
 		a.onSent(record, t, terms)
 	})
+	reply := a.awaitReply(ctx, watchedOffer{target: t, incarnation: incarnation, quiet: quiet,
+		offer: func(ctx context.Context, again bool, heartbeat func()) Reply {
+			ev := offerEvents{sent: onSent, heartbeat: heartbeat}
+			if !again {
+				return e.in.gates.Forward(ctx, t, f, a.req, ev)
+			}
+			f := f
+			f.TimeLeftMs, f.Incarnation = time.Until(e.targetDeadline()).Milliseconds(), incarnation
+			return e.in.gates.OfferAgain(ctx, t, f, e.newRequest(), ev)
+		}})
 	stopWatch()
 	switch {
 	case ctx.Err() == nil || !reply.Report.ReceivedAt.IsZero():
@@ -267,9 +279,6 @@
 		// about the target.
 		a.e.in.states.recordFailure(t.Host, time.Now())
 	}
-	if r := reply.Refusal; r != nil && r.Reason == wire.ReasonUnreachable && r.Run != wire.NotRun && ctx.Err() == nil {
-		a.resolveRunState(ctx, t, incarnation, r)
-	}
 	a.offers.end(record, runStateOf(reply))
 	return reply, t
 }
@@ -279,11 +288,27 @@
 // between data centres and one retransmission of a lost packet.
 const gateResponseTimeout = 350 * time.Millisecond
 
+// quietTime returns how long a gate may be quiet after an offer before its connection is
+// taken to be silent, or 0 if the gate is not known to send heartbeats.
+func quietTime(terms offerTerms, last placing.Report) time.Duration {
+	switch {
+	case !last.Resumes:
+		return 0
+	case terms.maxWait == 0:
+		return gateResponseTimeout
+	}
+	return heartbeatTimeout
+}
+
 // watchSilence backs off from a gate that does not respond in time, because its
-// host hangs or is unreachable, and requests a hedge. The returned function
-// stops the timer.
-func (a *attempt) watchSilence(t Target, terms offerTerms) (stop func()) {
-	timer := time.AfterFunc(terms.maxWait+gateResponseTimeout, func() {
+// host hangs or is unreachable, and requests a hedge. If the gate is also watched for
+// heartbeats, a silent connection is replaced first. The returned function stops the timer.
+func (a *attempt) watchSilence(t Target, terms offerTerms, quiet time.Duration) (stop func()) {
+	limit := terms.maxWait + gateResponseTimeout
+	if quiet > 0 {
+		limit += reconnectGrace
+	}
+	timer := time.AfterFunc(limit, func() {
 		a.mayHaveArrived.Store(true)
 		a.e.in.states.recordFailure(t.Host, time.Now())
 		a.e.in.metrics.Add("gates_silent", 1)
@@ -312,16 +337,6 @@
 	a.requestHedge()
 }
 
-// resolveRunState finds out whether a request may have run after the connection
-// to the gate broke.
-func (a *attempt) resolveRunState(ctx context.Context, t Target, incarnation int64, r *wire.Refusal) {
-	sent, err := a.e.in.gates.Withdraw(ctx, t.Host, a.e.caller.Attempt, incarnation)
-	if err == nil && !sent {
-		r.Run = wire.NotRun
-	}
-	a.e.in.log.Decide("settled", "id", a.e.caller.Attempt, "target", t.ID, "sent", sent, "err", err)
-}
-
 func ageMillis(at time.Time) int64 {
 	if at.IsZero() {
 		return -1
--- a/hostd/execution.go
+++ b/hostd/execution.go
@@ -241,16 +241,21 @@
 	return ok
 }
 
+// newRequest returns a copy of the caller's request, which shares its body.
+func (e *exchange) newRequest() *fasthttp.Request {
+	req := &fasthttp.Request{}
+	e.x.Request.Header.CopyTo(&req.Header)
+	req.SetBodyRaw(e.x.Request.Body())
+	return req
+}
+
 // launch starts an attempt, for which a retry has been taken from the budget unless
 // it is the first.
 func (ex *execution) launch(ctx context.Context, kind attemptKind) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	ex.cancels = append(ex.cancels, cancel)
 	ex.running++
-	req := &fasthttp.Request{}
-	ex.e.x.Request.Header.CopyTo(&req.Header)
-	req.SetBodyRaw(ex.e.x.Request.Body())
-	a := &attempt{e: ex.e, req: req, exclude: slices.Clone(ex.failedTargets), offers: ex.offers, hedgeSoon: ex.hedgeSoon, hedge: kind == hedgeAttempt}
+	a := &attempt{e: ex.e, req: ex.e.newRequest(), exclude: slices.Clone(ex.failedTargets), offers: ex.offers, hedgeSoon: ex.hedgeSoon, hedge: kind == hedgeAttempt}
 	if ex.sent+ex.running+countDistinct(ex.shedBy) > ex.e.route.MaxAttempts {
 		a.restrictTo = slices.Clone(ex.shedBy)
 	}
--- a/hostd/execution_test.go
+++ b/hostd/execution_test.go
@@ -28,6 +28,9 @@
 	offers   []string
 	forward  func(ctx context.Context, t Target, f Forward, onSend func()) Reply
 	withdraw func(host, attempt string, life int64) (bool, error)
+	// again answers offers that are made again. If it is nil, the host cannot be
+	// reached on a new connection.
+	again func(t Target, f Forward) Reply
 	// silent are hosts that answer no query.
 	silent []string
 }
@@ -36,13 +39,22 @@
 	return !slices.Contains(g.silent, t.Host)
 }
 
-func (g *scriptedGates) Forward(ctx context.Context, t Target, f Forward, _ *fasthttp.Request, onSend func()) Reply {
+func (g *scriptedGates) Forward(ctx context.Context, t Target, f Forward, _ *fasthttp.Request, ev offerEvents) Reply {
 	g.mu.Lock()
 	g.offers = append(g.offers, t.Host)
 	g.mu.Unlock()
-	return g.forward(ctx, t, f, onSend)
+	return g.forward(ctx, t, f, ev.sent)
 }
 
+func (g *scriptedGates) OfferAgain(_ context.Context, t Target, f Forward, _ *fasthttp.Request, _ offerEvents) Reply {
+	if g.again == nil {
+		return Reply{Refusal: wire.RefuseUnknown(wire.ReasonUnreachable, "connection refused")}
+	}
+	return g.again(t, f)
+}
+
+func (g *scriptedGates) DistrustIdle(time.Time) {}
+
 func (g *scriptedGates) Withdraw(_ context.Context, host, attempt string, life int64) (bool, error) {
 	return g.withdraw(host, attempt, life)
 }
--- a/hostd/fleet_test.go
+++ b/hostd/fleet_test.go
@@ -34,6 +34,8 @@
 	hosts      []*testHostd
 	routes     []standin.Route
 	workspaces []standin.Workspace
+	// gateBinds are the addresses at which hosts listen behind a relay, by host.
+	gateBinds map[string]string
 }
 
 type testHostd struct {
@@ -164,7 +166,7 @@
 
 func (f *testFleet) start(set *karpithaz.Settings, target *standin.Target) *testHostd {
 	logs := &logBuffer{}
-	host, err := New(Options{Settings: set, Output: logs})
+	host, err := New(Options{Settings: set, Output: logs, GateBind: f.gateBinds[set.Host]})
 	assert.NilError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	unreachable, answer := &atomic.Bool{}, host.datagrams.answer
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -18,6 +18,9 @@
 	headerForward = "Gooseberryshed-Forward"
 	headerReport  = "Gooseberryshed-Report"
 	headerRefusal = "Gooseberryshed-Refusal"
+	// headerAgain replaces headerForward where an attempt is offered again. Daemons
+	// of versions that cannot tell such an offer from a first one do not know it.
+	headerAgain = "Gooseberryshed-Forward-Again"
 )
 
 // Forward describes an attempt to a gate.
@@ -47,6 +50,9 @@
 	// request may be sent.
 	MaxGray  float64 `json:"g"`
 	Revision uint64  `json:"v"`
+	// Incarnation is set in an offer that is made again: that of the gate's process at
+	// the first offer. A later process does not know whether the request has run.
+	Incarnation int64 `json:"n,omitempty"`
 	// Fingerprint is a hash of the request's sender and content.
 	Fingerprint uint64 `json:"k,omitempty"`
 }
@@ -73,6 +79,7 @@
 	WaitMs      int64   `json:"m,omitempty"`
 	Gray        float64 `json:"g"`
 	Cold        bool    `json:"c,omitempty"`
+	Resumes     bool    `json:"z,omitempty"`
 }
 
 // wireRefusal is the encoding of a wire.Refusal between daemons.
@@ -103,6 +110,7 @@
 		WaitMs:      r.ExpectedWait.Milliseconds(),
 		Gray:        float64(int(r.GrayProbability*grayScale)) / grayScale,
 		Cold:        r.Cold,
+		Resumes:     true,
 	}))
 }
 
@@ -112,7 +120,7 @@
 		return placing.Report{}
 	}
 	return placing.Report{ReceivedAt: now, Incarnation: w.Incarnation, Running: w.Running, Waiting: w.Waiting, Slots: w.Slots,
-		ExpectedWait: time.Duration(w.WaitMs) * time.Millisecond, GrayProbability: w.Gray, Cold: w.Cold}
+		ExpectedWait: time.Duration(w.WaitMs) * time.Millisecond, GrayProbability: w.Gray, Cold: w.Cold, Resumes: w.Resumes}
 }
 
 // writeReply writes a gate's reply to another daemon.
@@ -162,33 +170,56 @@
 }
 
 // Forward sends an attempt to the gate of a target. It modifies the headers of
-// req. onSend is called when the gate reports that it is sending the request to
-// the target.
-func (c *gateClient) Forward(ctx context.Context, t Target, f Forward, req *fasthttp.Request, onSend func()) Reply {
+// req.
+func (c *gateClient) Forward(ctx context.Context, t Target, f Forward, req *fasthttp.Request, ev offerEvents) Reply {
 	req.Header.Set(headerForward, encodeHeader(f))
+	return c.offer(ctx, t, f, req, ev, false)
+}
+
+// OfferAgain sends an attempt again on a new connection. It modifies the headers of req.
+func (c *gateClient) OfferAgain(ctx context.Context, t Target, f Forward, req *fasthttp.Request, ev offerEvents) Reply {
+	req.Header.Set(headerAgain, encodeHeader(f))
+	reply := c.offer(ctx, t, f, req, ev, true)
+	if reply.Answer != nil && reply.Report.Incarnation == 0 {
+		return Reply{Refusal: wire.RefuseUnknown(wire.ReasonUnreachable, "the gate of %s knows no offers that are made again; it may be of an earlier version", t.Host)}
+	}
+	return reply
+}
+
+func (c *gateClient) offer(ctx context.Context, t Target, f Forward, req *fasthttp.Request, ev offerEvents, fresh bool) Reply {
 	left := time.Duration(f.TimeLeftMs) * time.Millisecond
 	resp, err := c.links.Do(ctx, t.Gate, req, link.RequestOptions{
+		NewConnection:    fresh,
 		Deadline:         time.Now().Add(left + replyGrace),
 		FirstByteTimeout: left + replyGrace,
 		IdleTimeout:      bodyIdleTimeout,
-		OnInterim:        onSend,
+		OnInterim:        ev.onInterim,
 	})
 	if err != nil {
-		return Reply{Refusal: refusalFromLinkError(err, t)}
+		return Reply{Refusal: refusalFromLinkError(err, t, fresh)}
 	}
+	reply, err := c.readReply(resp)
+	if err != nil {
+		return Reply{Refusal: refusalFromLinkError(err, t, fresh)}
+	}
+	return reply
+}
+
+// readReply reads the reply of a gate.
+func (c *gateClient) readReply(resp *link.Response) (Reply, error) {
 	body, err := readBody(resp, c.answers)
 	if err != nil {
-		return Reply{Refusal: refusalFromLinkError(err, t)}
+		return Reply{}, err
 	}
 	reply := Reply{Report: readReport(&resp.Header, time.Now())}
 	if raw := resp.Header.Peek(headerRefusal); raw != nil {
 		reply.Refusal = readRefusal(raw)
-		return reply
+		return reply, nil
 	}
 	resp.Header.Del(headerReport)
 	reply.Answer = &Answer{Body: body}
 	resp.Header.CopyTo(&reply.Answer.Header)
-	return reply
+	return reply, nil
 }
 
 func readRefusal(raw []byte) *wire.Refusal {
@@ -200,10 +231,10 @@
 }
 
 // refusalFromLinkError returns the refusal for a request whose exchange with a
-// gate failed.
-func refusalFromLinkError(err error, t Target) *wire.Refusal {
+// gate failed. A request that is offered again may have arrived with the first offer.
+func refusalFromLinkError(err error, t Target, again bool) *wire.Refusal {
 	le := link.AsError(err)
-	if le != nil && le.Stage == link.StageDial {
+	if le != nil && le.Stage == link.StageDial && !again {
 		return wire.Refuse(wire.ReasonUnreachable, "gate of %s: %v", t.Host, err)
 	}
 	return wire.RefuseUnknown(wire.ReasonUnreachable, "gate of %s: %v", t.Host, err)
@@ -212,8 +243,13 @@
 // readForward decodes an attempt from its headers and removes the encoding.
 func readForward(h *fasthttp.RequestHeader) (Forward, error) {
 	var f Forward
-	err := json.Unmarshal(h.Peek(headerForward), &f)
+	raw := h.Peek(headerForward)
+	if raw == nil {
+		raw = h.Peek(headerAgain)
+	}
+	err := json.Unmarshal(raw, &f)
 	f.Attempt = karpithaz.ParseRequest(h).Attempt
 	h.Del(headerForward)
+	h.Del(headerAgain)
 	return f, err
 }
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -20,6 +20,7 @@
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/storepoll"
 	"github.com/gooseberryshed/gooseberryshed/supervise"
+	"github.com/gooseberryshed/gooseberryshed/wire"
 )
 
 // Options configure a Host.
@@ -49,6 +50,8 @@
 	store   *karpithaz.Store
 	control *Control
 	gate    *Gate
+	// runs are the attempts of other hosts at the gate.
+	runs    *runs
 	client  *gateClient
 	ingress *Ingress
 	limiter *fleetLimiter
@@ -95,6 +98,7 @@
 	h.control.firstReadDelay = storepoll.FirstReadDelay(o.Settings.FleetStart, rand.Float64())
 	h.gate = NewGate(h.current.Load, h.control.View, h.control.PublishTarget, h.log, h.metrics)
 	h.gate.answers = h.client.answers
+	h.runs = newRuns(func(attempt string) { h.gate.Withdraw(attempt, h.gate.incarnation) })
 	h.limiter = newFleetLimiter(o.Settings.Host, h.bounds, h.control.View, conn.query, h.control.Isolated, h.log, h.metrics)
 	h.withdrawals = &withdrawals{host: o.Settings.Host, gate: h.gate, view: h.control.View, query: conn.query}
 	h.ingress = NewIngress(h.current.Load, h.control, h, h.limiter, h.gate.RecordCallFailure, h.log, h.metrics)
@@ -227,6 +231,7 @@
 		h.gate.links.CloseExpired(now)
 		h.limiter.sweep(now)
 		h.crashes.sweep(now)
+		h.runs.sweep(now)
 		view := h.control.View()
 		h.ingress.states.prune(func(target string) bool { return view.hasTarget(target) })
 	}
@@ -270,13 +275,21 @@
 }
 
 // Forward implements gateForwarder.
-func (h *Host) Forward(ctx context.Context, t Target, f Forward, req *fasthttp.Request, onSend func()) Reply {
+func (h *Host) Forward(ctx context.Context, t Target, f Forward, req *fasthttp.Request, ev offerEvents) Reply {
 	if t.Host == h.settings.Host {
-		return h.gate.Forward(ctx, f, req, onSend)
+		return h.gate.Forward(ctx, f, req, ev.sent)
 	}
-	return h.client.Forward(ctx, t, f, req, onSend)
+	return h.client.Forward(ctx, t, f, req, ev)
+}
+
+// OfferAgain implements gateForwarder.
+func (h *Host) OfferAgain(ctx context.Context, t Target, f Forward, req *fasthttp.Request, ev offerEvents) Reply {
+	return h.client.OfferAgain(ctx, t, f, req, ev)
 }
 
+// DistrustIdle implements gateForwarder.
+func (h *Host) DistrustIdle(t time.Time) { h.client.links.CloseIdleSince(t) }
+
 func (h *Host) bounds() karpithaz.Bounds { return h.current.Load().Bounds }
 
 // answerQuery answers a query from another daemon.
@@ -315,12 +328,18 @@
 		x.Response.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
-	onSend := func() {
-		if err := x.SendInterim(); err != nil {
-			h.metrics.Add("interim_failed", 1) // writing the final response fails as well
-		}
+	if f.Incarnation != 0 && f.Incarnation != h.gate.incarnation {
+		refusal := wire.RefuseUnknown(wire.ReasonUnreachable, "host %s has restarted since the attempt was offered first", h.settings.Host)
+		writeReply(&x.Response, Reply{Refusal: refusal, Report: h.gate.report()})
+		return
 	}
-	writeReply(&x.Response, h.gate.Forward(ctx, f, &x.Request, onSend))
+	// The attempt may outlast the exchange.
+	req := &fasthttp.Request{}
+	x.Request.Header.CopyTo(&req.Header)
+	req.SetBodyRaw(x.Request.Body())
+	h.serveRun(ctx, x, h.runs.start(f, func(ctx context.Context, onSend func()) Reply {
+		return h.gate.Forward(ctx, f, req, onSend)
+	}))
 }
 
 func (h *Host) callerLimits() h1.Limits {
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -24,9 +24,13 @@
 
 // gateForwarder reaches the gates of all hosts.
 type gateForwarder interface {
-	// Forward sends an attempt to a target through its host's gate. It calls
-	// onSend when the gate sends the request to the target.
-	Forward(ctx context.Context, t Target, f Forward, req *fasthttp.Request, onSend func()) Reply
+	// Forward sends an attempt to a target through its host's gate.
+	Forward(ctx context.Context, t Target, f Forward, req *fasthttp.Request, ev offerEvents) Reply
+	// OfferAgain is Forward on a new connection for an attempt whose connection was
+	// lost. A gate that has the attempt replies with its result.
+	OfferAgain(ctx context.Context, t Target, f Forward, req *fasthttp.Request, ev offerEvents) Reply
+	// DistrustIdle closes the connections to gates that have been idle since t.
+	DistrustIdle(t time.Time)
 	// Withdraw reports whether an attempt was sent to the target of a host, or
 	// may have been. If it returns false, the attempt will never be sent.
 	// incarnation is that of the gate's process when the attempt was offered.
@@ -294,7 +298,7 @@
 // hopByHop are the headers that apply to a single connection.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Upgrade", "Expect", headerForward, headerReport, headerRefusal,
+	"Te", "Trailer", "Upgrade", "Expect", headerForward, headerReport, headerRefusal, headerAgain,
 }
 
 func stripHopByHop(h *fasthttp.RequestHeader) {
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -45,8 +45,8 @@
 	// KeepConnection, if set, reports whether the connection may be reused after a
 	// response.
 	KeepConnection func(h *fasthttp.ResponseHeader) bool
-	// OnInterim is called for each interim (1xx) response.
-	OnInterim func()
+	// OnInterim is called with the status of each interim (1xx) response.
+	OnInterim func(status int)
 }
 
 // Response is a response whose body has not been read yet.
@@ -271,7 +271,7 @@
 		}
 		c.received = 0
 		if e.OnInterim != nil {
-			e.OnInterim()
+			e.OnInterim(status)
 		}
 	}
 	return errTooManyInterim
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -345,7 +345,7 @@
 	pool := link.New(link.Options{})
 	defer pool.Close()
 	n := 0
-	body, err := readResponseBody(t, pool, p.addr(), link.RequestOptions{OnInterim: func() { n++ }})
+	body, err := readResponseBody(t, pool, p.addr(), link.RequestOptions{OnInterim: func(int) { n++ }})
 	assert.NilError(t, err)
 	assert.Equal(t, body, "ok")
 	assert.Equal(t, n, 1)
--- a/link/pool.go
+++ b/link/pool.go
@@ -74,7 +74,7 @@
 	Dials       int64
 	DialErrors  int64
 	Reuses      int64
-	StaleClosed int64 // idle connections that the peer had closed or written to
+	StaleClosed int64 // idle connections that the peer had closed or written to, or that CloseIdleSince closed
 	Expired     int64 // idle connections past MaxAge or IdleTimeout
 	Abandoned   int64 // connections of aborted exchanges
 }
@@ -163,13 +163,26 @@
 
 // CloseExpired closes idle connections that are past MaxAge or IdleTimeout.
 func (p *Pool) CloseExpired(now time.Time) {
-	var expired []*conn
+	n := p.closeIdle(func(c *conn) bool { return p.isExpired(c, now) })
+	p.count.expired.Add(int64(n))
+}
+
+// CloseIdleSince closes the connections to all addresses that have been idle since t or
+// longer, for example because a connection of that age turned out to be broken.
+func (p *Pool) CloseIdleSince(t time.Time) {
+	n := p.closeIdle(func(c *conn) bool { return !c.idleSince.After(t) })
+	p.count.stale.Add(int64(n))
+}
+
+// closeIdle closes the idle connections that match and returns their number.
+func (p *Pool) closeIdle(match func(*conn) bool) int {
+	var matched []*conn
 	p.mu.Lock()
 	for addr, conns := range p.idle {
 		kept := conns[:0]
 		for _, c := range conns {
-			if p.isExpired(c, now) {
-				expired = append(expired, c)
+			if match(c) {
+				matched = append(matched, c)
 			} else {
 				kept = append(kept, c)
 			}
@@ -181,8 +194,8 @@
 		}
 	}
 	p.mu.Unlock()
-	p.count.expired.Add(int64(len(expired)))
-	closeAll(expired)
+	closeAll(matched)
+	return len(matched)
 }
 
 func (p *Pool) isExpired(c *conn, now time.Time) bool {
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -23,6 +23,9 @@
 	GrayProbability float64
 	// Cold is set while the target is warming up and has little capacity.
 	Cold bool
+	// Resumes is set if the gate sends heartbeats while an attempt is in progress and
+	// keeps its reply for a while.
+	Resumes bool
 }
 
 // Candidate is a target to which the request may be sent.
