hostd: a test waits until the address of its datagrams is free again

Cause: TestAnswerToAnEarlierProcessIsNotTakenForAnother failed once in a run of the tests of hostd beside plays, "address already in use": the receiver of the earlier process had returned when its socket had not been closed yet, as it is closed in a goroutine of its own.

Change: the test closes the socket itself, which returns when it is closed. No check is changed.

--- a/hostd/datagrams_test.go
+++ b/hostd/datagrams_test.go
@@ -23,6 +23,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- d.run(ctx) }()
 	stop = func() {
+		d.close() // returns when the address is free
 		cancel()
 		assert.NilError(t, <-ended)
 	}
