hostd: "not run" of a target needs its statement, and not after a first transmission

Cause, found on the paths that end in 503: a target's 503, 429 or 408 without its statement that it did not run the request was passed on, and callers take these statuses for that promise. And a read that was sent twice, because its kept connection broke, and whose second copy was refused, was forgotten as sent before its run state was corrected: a withdrawal then said "not sent".

Change: such a status ends with 502. The run state is corrected before the gate forgets the attempt.

--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -162,6 +162,8 @@
 	deadline time.Time
 	started  time.Time
 	request  *gray.Request
+	// retransmitted is set if the request was sent to the target a second time.
+	retransmitted bool
 }
 
 // admit checks an attempt and obtains a slot for it, waiting in the queue if
--- a/hostd/gate_test.go
+++ b/hostd/gate_test.go
@@ -298,3 +298,62 @@
 	_, refusal := g.admit(context.Background(), Forward{Attempt: "r", Target: "old", Service: "svc", TimeLeftMs: 1000, MaxGray: 1, Route: "r", ObjectiveMs: 100}, time.Now())
 	assert.Assert(t, refusal != nil && refusal.Reason == wire.ReasonLeaving, "%v", refusal)
 }
+
+// A target that answers 503 or 429 without stating that it has not run the request would
+// have its callers send an order again that has run.
+func TestTargetsStatusAloneDoesNotSayNotRun(t *testing.T) {
+	for _, status := range []int{503, 429, 408} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			g, _ := newTestGate(t)
+			h := newHeartbeat("a", 1, 1, false)
+			h.Address = startRawTarget(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+				var req fasthttp.Request
+				if req.Read(br) == nil {
+					fmt.Fprintf(c, "HTTP/1.1 %d x\r\n%sContent-Length: 0\r\n\r\n", status, standin.AttemptHeader("a")) //nolint:errcheck // the gate sees the failure
+				}
+			})
+			g.applyHeartbeat(h, time.Now())
+			req := &fasthttp.Request{}
+			req.SetRequestURI("/")
+			req.Header.SetHost("h")
+			r := g.Forward(context.Background(), Forward{Attempt: "a", Target: "a", TimeLeftMs: 2000, MaxGray: 1, Route: "r", ObjectiveMs: 100}, req, nil)
+			assert.Assert(t, r.Refusal != nil && statusFor(r.Refusal) == 502, "%+v", r)
+			assert.Assert(t, g.Withdraw("a", g.incarnation), "the attempt may have run")
+		})
+	}
+}
+
+// A read that was sent twice, as its connection broke, and of which the second copy was
+// refused may have run as the first.
+func TestRetransmittedReadMayHaveRun(t *testing.T) {
+	g, _ := newTestGate(t)
+	var connections atomic.Int64
+	h := newHeartbeat("a", 1, 1, false)
+	h.Address = startRawTarget(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+		first := connections.Add(1) == 1
+		for n := 0; ; n++ {
+			var req fasthttp.Request
+			if req.Read(br) != nil || first && n == 1 {
+				return
+			}
+			attempt := standin.AttemptOf(&req.Header)
+			if !first {
+				io.WriteString(c, standin.Refusal(attempt)) //nolint:errcheck // the gate sees the failure
+				return
+			}
+			fmt.Fprintf(c, "%sContent-Length: 0\r\n%s\r\n", standin.SignedHead, standin.AttemptHeader(attempt)) //nolint:errcheck // the gate sees the failure
+		}
+	})
+	g.applyHeartbeat(h, time.Now())
+	for _, attempt := range []string{"warm", "a"} {
+		req := &fasthttp.Request{}
+		req.SetRequestURI("/")
+		req.Header.SetHost("h")
+		standin.SetAttempt(&req.Header, attempt)
+		r := g.Forward(context.Background(), Forward{Attempt: attempt, Target: "a", TimeLeftMs: 2000, MaxGray: 1, Repeatable: true, Route: "r", ObjectiveMs: 100}, req, nil)
+		if attempt == "a" {
+			assert.Assert(t, r.Refusal != nil && r.Refusal.Run == wire.Unknown, "%+v", r)
+		}
+	}
+	assert.Assert(t, g.Withdraw("a", g.incarnation), "the attempt may have run")
+}
--- a/hostd/roundtrip.go
+++ b/hostd/roundtrip.go
@@ -29,13 +29,9 @@
 	// The target closed an idle connection just as it was reused.
 	g.metrics.Add("target_stale_connections", 1)
 	g.recordPossibleRestart(tk.target)
+	tk.retransmitted = true
 	answer, err = g.roundTrip(ctx, tk, req, true)
-	reply := g.finishExchange(tk, answer, err)
-	if r := reply.Refusal; r != nil && r.Run == wire.NotRun {
-		// It is not known whether the first transmission ran.
-		r.Run = wire.Unknown
-	}
-	return reply
+	return g.finishExchange(tk, answer, err)
 }
 
 // answerGrace is how long after the deadline a target's answer may arrive, so
@@ -117,6 +113,9 @@
 // finishExchange frees the slot and returns the reply.
 func (g *Gate) finishExchange(tk *ticket, a *Answer, err error) Reply {
 	e := classify(tk, a, err)
+	if tk.retransmitted && e.refusal != nil {
+		e.refusal.Run = wire.Unknown // the first transmission may have run
+	}
 	now := time.Now()
 	g.mu.Lock()
 	t := tk.target
@@ -209,6 +208,8 @@
 		return exchangeResult{wire.Refuse(wire.ReasonWrongTarget, "the address of target %s is in use by another target", tk.target.id), signalNotRun}
 	case answer.NotRun:
 		return exchangeResult{wire.Refuse(wire.ReasonTargetShed, "target %s did not run the request", tk.target.id), signalShed}
+	case promisesNotRun(status):
+		return exchangeResult{wire.RefuseUnknown(wire.ReasonTargetFailed, "target %s returned status %d without stating that it did not run the request", tk.target.id, status), signalFailed}
 	case status == fasthttp.StatusGatewayTimeout:
 		return exchangeResult{nil, signalAbandoned} // the target's own deadline or that of a call it made
 	case status >= fasthttp.StatusInternalServerError:
@@ -219,6 +220,16 @@
 	return exchangeResult{nil, signalGood}
 }
 
+// promisesNotRun reports whether callers take a status for the promise that their request
+// has not run. In this fleet's name only a target that states it may give that promise.
+func promisesNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests, fasthttp.StatusRequestTimeout:
+		return true
+	}
+	return false
+}
+
 func classifyError(tk *ticket, err error) exchangeResult {
 	le := link.AsError(err)
 	switch {
