h1, hostd: bodies of requests share a part of the process's memory

Cause: a request's body was read whole into memory, bounded for one request alone. Six of 40 MiB at once, each within the configuration's limit, took a daemon over its memory; it was killed, and the orders of other callers were cut. A gate's server read 16 MiB at most and answered what it could not read without saying whether it had run.

Change: bodies over 32 KiB at both servers share 0.3 of the memory; what finds no place is answered 503 with Retry-After at once. Gates take the configuration's sizes, and refuse what they could not read as not run, or as unknown if it was offered again. What a caller still sends after a refusal is dropped for a second, so that it gets the answer.

--- a/h1/conn.go
+++ b/h1/conn.go
@@ -20,11 +20,10 @@
 	maxPipelined = 32
 	// writeTimeout limits the time to write one response to a slow peer.
 	writeTimeout = 30 * time.Second
-	// lingerTime and lingerBytes limit the data that is read and discarded after
-	// the last response on a connection. Closing a connection with unread data
-	// would reset it, and the response might be lost.
-	lingerTime  = time.Second
-	lingerBytes = 1 << 20
+	// lingerTime limits how long data is read and discarded after the last response
+	// on a connection; its size is limited like a body's. Closing a connection with
+	// unread data would reset it, and the response might be lost.
+	lingerTime = time.Second
 	// lateRequestDelay is how long a connection stays open after a request arrives
 	// that was sent before the peer received the last response: long enough for
 	// that response to arrive, short enough for the peer to detect without delay
@@ -52,6 +51,10 @@
 	handlers sync.WaitGroup
 
 	acceptedAt time.Time
+	// metered is the exchange whose body is being read in chunks, and meterErr is set
+	// if it has exhausted the budget of bodies.
+	metered  *Exchange
+	meterErr error
 
 	mu sync.Mutex
 	// served is set when the first request has been accepted, and reading while a
@@ -70,16 +73,17 @@
 
 func newConn(s *Server, nc net.Conn) *conn {
 	limits := s.opts.Limits().withDefaults()
-	return &conn{
+	c := &conn{
 		Conn:       nc,
 		s:          s,
 		limits:     limits,
-		br:         bufio.NewReaderSize(nc, limits.HeaderBytes),
 		bw:         bufio.NewWriterSize(nc, writeBufferBytes),
 		slots:      make(chan struct{}, maxPipelined),
 		acceptedAt: time.Now(),
 		idleSince:  time.Now(),
 	}
+	c.br = bufio.NewReaderSize(meteredReader{c}, limits.HeaderBytes)
+	return c
 }
 
 // unsettled reports whether a request is expected or unanswered, or the peer may
@@ -114,9 +118,11 @@
 		c.setReading(true)
 		status, err := c.read(x)
 		if err != nil && status == 0 {
+			c.releaseBody(x)
 			return
 		}
 		if !c.begin() {
+			c.releaseBody(x)
 			time.Sleep(lateRequestDelay)
 			return
 		}
@@ -167,7 +173,7 @@
 		c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) //nolint:errcheck // only a closed connection fails
 	}()
 	// In any case, the deferred cancel in serve notifies the handlers.
-	io.CopyN(io.Discard, c.br, lingerBytes) //nolint:errcheck // any error ends the connection
+	io.CopyN(io.Discard, c.br, int64(c.limits.BodyBytes)) //nolint:errcheck // any error ends the connection
 }
 
 // read reads one request. On an error, status is the HTTP status to respond with,
@@ -191,10 +197,7 @@
 			return 0, err
 		}
 	}
-	if err := x.Request.ContinueReadBody(c.br, c.limits.BodyBytes, false); err != nil {
-		return statusOf(err), err
-	}
-	return 0, nil
+	return c.readBody(x)
 }
 
 var errBareLineFeed = errors.New("a header line ends with a bare line feed")
@@ -219,6 +222,8 @@
 func statusOf(err error) int {
 	var small *fasthttp.ErrSmallBuffer
 	switch {
+	case errors.Is(err, errBodyMemory):
+		return fasthttp.StatusServiceUnavailable
 	case errors.As(err, &small):
 		return fasthttp.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
@@ -253,6 +258,7 @@
 	defer close(answered)
 	defer func() { <-c.slots }()
 	defer c.s.active.Add(-1)
+	defer c.releaseBody(x)
 	if c.s.opts.Stopping() {
 		// A response must wait for the previous one, which may not be ready
 		// before the server stops. A request that has not been passed to the
--- a/h1/server.go
+++ b/h1/server.go
@@ -50,6 +50,19 @@
 	return l
 }
 
+// Budget is an amount of memory in bytes.
+type Budget interface {
+	// Take reserves n bytes. It returns false if they are not available.
+	Take(n int64) bool
+	// Release returns n bytes.
+	Release(n int64)
+}
+
+type unlimited struct{}
+
+func (unlimited) Take(int64) bool { return true }
+func (unlimited) Release(int64)   {}
+
 // Exchange is a request and its response.
 type Exchange struct {
 	Request  fasthttp.Request
@@ -57,6 +70,9 @@
 	// ReceivedAt is the time at which the first byte of the request was read.
 	ReceivedAt time.Time
 	conn       *conn
+	// bodyBytes is the size of the request's body as far as it has been read or
+	// announced.
+	bodyBytes int64
 }
 
 // SendInterim sends an interim response with a status below 200. It must not be used
@@ -68,8 +84,11 @@
 	// Handler serves a request by setting x.Response. ctx is canceled when the
 	// peer disconnects.
 	Handler func(ctx context.Context, x *Exchange)
+	// Bodies bounds the bytes of all bodies over 32 KiB that are being read or handled;
+	// nil means that only Limits bound them.
+	Bodies Budget
 	// ErrorHandler sets the response to a request that could not be read; status
-	// is 400, 413 or 431.
+	// is 400, 413, 431, or 503 if Bodies is exhausted.
 	ErrorHandler func(x *Exchange, status int, err error)
 	// Limits is called for each request; nil means the defaults.
 	Limits func() Limits
@@ -92,6 +111,9 @@
 	if o.Limits == nil {
 		o.Limits = func() Limits { return Limits{} }
 	}
+	if o.Bodies == nil {
+		o.Bodies = unlimited{}
+	}
 	if o.Stopping == nil {
 		o.Stopping = func() bool { return false }
 	}
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -13,11 +13,13 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/gooseberryshed/gooseberryshed/admission"
 	"github.com/gooseberryshed/gooseberryshed/decisions"
 	"github.com/gooseberryshed/gooseberryshed/h1"
 	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/metrics"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
+	"github.com/gooseberryshed/gooseberryshed/problem"
 	"github.com/gooseberryshed/gooseberryshed/storepoll"
 	"github.com/gooseberryshed/gooseberryshed/supervise"
 	"github.com/gooseberryshed/gooseberryshed/wire"
@@ -114,8 +116,9 @@
 
 func (h *Host) open(o Options) error {
 	s := &h.servers
-	s.callers = h1.New(h1.Options{Handler: h.ingress.Handle, ErrorHandler: h.rejectCaller, Limits: h.callerLimits, Stopping: h.stopping})
-	s.gates = h1.New(h1.Options{Handler: h.handleForward, Stopping: h.stopping})
+	bodies := newRequestBudget(int64(h.settings.MemoryBytes))
+	s.callers = h1.New(h1.Options{Handler: h.ingress.Handle, ErrorHandler: h.rejectCaller, Limits: h.callerLimits, Stopping: h.stopping, Bodies: bodies})
+	s.gates = h1.New(h1.Options{Handler: h.handleForward, ErrorHandler: h.rejectForward, Limits: h.gateLimits, Stopping: h.stopping, Bodies: bodies})
 	s.announcements = h1.New(h1.Options{Handler: h.gate.handleAnnouncement})
 	s.ready = h1.New(h1.Options{Handler: h.handleReady})
 	s.metrics = h1.New(h1.Options{Handler: h.handleMetrics})
@@ -355,13 +358,45 @@
 	}
 }
 
-// rejectCaller answers a request that could not be parsed.
+// forwardHeaderBytes is the space for the headers that daemons add to a request.
+const forwardHeaderBytes = 8 << 10
+
+// gateLimits are the limits of other daemons' requests: those of callers, with space for
+// what daemons add.
+func (h *Host) gateLimits() h1.Limits {
+	l := h.callerLimits()
+	if l.HeaderBytes > 0 {
+		l.HeaderBytes += forwardHeaderBytes
+	}
+	return h1.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes}
+}
+
+// rejectCaller answers a request that could not be read.
 func (h *Host) rejectCaller(x *h1.Exchange, status int, err error) {
-	h.metrics.Add("malformed", 1)
 	h.log.Decide("malformed", "status", status, "err", err)
+	if status == fasthttp.StatusServiceUnavailable {
+		h.metrics.Add("bodies_refused", 1)
+		problem.Write(&x.Response, wire.Refuse(wire.ReasonBusy, "%v", err))
+		karpithaz.SetProxyResponseHeaders(&x.Response.Header, karpithaz.ParseRequest(&x.Request.Header).Attempt,
+			admission.RetryDelay(0, admission.LowestPriority, rand.Float64()))
+		return
+	}
+	h.metrics.Add("malformed", 1)
 	x.Response.SetStatusCode(status)
 }
 
+// rejectForward answers another daemon's request that could not be read. A first offer has
+// not run then; one that is made again may have.
+func (h *Host) rejectForward(x *h1.Exchange, status int, err error) {
+	h.metrics.Add("gate_unreadable", 1)
+	h.log.Decide("gate-unreadable", "status", status, "err", err)
+	refusal := wire.RefuseUnknown(wire.ReasonBusy, "host %s could not read the request: %v", h.settings.Host, err)
+	if x.Request.Header.Peek(headerForward) != nil {
+		refusal.Run = wire.NotRun
+	}
+	writeReply(&x.Response, Reply{Refusal: refusal, Report: h.gate.report()})
+}
+
 func (h *Host) handleReady(_ context.Context, x *h1.Exchange) {
 	if !karpithaz.IsReadinessPath(string(x.Request.Header.RequestURI())) {
 		x.Response.SetStatusCode(fasthttp.StatusNotFound)
