quota: a new owner's bucket has no half of a burst much larger than the rate

Cause: a process that did not know a bucket filled it with half of the burst. After a kill of the owner its successor granted that once more; the tenth that the platform tolerates covers it only where burst and rate are alike.

Change: a workspace's new bucket has the tokens of 0.5 s, at most half of the burst. Buckets of retries stay as they were. The tests pass the initial tokens that they had.

TestSuccessorOfAKilledOwnerGrantsNoSecondBurst fails with the former fill: 360 of 306 tokens for a burst of 160, 744 of 570 for 400; it passes now.

--- a/hostd/limiter.go
+++ b/hostd/limiter.go
@@ -49,6 +49,8 @@
 	// bucket.
 	kind, name  string
 	rate, burst float64
+	// initial returns the tokens of a new bucket for shares of rate and burst.
+	initial func(rate, burst float64) float64
 }
 
 // fleetLimiter takes tokens from the owners of token buckets and owns some
@@ -118,7 +120,7 @@
 }
 
 func (l *fleetLimiter) workspaceBucket(w *routes.Workspace) bucketSpec {
-	return bucketSpec{queryRate, w.Name, w.Rate, w.Burst + burstSlackShare*l.bounds().RateSlack}
+	return bucketSpec{queryRate, w.Name, w.Rate, w.Burst + burstSlackShare*l.bounds().RateSlack, quota.BoundedFill}
 }
 
 // retryBucket returns the part of a service's retry budget that does not depend
@@ -127,7 +129,7 @@
 func (l *fleetLimiter) retryBucket(service string) bucketSpec {
 	b := l.bounds()
 	half := retryBudgetShare * b.RetryBudgetSlack / 2
-	return bucketSpec{queryRetry, service, half / b.RetryBudgetWindow.Seconds(), half}
+	return bucketSpec{queryRetry, service, half / b.RetryBudgetWindow.Seconds(), half, func(_, burst float64) float64 { return quota.InitialFill(burst) }}
 }
 
 // takeToken takes a token of a bucket from its owner.
@@ -265,10 +267,10 @@
 	rate, burst := rateShare*b.rate, burstShare*b.burst
 	own := l.buckets[key]
 	if own == nil {
-		own = &ownedBucket{Bucket: quota.NewBucket(since, burst)}
+		own = &ownedBucket{Bucket: quota.NewBucket(since, b.initial(rate, burst))}
 		l.buckets[key] = own
 	} else if first && !own.first {
-		own.TakeOver(since, time.Now(), rate, burst)
+		own.TakeOver(since, time.Now(), rate, b.initial(rate, burst))
 	}
 	own.first = first
 	ok, after := own.Take(time.Now(), rate, burst)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -35,8 +35,24 @@
 	"time"
 )
 
-// initialFill is the share of the burst with which a new bucket is filled.
-const initialFill = 0.5
+const (
+	// initialFill is the share of the burst with which a new bucket is filled.
+	initialFill = 0.5
+	// initialTime bounds the fill of a workspace's new bucket, as the tokens of this time:
+	// its previous owner may have granted the whole burst just before, and beyond
+	// rate and burst the platform tolerates a tenth.
+	initialTime = 500 * time.Millisecond
+)
+
+// InitialFill returns the tokens of a new bucket for which half a burst beyond the limit
+// is tolerated when the owner changes.
+func InitialFill(burst float64) float64 { return initialFill * burst }
+
+// BoundedFill returns the tokens of a new bucket for which it is not, as the burst may be
+// many times the rate.
+func BoundedFill(rate, burst float64) float64 {
+	return min(InitialFill(burst), rate*initialTime.Seconds())
+}
 
 // Shares of a rate that owners grant.
 const (
@@ -109,16 +125,17 @@
 	updatedAt time.Time
 }
 
-// NewBucket returns the bucket of an owner whose ownership began at since. It
-// was partly filled at that time.
-func NewBucket(since time.Time, burst float64) *Bucket {
-	return &Bucket{tokens: max(initialFill*burst, 1), updatedAt: since}
+// NewBucket returns the bucket of an owner whose ownership began at since, with some
+// tokens at that time and at least one.
+func NewBucket(since time.Time, initial float64) *Bucket {
+	return &Bucket{tokens: max(initial, 1), updatedAt: since}
 }
 
 // TakeOver bounds the tokens of a host that has become the owner at since, as the
-// previous owner may have granted all of them just before.
-func (b *Bucket) TakeOver(since, now time.Time, rate, burst float64) {
-	b.tokens = min(b.tokens, max(initialFill*burst, 1)+rate*max(now.Sub(since).Seconds(), 0))
+// previous owner may have granted all of them just before, to some initial ones and those
+// of the time since.
+func (b *Bucket) TakeOver(since, now time.Time, rate, initial float64) {
+	b.tokens = min(b.tokens, max(initial, 1)+rate*max(now.Sub(since).Seconds(), 0))
 	b.updatedAt = now
 }
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -16,7 +16,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		rate := float64(rapid.IntRange(1, 60).Draw(t, "rate"))
 		burst := float64(rapid.IntRange(1, 60).Draw(t, "burst"))
-		b := NewBucket(t0, burst)
+		b := NewBucket(t0, InitialFill(burst))
 		now := t0
 		var given []time.Time
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
@@ -41,7 +41,7 @@
 // The bucket of an owner that has owned the workspace for some time is full, so
 // a burst at the start of the traffic is granted.
 func TestBucketFillsDuringOwnership(t *testing.T) {
-	b := NewBucket(t0, 10)
+	b := NewBucket(t0, InitialFill(10))
 	served := 0
 	for range 12 {
 		if ok, _ := b.Take(t0.Add(8*time.Second), 5, 10); ok {
@@ -74,10 +74,10 @@
 
 // Each new owner may be the one after another that has just granted everything.
 func TestTakeOverStartsPartlyFilled(t *testing.T) {
-	b := NewBucket(t0.Add(-time.Hour), 40)
+	b := NewBucket(t0.Add(-time.Hour), InitialFill(40))
 	ok, _ := b.Take(t0, 10, 40)
 	assert.Assert(t, ok)
-	b.TakeOver(t0, t0.Add(time.Second), 10, 40)
+	b.TakeOver(t0, t0.Add(time.Second), 10, InitialFill(40))
 	granted := 0
 	for {
 		ok, _ := b.Take(t0.Add(time.Second), 10, 40)
@@ -89,6 +89,43 @@
 	assert.Equal(t, granted, 30)
 }
 
+// An owner that was killed after it had granted a burst much larger than its rate was
+// followed by a process that granted half of the burst again.
+func TestSuccessorOfAKilledOwnerGrantsNoSecondBurst(t *testing.T) {
+	const (
+		rate    = 20.0
+		window  = 5 * time.Second
+		overage = 0.1
+		slack   = 20
+		step    = 10 * time.Millisecond
+		outage  = 300 * time.Millisecond
+	)
+	for _, burst := range []float64{rate, 8 * rate, 20 * rate} {
+		t.Run(fmt.Sprintf("burst %g", burst), func(t *testing.T) {
+			killed := t0.Add(200 * time.Millisecond)
+			owner := NewBucket(t0.Add(-time.Hour), burst)
+			granted := 0
+			for now := t0; now.Before(t0.Add(window)); now = now.Add(step) {
+				switch {
+				case now.Equal(killed):
+					owner = NewBucket(killed.Add(outage), BoundedFill(rate, burst))
+				case now.After(killed) && now.Before(killed.Add(outage)):
+					continue
+				}
+				for ok := true; ok; {
+					if ok, _ = owner.Take(now, rate, burst); ok {
+						granted++
+					}
+				}
+			}
+			// The second owner grants a tenth while the first is missing.
+			granted += int(overlapShare * (burst + rate*partitionDelay.Seconds()))
+			allowed := (rate*window.Seconds()+burst)*(1+overage) + slack
+			assert.Assert(t, float64(granted) <= allowed, "%d tokens, %g are allowed", granted, allowed)
+		})
+	}
+}
+
 // All that hosts grant in a partition stays within a tenth more than the rate, once
 // the owners know of it.
 func TestSharesInAPartition(t *testing.T) {
