hostd: a target that signed off at a restarted daemon returns; no health check without a service

It took every later heartbeat of that ID for the target that had signed off, and the target got no request for good. And a health check of a cold target, with a configuration that lacks the service of the settings, dereferenced nil and ended the process.

Change: a start after the sign-off is another incarnation, and the departed row says by when its target had started. Such a health check fails with a log line.

--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -107,6 +107,9 @@
 	}
 	g.target.startLimit.Restarted(now)
 	g.target.firstSeen = now
+	if h.Leaving {
+		g.target.signedOffAt = now
+	}
 	g.target.update(h, now)
 	if old != nil {
 		g.flush(old, "target "+old.id+" has been replaced")
@@ -122,6 +125,10 @@
 }
 
 func (g *Gate) hostRow(t *localTarget) Target {
+	born := t.born
+	if born == 0 && t.leaving {
+		born = t.signedOffAt.UnixMilli() // it started earlier, and a later incarnation is another one
+	}
 	return Target{
 		ID:         t.id,
 		Service:    t.service,
@@ -131,7 +138,7 @@
 		Control:    g.settings().DatagramListen,
 		Slots:      t.queue.Slots(),
 		Departed:   t.leaving,
-		Born:       t.born,
+		Born:       born,
 	}
 }
 
@@ -163,7 +170,7 @@
 		g.startIncarnation(karpithaz.Heartbeat{Target: id, Service: set.Service, Address: set.TargetAddress,
 			DataCentre: set.DataCentre, Slots: 1, Leaving: true}, time.Now())
 	case t.id == id && !t.leaving:
-		t.leaving = true
+		t.leaving, t.signedOffAt = true, time.Now()
 		g.publishDeparture(t, "left")
 	}
 }
@@ -245,9 +252,14 @@
 // checkHealth queries the target's health. It returns false unless the target
 // is healthy.
 func (g *Gate) checkHealth(ctx context.Context, timeout time.Duration) (karpithaz.Heartbeat, bool) {
+	svc := g.service(g.settings().Service)
+	if svc == nil {
+		g.log.Decide("health-failed", "address", g.settings().TargetAddress, "err", "the configuration has no service "+g.settings().Service)
+		return karpithaz.Heartbeat{}, false
+	}
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	req.Header.SetRequestURI(g.service(g.settings().Service).HealthPath)
+	req.Header.SetRequestURI(svc.HealthPath)
 	req.Header.SetHost(g.settings().TargetAddress)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/hostd/oddheartbeat_test.go
+++ b/hostd/oddheartbeat_test.go
@@ -1,6 +1,7 @@
 package hostd
 
 import (
+	"context"
 	"encoding/json"
 	"strings"
 	"testing"
@@ -56,3 +57,40 @@
 	assert.NilError(t, err)
 	assert.Equal(t, r.Status, fasthttp.StatusOK)
 }
+
+// A target that signed off at a daemon that had just restarted, and started again under its
+// ID, was taken to be leaving for good.
+func TestTargetThatSignedOffAtARestartedDaemonReturns(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name    string
+		found   bool // by a health check, before the sign-off
+		born    time.Time
+		leaving bool
+	}{
+		{"later incarnation", false, now.Add(2 * time.Second), false},
+		{"later incarnation of a target found by a health check", true, now.Add(2 * time.Second), false},
+		{"late heartbeat of the incarnation that signed off", false, now.Add(-time.Minute), true},
+		{"late heartbeat of one found by a health check", true, now.Add(-time.Minute), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g, rows := newTestGate(t)
+			if c.found {
+				g.applyHeartbeat(newHeartbeat("a", 0, 0, false), now)
+			}
+			g.markLeaving("a")
+			departed := (*rows)[len(*rows)-1]
+			assert.Equal(t, departed.includes("a", c.born.UnixMilli()), c.leaving, "departed row %+v", departed)
+			g.applyHeartbeat(newHeartbeat("a", c.born.UnixMilli(), 1, false), now.Add(3*time.Second))
+			assert.Equal(t, g.target.leaving, c.leaving)
+		})
+	}
+}
+
+// A configuration without the service of this host's settings ended the process at the next
+// health check.
+func TestHealthCheckWithoutItsServiceFails(t *testing.T) {
+	g, _ := newTestGate(t)
+	_, ok := g.checkHealth(context.Background(), time.Second)
+	assert.Assert(t, !ok)
+}
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -23,6 +23,8 @@
 	firstSeen time.Time
 	// leaving is set when the target must not receive further requests.
 	leaving bool
+	// signedOffAt is when the target signed off.
+	signedOffAt time.Time
 	// departureWritten is closed when the departure has been written to the
 	// store. It is nil unless the target is leaving.
 	departureWritten <-chan struct{}
@@ -96,10 +98,16 @@
 }
 
 // sameIncarnation reports whether a heartbeat comes from the current
-// incarnation. The birth time of a target found by a health check is not known
-// yet.
+// incarnation. The birth time of a target found by a health check, or that signed off at
+// a daemon that did not know it, is not known yet.
 func (t *localTarget) sameIncarnation(h karpithaz.Heartbeat) bool {
-	return h.Target == t.id && (h.StartedAtMillis == t.born || t.born == 0)
+	if h.Target != t.id {
+		return false
+	}
+	if t.born == 0 {
+		return t.signedOffAt.IsZero() || h.StartedAtMillis <= t.signedOffAt.UnixMilli()
+	}
+	return h.StartedAtMillis == t.born
 }
 
 // update applies the values that may change within an incarnation.
