--- a/internal/soak/operators_test.go
+++ b/internal/soak/operators_test.go
@@ -33,6 +33,7 @@
 	stopSeed
 	repeatSeed
 	lostSeed
+	endlessSeed
 )
 
 // scenario starts a fleet whose targets are announced until the end of the test.
