hostd: a query is answered by the host that it is meant for

Cause: queries between hosts went to an address, and whoever had it answered. After a machine had been replaced its successor at the same address answered for it: the host that had gone was taken to be alive, requests were offered to it, and rates that it owned were asked of another.

Change: a query names its host, an answer the host that gives it. Another host does not act on the query, and its answer is an error.

--- a/hostd/contacts.go
+++ b/hostd/contacts.go
@@ -110,7 +110,7 @@
 	hosts := view.hostsByDataCentre[dc]
 	for _, i := range rand.Perm(len(hosts))[:min(len(hosts), probedHosts)] {
 		t, _ := view.TargetOf(hosts[i])
-		if _, err := l.query(context.Background(), t.Control, datagram{Kind: queryVersions, Host: l.host}); err == nil {
+		if _, err := l.query(context.Background(), t.Control, datagram{Kind: queryVersions, Host: l.host, To: t.Host}); err == nil {
 			l.contacts.recordContact(dc, time.Now())
 			return
 		}
--- a/hostd/crashes.go
+++ b/hostd/crashes.go
@@ -105,6 +105,7 @@
 			continue
 		}
 		if t, ok := view.TargetOf(owners[0]); ok {
+			q.To = t.Host
 			if _, err := c.query(ctx, t.Control, q); err != nil {
 				c.log.Decide("death-not-told", "fingerprint", name, "owner", owners[0], "err", err)
 			}
@@ -137,7 +138,7 @@
 	view := c.view()
 	for _, host := range view.hostNames() {
 		if t, ok := view.TargetOf(host); ok && host != c.host {
-			go c.query(ctx, t.Control, datagram{Kind: queryQuarantine, Name: q.Name}) //nolint:errcheck // repeated after the next death
+			go c.query(ctx, t.Control, datagram{Kind: queryQuarantine, Name: q.Name, To: t.Host}) //nolint:errcheck // repeated after the next death
 		}
 	}
 }
--- a/hostd/datagrams.go
+++ b/hostd/datagrams.go
@@ -28,6 +28,9 @@
 	// that the query is addressed to, and in a crash report, where it is the
 	// target that died.
 	Host string `json:"h,omitempty"`
+	// To is the host that a query is meant for. Another one that has been given its
+	// address does not act on the query.
+	To string `json:"a,omitempty"`
 	// Incarnation identifies the gate process that a withdrawal refers to, or the
 	// dead process of the target in a crash report.
 	Incarnation int64 `json:"l,omitempty"`
@@ -63,8 +66,12 @@
 // errNoAnswer reports that a host did not answer.
 var errNoAnswer = errors.New("no answer to a datagram; the host or the network path to it is down")
 
+// errWrongHost reports that another host than the one asked has answered.
+var errWrongHost = errors.New("another host has the address that was asked; the host has gone or its row is out of date")
+
 // datagramConn sends queries to other daemons and answers theirs.
 type datagramConn struct {
+	host    string
 	conn    *net.UDPConn
 	metrics *metrics.Registry
 	// answer returns the answer to a query. It runs in a goroutine of its own.
@@ -84,7 +91,7 @@
 	answer chan datagram
 }
 
-func newDatagramConn(addr string, m *metrics.Registry, answer func(context.Context, datagram) datagram) (*datagramConn, error) {
+func newDatagramConn(host, addr string, m *metrics.Registry, answer func(context.Context, datagram) datagram) (*datagramConn, error) {
 	udp, err := net.ResolveUDPAddr("udp4", addr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "datagram address %s", addr)
@@ -93,7 +100,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for datagrams on %s; check that the address is this host's and free", addr)
 	}
-	d := &datagramConn{conn: conn, metrics: m, answer: answer, pending: map[uint64]pendingQuery{}}
+	d := &datagramConn{host: host, conn: conn, metrics: m, answer: answer, pending: map[uint64]pendingQuery{}}
 	d.lastID.Store(rand.Uint64())
 	return d, nil
 }
@@ -142,8 +149,11 @@
 }
 
 func (d *datagramConn) reply(ctx context.Context, q datagram, to netip.AddrPort) {
-	a := d.answer(ctx, q)
-	a.ID = q.ID
+	var a datagram
+	if q.To == "" || q.To == d.host {
+		a = d.answer(ctx, q)
+	}
+	a.ID, a.Host = q.ID, d.host
 	d.send(a, to)
 }
 
@@ -180,6 +190,10 @@
 		select {
 		case a := <-ch:
 			timer.Stop()
+			if q.To != "" && a.Host != "" && a.Host != q.To {
+				d.metrics.Add("datagrams_from_wrong_host", 1)
+				return datagram{}, errWrongHost
+			}
 			return a, nil
 		case <-ctx.Done():
 			timer.Stop()
--- a/hostd/datagrams_test.go
+++ b/hostd/datagrams_test.go
@@ -17,7 +17,7 @@
 // openDatagrams returns a connection that receives datagrams on an address.
 func openDatagrams(t *testing.T, addr string) (d *datagramConn, stop func()) {
 	t.Helper()
-	d, err := newDatagramConn(addr, metrics.New(), noAnswer)
+	d, err := newDatagramConn("self", addr, metrics.New(), noAnswer)
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -104,3 +104,26 @@
 	sendAnswer(t, peer, datagram{ID: q.ID, Authoritative: true, Result: true}, from)
 	assert.Assert(t, (<-answered).Result, "the answer of another address was taken")
 }
+
+// A host that had been given the address of one that had gone answered in its place, so
+// that the latter was taken to be alive.
+func TestQueryForAnotherHostIsNotActedOn(t *testing.T) {
+	asked := false
+	successor, err := newDatagramConn("successor", freeAddr(t, "127.0.0.1"), metrics.New(), func(context.Context, datagram) datagram {
+		asked = true
+		return datagram{Result: true}
+	})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- successor.run(ctx) }()
+	asker, stop := openDatagrams(t, freeAddr(t, "127.0.0.1"))
+	defer stop()
+	_, err = asker.query(ctx, successor.conn.LocalAddr().String(), datagram{Kind: queryAlive, To: "gone"})
+	assert.ErrorIs(t, err, errWrongHost)
+	a, err := asker.query(ctx, successor.conn.LocalAddr().String(), datagram{Kind: queryAlive, To: "successor"})
+	assert.NilError(t, err)
+	cancel()
+	assert.NilError(t, <-ended)
+	assert.Assert(t, a.Result && asked)
+}
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -90,7 +90,7 @@
 		stopCh:   make(chan struct{}),
 	}
 	h.current.Store(o.Settings)
-	conn, err := newDatagramConn(cmp.Or(o.DatagramBind, o.Settings.DatagramListen), h.metrics, h.answerQuery)
+	conn, err := newDatagramConn(o.Settings.Host, cmp.Or(o.DatagramBind, o.Settings.DatagramListen), h.metrics, h.answerQuery)
 	if err != nil {
 		return nil, err
 	}
@@ -273,7 +273,7 @@
 
 // Answers implements gateForwarder.
 func (h *Host) Answers(ctx context.Context, t Target) bool {
-	_, err := h.datagrams.query(ctx, t.Control, datagram{Kind: queryAlive, Host: h.settings.Host})
+	_, err := h.datagrams.query(ctx, t.Control, datagram{Kind: queryAlive, Host: h.settings.Host, To: t.Host})
 	return err == nil
 }
 
--- a/hostd/limiter.go
+++ b/hostd/limiter.go
@@ -171,6 +171,7 @@
 	if !ok || l.states.backingOff(path, time.Now()) {
 		return datagram{}, false
 	}
+	q.To = host
 	a, err := l.query(ctx, t.Control, q)
 	if err == nil && (host == owner || a.Authoritative) {
 		l.states.recordSuccess(path)
--- a/hostd/notices.go
+++ b/hostd/notices.go
@@ -130,7 +130,7 @@
 		return false
 	}
 	c.metrics.Add("notices_sent", 1)
-	if _, err := c.peers.query(ctx, t.Control, datagram{Kind: queryChanged, Host: c.host, ConfigVersion: version}); err != nil {
+	if _, err := c.peers.query(ctx, t.Control, datagram{Kind: queryChanged, Host: c.host, To: t.Host, ConfigVersion: version}); err != nil {
 		c.metrics.Add("notices_unanswered", 1)
 		return false
 	}
--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -249,7 +249,7 @@
 	}
 	r := peerReply{peer: t, asked: true, askedAt: boottime.Now()}
 	var err error
-	r.versions, err = c.peers.query(ctx, t.Control, datagram{Kind: queryVersions, Host: c.host})
+	r.versions, err = c.peers.query(ctx, t.Control, datagram{Kind: queryVersions, Host: c.host, To: host})
 	r.answered = err == nil
 	return r
 }
--- a/hostd/withdraw.go
+++ b/hostd/withdraw.go
@@ -30,7 +30,7 @@
 	if host == w.host {
 		return w.gate.Withdraw(attempt, w.gate.incarnation), nil
 	}
-	q := datagram{Kind: queryWithdraw, Name: attempt, Host: host, Incarnation: incarnation}
+	q := datagram{Kind: queryWithdraw, Name: attempt, Host: host, To: host, Incarnation: incarnation}
 	view := w.view()
 	t, ok := view.TargetOf(host)
 	if !ok {
@@ -41,6 +41,7 @@
 	}
 	q.Relay = true
 	for _, relay := range w.relayCandidates(view, host) {
+		q.To = relay.Host
 		if a, err := w.query(ctx, relay.Control, q); err == nil && a.Authoritative {
 			return a.Result, nil
 		}
@@ -74,7 +75,7 @@
 	if !ok || !q.Relay {
 		return datagram{}
 	}
-	q.Relay = false
+	q.Relay, q.To = false, q.Host
 	a, err := w.query(ctx, t.Control, q)
 	if err != nil {
 		return datagram{}
