hostd, storepoll: a standby acts for readers that have all died

Cause: only the two readers of a data centre read the table of hosts and removed rows of silent ones. Where both had died, their rows stayed, and with them those of all hosts of the data centre that had gone.

Change: a standby that gets no answer from any host of lower rank polls the table of hosts and removes rows as a reader does.

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -53,6 +53,8 @@
 	tableWrites float64
 	// lostPeers is set if most of the peers last asked did not answer.
 	lostPeers atomic.Bool
+	// actsAsReader is set while this host is a reader or acts in place of silent ones.
+	actsAsReader atomic.Bool
 	// inbox receives notices of changes from other hosts, and appliedChanges the
 	// changes of which other hosts may need notice.
 	inbox          noticeInbox
--- a/hostd/feed.go
+++ b/hostd/feed.go
@@ -77,7 +77,7 @@
 			pause.For(ctx, startPollPause/2+rand.N(startPollPause))
 			f.poll(ctx, 0)
 			continue
-		case storepoll.IsReader(rank, hosts):
+		case storepoll.IsReader(rank, hosts), c.actsAsReader.Load():
 			f.poll(ctx, hostsPollWait)
 		}
 		pause.For(ctx, hostsPollPause)
--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -99,7 +99,8 @@
 		p := c.pollPeers(ctx, turn)
 		c.recordReach(p)
 		rank, hosts := c.rank()
-		if rank < storepoll.Readers {
+		c.actsAsReader.Store(storepoll.ActsAsReader(rank, p.lowerAnswered))
+		if c.actsAsReader.Load() {
 			c.removeSilentHosts(ctx, time.Now())
 		}
 		h := storepoll.Host{Rank: rank, Hosts: hosts, ProofAge: c.ProofAge(), LowerProofAge: p.lowerProofAge, LowerAnswered: p.lowerAnswered, PeersAnswered: p.reached > 0}
--- a/hostd/silentreaders_test.go
+++ b/hostd/silentreaders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/gooseberryshed/gooseberryshed/metrics"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/platform/standin"
+	"github.com/gooseberryshed/gooseberryshed/quota"
 	"github.com/gooseberryshed/gooseberryshed/storepoll"
 )
 
@@ -111,3 +113,49 @@
 func (noPeers) query(context.Context, string, datagram) (datagram, error) {
 	return datagram{}, errNoAnswer
 }
+
+// The rows of a data centre's readers stayed when both had died, as only readers removed
+// rows: their targets were offered requests, and rates that they owned were refused.
+func TestRowsOfReadersThatHaveDiedAreRemoved(t *testing.T) {
+	f := newFleet(t, 5)
+	time.Sleep(silenceTimeout) // the other hosts have been polled for some time
+	readers := f.hosts[0].control.View().ranked("dc-a")[:storepoll.Readers]
+	f.freeze(readers...)
+	begun := time.Now()
+	for len(readers) > 0 {
+		if _, listed := f.store.Row(hostsTable, readers[0]); !listed {
+			readers = readers[1:]
+			continue
+		}
+		assert.Assert(t, time.Since(begun) < 3*silenceTimeout, "the row of %s is there after %s", readers[0], time.Since(begun))
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Logf("after %s", time.Since(begun))
+}
+
+// The same where other hosts have been given the addresses of the readers that have died.
+func TestRowsOfReadersWhoseAddressesAreReusedAreRemoved(t *testing.T) {
+	f := newFleet(t, 4)
+	names := []string{"host-1", "host-2", "host-3", "host-4"}
+	var gone []string
+	for i := 0; len(gone) < storepoll.Readers; i++ {
+		name := fmt.Sprintf("gone-%d", i)
+		if rank := slices.Index(quota.RankOwners("reader", append(slices.Clone(names), append(slices.Clone(gone), name)...)), name); rank < storepoll.Readers {
+			gone = append(gone, name)
+		}
+	}
+	for i, name := range gone {
+		f.store.Put(hostsTable, name, fmt.Appendf(nil, `{"target":"i-%s","service":"svc","host":%q,"data_centre":"dc-a","gate":"127.0.1.99:1","control":%q,"slots":4}`,
+			name, name, f.hosts[i].settings.DatagramListen))
+	}
+	f.await("the rows are known", func() bool { return f.hosts[0].control.View().HostCount == len(names)+len(gone) })
+	assert.DeepEqual(t, sorted(f.hosts[0].control.View().ranked("dc-a")[:storepoll.Readers]), sorted(gone))
+	begun := time.Now()
+	for f.hosts[0].control.View().HostCount > len(names) {
+		assert.Assert(t, time.Since(begun) < 3*silenceTimeout, "%d hosts are listed after %s", f.hosts[0].control.View().HostCount, time.Since(begun))
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Logf("after %s", time.Since(begun))
+}
+
+func sorted(names []string) []string { return slices.Sorted(slices.Values(names)) }
--- a/storepoll/storepoll.go
+++ b/storepoll/storepoll.go
@@ -66,6 +66,14 @@
 	return min(time.Duration(hosts)*fetchSpreadPerHost, maxFetchSpread)
 }
 
+// ActsAsReader reports whether a host reads the table of hosts and removes the rows of
+// silent ones: the readers do, and a standby if no host of lower rank answers it. Otherwise
+// the rows of readers that have all died would stay. lowerAnswered is whether one has
+// answered in this turn.
+func ActsAsReader(rank int, lowerAnswered bool) bool {
+	return rank < Readers || rank < Ranked && !lowerAnswered
+}
+
 // IsReader reports whether the host keeps long polls at the store.
 func IsReader(rank, hosts int) bool { return rank < Readers || hosts < Readers }
 
--- a/storepoll/storepoll_test.go
+++ b/storepoll/storepoll_test.go
@@ -223,3 +223,15 @@
 		})
 	}
 }
+
+func TestStandbyActsAsReaderOnlyInPlaceOfSilentOnes(t *testing.T) {
+	for _, c := range []struct {
+		rank          int
+		lowerAnswered bool
+		acts          bool
+	}{
+		{0, false, true}, {1, true, true}, {Readers, true, false}, {Readers, false, true}, {Ranked - 1, false, true}, {Ranked, false, false},
+	} {
+		assert.Equal(t, ActsAsReader(c.rank, c.lowerAnswered), c.acts, "%+v", c)
+	}
+}
