--- /dev/null
+++ b/hostd/handlers.go
@@ -0,0 +1,117 @@
+package hostd
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/gooseberryshed/gooseberryshed/admission"
+	"github.com/gooseberryshed/gooseberryshed/h1"
+	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
+	"github.com/gooseberryshed/gooseberryshed/problem"
+	"github.com/gooseberryshed/gooseberryshed/wire"
+)
+
+// handleForward handles an attempt or a request for changes from another daemon.
+func (h *Host) handleForward(ctx context.Context, x *h1.Exchange) {
+	if h.control.serveChanges(&x.Request, &x.Response) {
+		return
+	}
+	f, err := readForward(&x.Request.Header)
+	if err != nil || f.Attempt == "" {
+		x.Response.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	if f.Incarnation != 0 && f.Incarnation != h.gate.incarnation {
+		refusal := wire.RefuseUnknown(wire.ReasonUnreachable, "host %s has restarted since the attempt was offered first", h.settings.Host)
+		writeReply(&x.Response, Reply{Refusal: refusal, Report: h.gate.report()})
+		return
+	}
+	// The attempt may outlast the exchange.
+	req := &fasthttp.Request{}
+	x.Request.Header.CopyTo(&req.Header)
+	req.SetBodyRaw(x.Request.Body())
+	h.serveRun(ctx, x, h.runs.start(f, func(ctx context.Context, onSend func()) Reply {
+		return h.gate.Forward(ctx, f, req, onSend)
+	}))
+}
+
+// serveRun replies with the result of an attempt of another host.
+func (h *Host) serveRun(ctx context.Context, x *h1.Exchange, r *attemptRun) {
+	reply, ok := h.runs.serve(ctx, r, func(status int) {
+		if err := x.SendInterim(status); err != nil {
+			h.metrics.Add("interim_failed", 1) // the connection has ended, and ctx is about to
+		}
+	})
+	if ok {
+		writeReply(&x.Response, reply)
+	}
+}
+
+func (h *Host) callerLimits() h1.Limits {
+	cfg := h.control.View().Config
+	if cfg == nil {
+		return h1.Limits{}
+	}
+	return h1.Limits{
+		HeaderBytes:   cfg.Limits.HeaderBytes,
+		BodyBytes:     cfg.Limits.BodyBytes,
+		HeaderTimeout: cfg.Limits.HeaderTimeout,
+		IdleTimeout:   cfg.Limits.IdleTimeout,
+	}
+}
+
+// forwardHeaderBytes is the space for the headers that daemons add to a request.
+const forwardHeaderBytes = 8 << 10
+
+// gateLimits are the limits of other daemons' requests: those of callers, with space for
+// what daemons add.
+func (h *Host) gateLimits() h1.Limits {
+	l := h.callerLimits()
+	if l.HeaderBytes > 0 {
+		l.HeaderBytes += forwardHeaderBytes
+	}
+	return h1.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes}
+}
+
+// rejectCaller answers a request that could not be read.
+func (h *Host) rejectCaller(x *h1.Exchange, status int, err error) {
+	h.log.Decide("malformed", "status", status, "err", err)
+	if status == fasthttp.StatusServiceUnavailable {
+		h.metrics.Add("bodies_refused", 1)
+		problem.Write(&x.Response, wire.Refuse(wire.ReasonBusy, "%v", err))
+		karpithaz.SetProxyResponseHeaders(&x.Response.Header, karpithaz.ParseRequest(&x.Request.Header).Attempt,
+			admission.RetryDelay(0, admission.LowestPriority, rand.Float64()))
+		return
+	}
+	h.metrics.Add("malformed", 1)
+	x.Response.SetStatusCode(status)
+}
+
+// rejectForward answers another daemon's request that could not be read. A first offer has
+// not run then; one that is made again may have.
+func (h *Host) rejectForward(x *h1.Exchange, status int, err error) {
+	h.metrics.Add("gate_unreadable", 1)
+	h.log.Decide("gate-unreadable", "status", status, "err", err)
+	refusal := wire.RefuseUnknown(wire.ReasonBusy, "host %s could not read the request: %v", h.settings.Host, err)
+	if x.Request.Header.Peek(headerForward) != nil {
+		refusal.Run = wire.NotRun
+	}
+	writeReply(&x.Response, Reply{Refusal: refusal, Report: h.gate.report()})
+}
+
+func (h *Host) handleReady(_ context.Context, x *h1.Exchange) {
+	if !karpithaz.IsReadinessPath(string(x.Request.Header.RequestURI())) {
+		x.Response.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	if h.stopping() || !h.control.View().Ready() || !h.control.proven() {
+		x.Response.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+func (h *Host) handleMetrics(_ context.Context, x *h1.Exchange) {
+	x.Response.Header.SetContentType("text/plain; charset=utf-8")
+	h.metrics.WriteText(x.Response.BodyWriter()) //nolint:errcheck // writing to a buffer never fails
+}
--- a/hostd/reconnect.go
+++ b/hostd/reconnect.go
@@ -6,7 +6,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/gooseberryshed/gooseberryshed/h1"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 )
 
@@ -131,15 +130,3 @@
 	}
 	return lost
 }
-
-// serveRun replies with the result of an attempt of another host.
-func (h *Host) serveRun(ctx context.Context, x *h1.Exchange, r *attemptRun) {
-	reply, ok := h.runs.serve(ctx, r, func(status int) {
-		if err := x.SendInterim(status); err != nil {
-			h.metrics.Add("interim_failed", 1) // the connection has ended, and ctx is about to
-		}
-	})
-	if ok {
-		writeReply(&x.Response, reply)
-	}
-}
