h1: what is discarded after the last response is at least 1 MiB

With a small limit the reader ended at once, and the response was not sent: callers would have got a closed connection in place of 400, 413 or 431.

Change: the larger of 1 MiB, as before, and the limit of a body.

--- a/h1/conn.go
+++ b/h1/conn.go
@@ -20,10 +20,12 @@
 	maxPipelined = 32
 	// writeTimeout limits the time to write one response to a slow peer.
 	writeTimeout = 30 * time.Second
-	// lingerTime limits how long data is read and discarded after the last response
-	// on a connection; its size is limited like a body's. Closing a connection with
-	// unread data would reset it, and the response might be lost.
-	lingerTime = time.Second
+	// lingerTime and lingerBytes limit the data that is read and discarded after
+	// the last response on a connection, which may also be the rest of a body within
+	// the limits. Closing a connection with unread data would reset it, and the
+	// response might be lost.
+	lingerTime  = time.Second
+	lingerBytes = 1 << 20
 	// lateRequestDelay is how long a connection stays open after a request arrives
 	// that was sent before the peer received the last response: long enough for
 	// that response to arrive, short enough for the peer to detect without delay
@@ -173,7 +175,7 @@
 		c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) //nolint:errcheck // only a closed connection fails
 	}()
 	// In any case, the deferred cancel in serve notifies the handlers.
-	io.CopyN(io.Discard, c.br, int64(c.limits.BodyBytes)) //nolint:errcheck // any error ends the connection
+	io.CopyN(io.Discard, c.br, max(lingerBytes, int64(c.limits.BodyBytes))) //nolint:errcheck // any error ends the connection
 }
 
 // read reads one request. On an error, status is the HTTP status to respond with,
