link: a response whose status is not between 100 and 599 is none

Cause: fasthttp 1.79.0 parses "HTTP/1.1 000 X" without an error and StatusCode then returns 200; 600 and 999 pass as they are, and 099 counts as an interim response. No code checked the range, so a gate passed on a signed answer of a target in trouble with status 000 as a success. Change: link checks the status before the parser reads the line.

--- a/hostd/faultytarget_test.go
+++ b/hostd/faultytarget_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -143,3 +144,30 @@
 		})
 	}
 }
+
+// Guards against passing on a signed answer whose status is none: the parser reads 000 as 200.
+func TestAnswerWithoutAStatusIsNotPassedOn(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{"000", "099", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			g, _ := newTestGate(t)
+			h := newHeartbeat("a", 1, 1, false)
+			h.Address = startRawTarget(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+				var req fasthttp.Request
+				if req.Read(br) != nil {
+					return
+				}
+				head := strings.Replace(standin.SignedHead, "200 OK", status+" X", 1)
+				fmt.Fprintf(c, "%sContent-Length: 2\r\n%s\r\nok", head, standin.AttemptHeader(standin.AttemptOf(&req.Header))) //nolint:errcheck // the gate sees the failure
+			})
+			g.applyHeartbeat(h, time.Now())
+			req := &fasthttp.Request{}
+			req.Header.SetRequestURI("/r")
+			req.Header.SetHost("h")
+			standin.SetAttempt(&req.Header, "a")
+			r := g.Forward(context.Background(), Forward{Attempt: "a", Target: "a", TimeLeftMs: 2000, MaxGray: 1, Route: "r", ObjectiveMs: 100}, req, nil)
+			assert.Assert(t, r.Answer == nil, "passed on as an answer")
+			assert.Equal(t, r.Refusal.Run, wire.Unknown)
+		})
+	}
+}
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -259,6 +259,9 @@
 			return err
 		}
 		c.readTimeout = e.ReadTimeout
+		if err := checkStatus(c.br); err != nil {
+			return err
+		}
 		if err := resp.Header.Read(c.br); err != nil {
 			return err
 		}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -126,6 +126,24 @@
 	}
 }
 
+// Guards against status lines that the parser accepts although they hold no status: it
+// reads 000 as 200.
+func TestStatusOutsideTheRangeIsNoResponse(t *testing.T) {
+	const rest = " X\r\nContent-Length: 2\r\n\r\nok"
+	for _, status := range []string{"000", "001", "099", "600", "999", "0200", "20", "2000", "+20", "-20"} {
+		for _, before := range []string{"", "HTTP/1.1 102 Processing\r\n\r\n"} {
+			t.Run(status, func(t *testing.T) {
+				srv := startServer(t, serveResponses(before+"HTTP/1.1 "+status+rest))
+				pool := link.New(link.Options{})
+				defer pool.Close()
+				body, err := doRequest(t, pool, srv.addr(), "GET", link.RequestOptions{})
+				assert.Assert(t, err != nil, "taken for a response with the body %q", body)
+				assert.Equal(t, link.AsError(err).Cause, link.CauseProtocol)
+			})
+		}
+	}
+}
+
 func TestHeaderIsBounded(t *testing.T) {
 	srv := startServer(t, serveResponses("HTTP/1.1 200 OK\r\nX: "+strings.Repeat("x", 5000)+"\r\nContent-Length: 0\r\n\r\n"))
 	pool := link.New(link.Options{MaxHeaderBytes: 4096})
