routes, platform: uploads, which run at most once

Change: routes.Upload, not repeatable; unknown types go on refusing the document (TestInvalidConfigs). Result: TestDecodeConfig did not build and TestUploadWhoseAnswerIsLostRunsOnce got no configuration before; both pass.

--- a/routes/routes.go
+++ b/routes/routes.go
@@ -17,10 +17,13 @@
 	NonIdempotent
 	// Download requests are idempotent and have large responses.
 	Download
+	// Upload requests have large bodies and may run at most once, like those of
+	// NonIdempotent routes.
+	Upload
 )
 
 // Repeatable reports whether a request of this kind may run more than once.
-func (k Kind) Repeatable() bool { return k != NonIdempotent }
+func (k Kind) Repeatable() bool { return k == Idempotent || k == Download }
 
 // WeightedService is a service that receives a share of a route's requests.
 type WeightedService struct {
