hostd: what is known of an offer only grows, and "not run" follows from its record

Cause: a gate kept a finished reply for 4 s and took a later repeat for a new offer; its precheck asked whether the attempt had been sent only after five other checks, and a reply over 256 KiB was not kept at all. The ingress took the refusal of the repeat for the result of the request and offered it to another target, where it ran again. finishExchange forgot a sent attempt when one of two transmissions was not run. Change: the gate and the ingress use offerlog. The gate asks its record first and keeps it until 2 minutes after the deadline; it holds replies to attempts that are not repeatable until their deadline, 4 MiB at most. A repeat with a body asks for the record first and sends the body if there is none. A refusal of a repeat counts only if it is marked as settled; otherwise the gate is asked to withdraw, also one of an earlier version. A first transmission is not begun after a withdrawal. An order is asked for again, after a lost repeat too, while its gate says that it has it. TestRepliesAreHeldWithinBounds has more replies, as the bound is larger, and checks that of reads as well.

--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -259,9 +259,9 @@
 		stopWatch()
 		a.onSent(record, t, terms)
 	})
-	reply := a.awaitReply(ctx, watchedOffer{target: t, incarnation: incarnation, quiet: quiet,
+	reply := a.awaitReply(ctx, watchedOffer{record: record, target: t, incarnation: incarnation, quiet: quiet,
 		offer: func(ctx context.Context, again bool, heartbeat func()) Reply {
-			ev := offerEvents{sent: onSent, heartbeat: heartbeat}
+			ev := offerEvents{sent: onSent, heartbeat: heartbeat, beforeSend: func() error { return a.mayBegin(record) }}
 			if !again {
 				return e.in.gates.Forward(ctx, t, f, a.req, ev)
 			}
@@ -279,7 +279,9 @@
 		// about the target.
 		a.e.in.states.recordFailure(t.Host, time.Now())
 	}
-	a.offers.end(record, runStateOf(reply))
+	if run := a.offers.end(record, runStateOf(reply)); reply.Refusal != nil && run != wire.NotRun {
+		reply.Refusal.Run = run
+	}
 	return reply, t
 }
 
--- a/hostd/execution.go
+++ b/hostd/execution.go
@@ -161,7 +161,7 @@
 // false if a target is working on the request, has worked on it, or may have.
 func (ex *execution) withdrawAll(ctx context.Context) bool {
 	return ex.offers.withdraw(func(x offer) bool {
-		sent, err := ex.e.in.gates.Withdraw(ctx, x.host, ex.e.caller.Attempt, x.incarnation)
+		sent, err := ex.e.in.gates.Withdraw(ctx, x.Host, ex.e.caller.Attempt, x.Incarnation)
 		return err == nil && !sent
 	})
 }
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -21,6 +21,10 @@
 	// headerAgain replaces headerForward where an attempt is offered again. Daemons
 	// of versions that cannot tell such an offer from a first one do not know it.
 	headerAgain = "Gooseberryshed-Forward-Again"
+	// headerQuestion replaces headerAgain where a gate is asked for its record of an
+	// attempt, without the body. Daemons of versions that have no records refuse it with
+	// status 400.
+	headerQuestion = "Gooseberryshed-Forward-Question"
 )
 
 // Forward describes an attempt to a gate.
@@ -61,6 +65,9 @@
 type Reply struct {
 	Answer  *Answer
 	Refusal *wire.Refusal
+	// Settled is set in a refusal if the gate's record says that the attempt was not sent
+	// and will not be.
+	Settled bool
 	Report  placing.Report
 }
 
@@ -88,8 +95,14 @@
 	Run    wire.RunState `json:"n"`
 	Detail string        `json:"d"`
 	WaitMs int64         `json:"w,omitempty"`
+	// Settled is not known to daemons of earlier versions, which leave it out.
+	Settled bool `json:"s,omitempty"`
 }
 
+// reasonNoRecord is the reason of a gate's answer to a question about an attempt of which it
+// has no record. It is used between daemons only.
+const reasonNoRecord wire.Reason = "no-record"
+
 func encodeHeader(v any) string {
 	data, err := json.Marshal(v)
 	if err != nil {
@@ -128,10 +141,11 @@
 	if r.Refusal != nil {
 		resp.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		resp.Header.Set(headerRefusal, encodeHeader(wireRefusal{
-			Reason: r.Refusal.Reason,
-			Run:    r.Refusal.Run,
-			Detail: r.Refusal.Detail,
-			WaitMs: r.Refusal.RetryAfter.Milliseconds(),
+			Reason:  r.Refusal.Reason,
+			Run:     r.Refusal.Run,
+			Detail:  r.Refusal.Detail,
+			WaitMs:  r.Refusal.RetryAfter.Milliseconds(),
+			Settled: r.Settled,
 		}))
 	} else {
 		r.Answer.Header.CopyTo(&resp.Header)
@@ -176,8 +190,15 @@
 	return c.offer(ctx, t, f, req, ev, false)
 }
 
-// OfferAgain sends an attempt again on a new connection. It modifies the headers of req.
+// OfferAgain sends an attempt again on a new connection. A body is sent only if the gate has
+// no record of the attempt. It modifies the headers of req.
 func (c *gateClient) OfferAgain(ctx context.Context, t Target, f Forward, req *fasthttp.Request, ev offerEvents) Reply {
+	if len(req.Body()) > 0 {
+		if reply, known := c.askRecord(ctx, t, f, req, ev); known || ctx.Err() != nil {
+			return reply
+		}
+		ev.heartbeat() // the connection is not silent
+	}
 	req.Header.Set(headerAgain, encodeHeader(f))
 	reply := c.offer(ctx, t, f, req, ev, true)
 	if reply.Answer != nil && reply.Report.Incarnation == 0 {
@@ -186,14 +207,30 @@
 	return reply
 }
 
+// askRecord asks a gate for its record of an attempt. It returns false if the gate has none, or
+// is of an earlier version, which gets the body.
+func (c *gateClient) askRecord(ctx context.Context, t Target, f Forward, req *fasthttp.Request, ev offerEvents) (reply Reply, known bool) {
+	question := &fasthttp.Request{}
+	req.Header.CopyTo(&question.Header)
+	question.Header.Set(headerQuestion, encodeHeader(f))
+	reply = c.offer(ctx, t, f, question, ev, true)
+	earlierVersion := reply.Answer != nil && reply.Report.Incarnation == 0
+	return reply, !earlierVersion && (reply.Refusal == nil || reply.Refusal.Reason != reasonNoRecord)
+}
+
 func (c *gateClient) offer(ctx context.Context, t Target, f Forward, req *fasthttp.Request, ev offerEvents, fresh bool) Reply {
 	left := time.Duration(f.TimeLeftMs) * time.Millisecond
+	beforeSend := ev.beforeSend
+	if fresh {
+		beforeSend = nil // a repeat names the process that it is for
+	}
 	resp, err := c.links.Do(ctx, t.Gate, req, link.RequestOptions{
 		NewConnection:    fresh,
 		Deadline:         time.Now().Add(left + replyGrace),
 		FirstByteTimeout: left + replyGrace,
 		IdleTimeout:      bodyIdleTimeout,
 		OnInterim:        ev.onInterim,
+		BeforeSend:       beforeSend,
 	})
 	if err != nil {
 		return Reply{Refusal: refusalFromLinkError(err, t, fresh)}
@@ -213,7 +250,7 @@
 	}
 	reply := Reply{Report: readReport(&resp.Header, time.Now())}
 	if raw := resp.Header.Peek(headerRefusal); raw != nil {
-		reply.Refusal = readRefusal(raw)
+		reply.Refusal, reply.Settled = readRefusal(raw)
 		return reply, nil
 	}
 	resp.Header.Del(headerReport)
@@ -222,12 +259,12 @@
 	return reply, nil
 }
 
-func readRefusal(raw []byte) *wire.Refusal {
+func readRefusal(raw []byte) (r *wire.Refusal, settled bool) {
 	var w wireRefusal
 	if json.Unmarshal(raw, &w) != nil {
-		return wire.RefuseUnknown(wire.ReasonUnreachable, "invalid refusal header from the gate")
+		return wire.RefuseUnknown(wire.ReasonUnreachable, "invalid refusal header from the gate"), false
 	}
-	return &wire.Refusal{Reason: w.Reason, Run: w.Run, Detail: w.Detail, RetryAfter: time.Duration(w.WaitMs) * time.Millisecond}
+	return &wire.Refusal{Reason: w.Reason, Run: w.Run, Detail: w.Detail, RetryAfter: time.Duration(w.WaitMs) * time.Millisecond}, w.Settled
 }
 
 // refusalFromLinkError returns the refusal for a request whose exchange with a
@@ -244,12 +281,15 @@
 func readForward(h *fasthttp.RequestHeader) (Forward, error) {
 	var f Forward
 	raw := h.Peek(headerForward)
-	if raw == nil {
-		raw = h.Peek(headerAgain)
+	for _, name := range []string{headerAgain, headerQuestion} {
+		if raw == nil {
+			raw = h.Peek(name)
+		}
 	}
 	err := json.Unmarshal(raw, &f)
 	f.Attempt = karpithaz.ParseRequest(h).Attempt
 	h.Del(headerForward)
 	h.Del(headerAgain)
+	h.Del(headerQuestion)
 	return f, err
 }
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -12,6 +12,7 @@
 	"github.com/gooseberryshed/gooseberryshed/gray"
 	"github.com/gooseberryshed/gooseberryshed/link"
 	"github.com/gooseberryshed/gooseberryshed/metrics"
+	"github.com/gooseberryshed/gooseberryshed/offerlog"
 	"github.com/gooseberryshed/gooseberryshed/placing"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/routes"
@@ -38,11 +39,11 @@
 	mu        sync.Mutex
 	target    *localTarget
 	latencies map[string]*gray.DurationModel
-	// sent are the attempts that went to the target, withdrawn those that must
-	// not go there, and waiting those in the queue.
-	sent, withdrawn attemptTimes
-	waiting         map[string]*admission.Item
-	stopping        bool
+	// records tell which attempts went to the target and which must not go there,
+	// and waiting are those in the queue.
+	records  *offerlog.Gate
+	waiting  map[string]*admission.Item
+	stopping bool
 }
 
 // targetIdle is how long a connection to the target may be idle before it is
@@ -61,6 +62,7 @@
 // whenever other hosts should be informed. It returns a channel that is closed
 // when they can be.
 func NewGate(settings func() *karpithaz.Settings, view func() *View, publish func(Target) <-chan struct{}, l *decisions.Log, m *metrics.Registry) *Gate {
+	incarnation := time.Now().UnixNano()
 	return &Gate{
 		settings:    settings,
 		view:        view,
@@ -68,10 +70,9 @@
 		onDeath:     func(context.Context, string, int64, []uint64) {},
 		log:         l,
 		metrics:     m,
-		incarnation: time.Now().UnixNano(),
+		incarnation: incarnation,
 		latencies:   map[string]*gray.DurationModel{},
-		sent:        attemptTimes{},
-		withdrawn:   attemptTimes{},
+		records:     offerlog.NewGate(incarnation),
 		waiting:     map[string]*admission.Item{},
 		answers:     newAnswerBudget(int64(settings().MemoryBytes)),
 		links: link.New(link.Options{
@@ -111,16 +112,22 @@
 func (g *Gate) Withdraw(id string, incarnation int64) (sent bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if incarnation != g.incarnation || g.sent.has(id) {
+	if g.records.Withdraw(id, incarnation, time.Now()) {
 		return true
 	}
-	g.withdrawn.add(id, time.Now())
 	if it := g.waiting[id]; it != nil && g.target != nil && g.target.queue.Remove(it) {
 		answerWaiting(it, wire.Refuse(wire.ReasonSettled, "withdrawn"))
 	}
 	return false
 }
 
+// Record returns what is known of an attempt.
+func (g *Gate) Record(id string) offerlog.Record {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.records.Record(id)
+}
+
 // Close closes idle connections.
 func (g *Gate) Close() { g.links.Close() }
 
@@ -131,6 +138,9 @@
 	arrived := time.Now()
 	tk, refusal := g.admit(ctx, f, arrived)
 	if refusal != nil {
+		g.mu.Lock()
+		g.setRunState(f, refusal)
+		g.mu.Unlock()
 		g.log.Decide("gate-refused", "id", f.Attempt, "target", f.Target, "reason", refusal.Reason, "run", refusal.Run,
 			"detail", refusal.Detail, "max_wait_ms", f.MaxWaitMs, "max_gray", f.MaxGray, "waited_ms", time.Since(arrived).Milliseconds(), "revision", f.Revision)
 		g.metrics.Add("gate_refused_"+string(refusal.Reason), 1)
@@ -144,6 +154,14 @@
 	return reply
 }
 
+// setRunState sets the run state of a refusal that says "not run" to what the record of the
+// attempt allows. g.mu must be held.
+func (g *Gate) setRunState(f Forward, refusal *wire.Refusal) {
+	if refusal.Run == wire.NotRun {
+		refusal.Run = g.records.Refuse(f.Attempt, f.Repeatable, f.Incarnation != 0)
+	}
+}
+
 func (g *Gate) report() placing.Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -228,8 +246,15 @@
 	return now.Add(time.Duration(f.ObjectiveLeftMs) * time.Millisecond)
 }
 
-// precheck performs the checks that do not require a slot. g.mu must be held.
+// precheck performs the checks that do not require a slot. What is known of the attempt comes
+// first, as none of the other checks tells whether it has run. g.mu must be held.
 func (g *Gate) precheck(f Forward, now time.Time) *wire.Refusal {
+	switch g.records.Check(f.Attempt, f.Repeatable) {
+	case offerlog.RecordSent:
+		return wire.RefuseUnknown(wire.ReasonDuplicateAttempt, "the attempt was already sent to the target")
+	case offerlog.RecordWithdrawn:
+		return wire.Refuse(wire.ReasonSettled, "the attempt has been withdrawn")
+	}
 	t := g.target
 	view := g.view()
 	switch {
@@ -244,10 +269,6 @@
 		return wire.Refuse(wire.ReasonDataCentreOut, "data centre %s is evacuated", g.settings().DataCentre)
 	case now.Before(t.downUntil):
 		return wire.Refuse(wire.ReasonUnreachable, "target %s recently refused a connection", t.id)
-	case g.withdrawn.has(f.Attempt):
-		return wire.Refuse(wire.ReasonSettled, "the attempt has been withdrawn")
-	case !f.Repeatable && g.sent.has(f.Attempt):
-		return wire.RefuseUnknown(wire.ReasonDuplicateAttempt, "the attempt was already sent to the target")
 	}
 	if p := t.filter.Probability(now); p > f.MaxGray && !(f.Repeatable && t.grayProbeDue(now)) {
 		return wire.Refuse(wire.ReasonTargetGray, "target %s is gray-failing with probability %.2f", t.id, p)
@@ -270,7 +291,7 @@
 // held.
 func (g *Gate) dispatch(tk *ticket, now time.Time) {
 	t := tk.target
-	g.sent.add(tk.f.Attempt, now)
+	g.records.Send(tk.f.Attempt, now, tk.deadline)
 	if p := t.filter.Probability(now); tk.f.Repeatable && p > tk.f.MaxGray {
 		t.grayProbedAt = now
 		g.log.Decide("gray-tried", "id", tk.f.Attempt, "target", t.id, "gray", p)
--- a/hostd/gate_test.go
+++ b/hostd/gate_test.go
@@ -136,7 +136,7 @@
 
 func TestSentAttemptCannotBeWithdrawn(t *testing.T) {
 	g, _ := newTestGate(t)
-	g.sent.add("x", time.Now())
+	g.records.Send("x", time.Now(), time.Now())
 	assert.Assert(t, g.Withdraw("x", g.incarnation))
 }
 
--- a/hostd/handlers.go
+++ b/hostd/handlers.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/gooseberryshed/gooseberryshed/admission"
 	"github.com/gooseberryshed/gooseberryshed/h1"
+	"github.com/gooseberryshed/gooseberryshed/offerlog"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/problem"
 	"github.com/gooseberryshed/gooseberryshed/wire"
@@ -18,6 +20,7 @@
 	if h.control.serveChanges(&x.Request, &x.Response) {
 		return
 	}
+	question := x.Request.Header.Peek(headerQuestion) != nil
 	f, err := readForward(&x.Request.Header)
 	if err != nil || f.Attempt == "" {
 		x.Response.SetStatusCode(fasthttp.StatusBadRequest)
@@ -28,6 +31,10 @@
 		writeReply(&x.Response, Reply{Refusal: refusal, Report: h.gate.report()})
 		return
 	}
+	if question {
+		h.answerQuestion(ctx, x, f)
+		return
+	}
 	// The attempt may outlast the exchange.
 	req := &fasthttp.Request{}
 	x.Request.Header.CopyTo(&req.Header)
@@ -37,6 +44,30 @@
 	}))
 }
 
+// answerQuestion replies with the result of an attempt of another host that the gate has, or
+// with what its record says.
+func (h *Host) answerQuestion(ctx context.Context, x *h1.Exchange, f Forward) {
+	r, record := h.runs.find(f, h.gate.Record)
+	h.log.Decide("record-asked", "id", f.Attempt, "record", record.String(), "joined", r != nil)
+	reply := Reply{Report: h.gate.report()}
+	switch {
+	case r != nil:
+		h.metrics.Add("records_joined", 1)
+		h.serveRun(ctx, x, r)
+		return
+	case record == offerlog.RecordSent && !f.Repeatable:
+		h.metrics.Add("records_without_reply", 1)
+		reply.Refusal = wire.RefuseUnknown(wire.ReasonTargetFailed, "the request was sent to target %s, and its answer is not held", f.Target)
+	case record == offerlog.RecordWithdrawn:
+		h.metrics.Add("records_withdrawn", 1)
+		reply.Refusal, reply.Settled = wire.Refuse(wire.ReasonSettled, "the attempt has been withdrawn"), true
+	default:
+		h.metrics.Add("records_none", 1)
+		reply.Refusal = wire.RefuseUnknown(reasonNoRecord, "no record of the attempt")
+	}
+	writeReply(&x.Response, reply)
+}
+
 // serveRun replies with the result of an attempt of another host.
 func (h *Host) serveRun(ctx context.Context, x *h1.Exchange, r *attemptRun) {
 	reply, ok := h.runs.serve(ctx, r, func(status int) {
@@ -49,6 +80,13 @@
 	}
 }
 
+// recordDroppedReply records that the reply of an attempt is not held although it may be asked
+// for: it is too large, or the replies held are.
+func (h *Host) recordDroppedReply(r *attemptRun) {
+	h.metrics.Add("replies_dropped", 1)
+	h.log.Decide("reply-dropped", "id", r.Attempt, "target", r.Target, "bytes", r.size(), "repeatable", r.Repeatable, "time_left_ms", time.Until(r.deadline).Milliseconds())
+}
+
 func (h *Host) callerLimits() h1.Limits {
 	cfg := h.control.View().Config
 	if cfg == nil {
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -297,7 +297,7 @@
 // hopByHop are the headers that apply to a single connection.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Upgrade", "Expect", headerForward, headerReport, headerRefusal, headerAgain,
+	"Te", "Trailer", "Upgrade", "Expect", headerForward, headerReport, headerRefusal, headerAgain, headerQuestion,
 }
 
 func stripHopByHop(h *fasthttp.RequestHeader) {
--- a/hostd/offers.go
+++ b/hostd/offers.go
@@ -1,71 +1,93 @@
 package hostd
 
 import (
-	"slices"
 	"sync"
 
+	"github.com/gooseberryshed/gooseberryshed/offerlog"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 )
 
-// offers records what became of each offer of one request to a gate. It alone tells
-// whether the request may have run: an offer is open until the run state of its result
-// has been recorded, so that there is no moment at which it is neither open nor counted.
+// offers is the record of the offers of one request to gates. It alone tells whether the
+// request may have run: an offer is open until its run state has been recorded, so that there
+// is no moment at which it is neither open nor counted.
 type offers struct {
-	mu         sync.Mutex
-	open       []*offer
-	closed     bool
-	mayHaveRun bool
+	mu     sync.Mutex
+	record offerlog.Request
 }
 
-// offer is an offer whose result has not been recorded.
-type offer struct {
-	target, host string
-	// incarnation is that of the gate when the request was offered.
-	incarnation int64
-	// sent is set when the gate has reported that it is sending the request to
-	// the target.
-	sent bool
-}
+type offer = offerlog.Offer
 
 // begin records an offer. It returns nil if the target's host already has one or if
 // no further offers may be made.
 func (o *offers) begin(t Target, incarnation int64) *offer {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.closed || slices.ContainsFunc(o.open, func(x *offer) bool { return x.host == t.Host }) {
-		return nil
-	}
-	x := &offer{target: t.ID, host: t.Host, incarnation: incarnation}
-	o.open = append(o.open, x)
-	return x
+	return o.record.Begin(t.ID, t.Host, incarnation)
 }
 
 // markSent records that the gate is sending the request to the target.
 func (o *offers) markSent(x *offer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	x.sent = true
+	x.MarkSent()
 }
 
-// end records the run state of an offer's result.
-func (o *offers) end(x *offer, run wire.RunState) {
+// mayBegin reports whether the first transmission of an offer may be written to a connection.
+func (o *offers) mayBegin(x *offer) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if run != wire.NotRun {
-		o.mayHaveRun = true
-	}
-	o.open = slices.DeleteFunc(o.open, func(y *offer) bool { return y == x })
+	return x.MayBegin()
+}
+
+// repeat records that an offer is made again and returns the number of the transmission.
+func (o *offers) repeat(x *offer) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return x.Repeat()
+}
+
+// learn records the reply to a transmission of an offer.
+func (o *offers) learn(x *offer, transmission int, r Reply) offerlog.Verdict {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return x.Reply(transmission, offerlog.Reply{Lost: connectionLost(r), Run: runStateOf(r), Settled: r.Settled})
+}
+
+// concluded reports whether the run state of an offer is known for good, and which it is.
+func (o *offers) concluded(x *offer) (bool, wire.RunState) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return x.State() == offerlog.Finished, x.RunState()
 }
 
-// runState returns NotRun if no offer is open and none may have run, and Unknown
-// otherwise.
+// withdrawing records that the gate is about to be asked to withdraw an offer.
+func (o *offers) withdrawing(x *offer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	x.Withdrawing()
+}
+
+// settle records the gate's answer to a withdrawal.
+func (o *offers) settle(x *offer, sent bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	x.SettleWithdrawal(sent)
+}
+
+// end ends an offer whose last reply has a run state, and returns what is known for good. A
+// refusal as not run counts only if the record of the offer says so too.
+func (o *offers) end(x *offer, run wire.RunState) wire.RunState {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	x.Reply(0, offerlog.Reply{Run: run})
+	return o.record.End(x)
+}
+
+// runState returns NotRun if no offer has run, and none will, and Unknown otherwise.
 func (o *offers) runState() wire.RunState {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.mayHaveRun || len(o.open) > 0 {
-		return wire.Unknown
-	}
-	return wire.NotRun
+	return o.record.RunState()
 }
 
 // withdraw prevents further offers and withdraws the open ones. It returns true if the
@@ -73,25 +95,23 @@
 // before its gate sent it to the target; if so, the gate never will.
 func (o *offers) withdraw(withdrawn func(offer) bool) bool {
 	for _, x := range o.close() {
-		if x.sent || !withdrawn(x) {
+		o.mu.Lock()
+		x.Withdrawing()
+		asked := *x
+		o.mu.Unlock()
+		if asked.State() == offerlog.Sent || !withdrawn(asked) {
 			return false
 		}
+		o.settle(x, false)
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return !o.mayHaveRun // an offer may have ended in the meantime
+	return o.runState() == wire.NotRun // an offer may have ended in the meantime
 }
 
 // close prevents further offers and returns the open ones.
-func (o *offers) close() []offer {
+func (o *offers) close() []*offer {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.closed = true
-	open := make([]offer, len(o.open))
-	for i, x := range o.open {
-		open[i] = *x
-	}
-	return open
+	return o.record.Close()
 }
 
 // runStateOf returns the run state of a gate's reply.
--- a/hostd/offers_test.go
+++ b/hostd/offers_test.go
@@ -86,7 +86,7 @@
 	o := &offers{}
 	hedge, first := o.begin(Target{ID: "a", Host: "a"}, 1), o.begin(Target{ID: "b", Host: "b"}, 1)
 	notRun := o.withdraw(func(x offer) bool {
-		if x.host == "a" {
+		if x.Host == "a" {
 			o.end(first, wire.Ran)
 		}
 		return true
--- a/hostd/roundtrip.go
+++ b/hostd/roundtrip.go
@@ -138,8 +138,13 @@
 	if le := link.AsError(err); le != nil {
 		g.recordLinkError(tk, le, now)
 	}
-	if e.refusal != nil && e.refusal.Run == wire.NotRun {
-		g.sent.remove(tk.f.Attempt)
+	run := wire.Ran
+	if e.refusal != nil {
+		run = e.refusal.Run
+	}
+	g.records.Finish(tk.f.Attempt, run)
+	if e.refusal != nil {
+		g.setRunState(tk.f, e.refusal)
 	}
 	gray := t.filter.Probability(now)
 	t.queue.Complete(now.Sub(tk.started), tk.f.Nested)
--- a/hostd/runs_test.go
+++ b/hostd/runs_test.go
@@ -33,24 +33,48 @@
 }
 
 func TestRepliesAreHeldWithinBounds(t *testing.T) {
-	rs := newRuns(func(string) {})
+	rs := newRuns(notSent)
 	const size = 100 << 10
-	for i := range 20 {
+	const last = 2 * maxRetainedReplies / size
+	for i := range last + 1 {
 		finishedRun(rs, fmt.Sprint(i), false, replyOf(size))
+		finishedRun(rs, fmt.Sprint("read ", i), true, replyOf(size))
 	}
-	assert.Assert(t, rs.bytes <= maxRetainedReplies, "%d bytes", rs.bytes)
-	assert.Assert(t, held(rs, "19") && !held(rs, "0"), "the latest replies are held")
+	assert.Assert(t, rs.once.bytes <= maxRetainedReplies && rs.reads.bytes <= maxRetainedReads, "%d and %d bytes", rs.once.bytes, rs.reads.bytes)
+	assert.Assert(t, held(rs, fmt.Sprint(last)) && !held(rs, "0"), "the latest replies are held")
+	assert.Assert(t, held(rs, fmt.Sprint("read ", last)) && !held(rs, "read 0"), "the latest replies are held")
 	finishedRun(rs, "large", false, replyOf(maxRetainedReply))
 	assert.Assert(t, !held(rs, "large"))
 	finishedRun(rs, "not run", false, Reply{Refusal: wire.Refuse(wire.ReasonBusy, "full")})
 	assert.Assert(t, !held(rs, "not run"), "the attempt can be made again")
 	rs.sweep(time.Now().Add(replyRetention + time.Second))
 	assert.Equal(t, len(rs.byAttempt), 0)
-	assert.Equal(t, rs.bytes, 0)
+	assert.Equal(t, rs.once.bytes+rs.reads.bytes, 0)
+	assert.Equal(t, len(rs.once.runs)+len(rs.reads.runs), 0)
 }
 
+// A reply to an attempt that must not run twice is held until the deadline, however early it was
+// ready. It used to be dropped after 4 s, while the path to the ingress was cut for 8 s.
+func TestReplyIsHeldUntilTheDeadline(t *testing.T) {
+	rs := newRuns(notSent)
+	start := func(attempt string, repeatable bool) {
+		f := Forward{Attempt: attempt, Repeatable: repeatable, TimeLeftMs: 30_000}
+		<-rs.start(f, func(context.Context, func()) Reply { return replyOf(1) }).done
+	}
+	begun := time.Now()
+	start("order", false)
+	start("read", true)
+	rs.sweep(begun.Add(29 * time.Second))
+	assert.Assert(t, held(rs, "order"))
+	assert.Assert(t, !held(rs, "read"))
+	rs.sweep(begun.Add(31 * time.Second))
+	assert.Assert(t, !held(rs, "order"))
+}
+
+func notSent(string) bool { return false }
+
 func TestAttemptOfferedAgainJoinsTheOneInProgress(t *testing.T) {
-	rs := newRuns(func(string) {})
+	rs := newRuns(notSent)
 	end, made := make(chan struct{}), 0
 	forward := func(context.Context, func()) Reply {
 		made++
@@ -70,7 +94,7 @@
 // An attempt ends only when the last connection that waits for it has gone: the first one
 // can be noticed to be lost after the attempt has been offered again.
 func TestAttemptGoesOnWhileAConnectionWaits(t *testing.T) {
-	rs := newRuns(func(string) {})
+	rs := newRuns(notSent)
 	canceled := make(chan struct{})
 	forward := func(ctx context.Context, _ func()) Reply {
 		<-ctx.Done()
@@ -121,7 +145,7 @@
 	}{{"order", false, 1}, {"read", true, 0}} {
 		t.Run(c.name, func(t *testing.T) {
 			forbidden := 0
-			rs := newRuns(func(string) { forbidden++ })
+			rs := newRuns(func(string) bool { forbidden++; return false })
 			r := rs.start(Forward{Attempt: "a", Repeatable: c.repeatable, Incarnation: 1}, func(context.Context, func()) Reply {
 				return Reply{Refusal: wire.Refuse(wire.ReasonBusy, "full")}
 			})
@@ -133,7 +157,7 @@
 
 // The ID of an attempt does not make another request's reply its own.
 func TestAttemptIsNotJoinedToAnotherRequest(t *testing.T) {
-	rs := newRuns(func(string) {})
+	rs := newRuns(notSent)
 	one := finishedRun(rs, "a", false, replyOf(1))
 	other := rs.start(Forward{Attempt: "a", Fingerprint: 7, Incarnation: 1}, func(context.Context, func()) Reply { return replyOf(2) })
 	assert.Assert(t, one != other)
--- a/hostd/silentconns_test.go
+++ b/hostd/silentconns_test.go
@@ -14,8 +14,13 @@
 )
 
 // streamRelay forwards connections. It can make those that are open silent for good, or
-// reset them; later ones are sound.
+// reset them; later ones are sound. It can also lose what the far side sends, on all
+// connections, until the cut is healed; a connection that has lost something stays silent.
 type streamRelay struct {
+	cutBack atomic.Bool
+	// forwarded counts the bytes sent to the far side.
+	forwarded atomic.Int64
+
 	mu    sync.Mutex
 	conns []*relayedConn
 }
@@ -46,19 +51,20 @@
 			r.mu.Lock()
 			r.conns = append(r.conns, c)
 			r.mu.Unlock()
-			go c.pipe(c.near, c.far)
-			go c.pipe(c.far, c.near)
+			go c.pipe(c.near, c.far, func() bool { return false }, &r.forwarded)
+			go c.pipe(c.far, c.near, r.cutBack.Load, &atomic.Int64{})
 		}
 	}()
 	return r
 }
 
-// pipe copies bytes, and the end of the stream, until the connection is silent.
-func (c *relayedConn) pipe(from, to *net.TCPConn) {
+// pipe copies bytes, and the end of the stream, until the connection is silent or cut.
+func (c *relayedConn) pipe(from, to *net.TCPConn, cut func() bool, copied *atomic.Int64) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		if c.silent.Load() {
+		copied.Add(int64(n))
+		if c.silent.Load() || cut() {
 			io.Copy(io.Discard, from) //nolint:errcheck // what is sent on a silent connection is lost
 			return
 		}
--- a/offerlog/gate.go
+++ b/offerlog/gate.go
@@ -33,8 +33,8 @@
 type Gate struct {
 	incarnation int64
 	records     map[string]record
-	// sweepAt is the number of records at which expired ones are removed next. It is at
-	// least twice what the last removal left, so that a removal costs little an attempt.
+	// sweepAt is the number of records at which expired ones are removed next. It is half
+	// above what the last removal left, so that a removal looks at three records an attempt.
 	sweepAt int
 }
 
@@ -131,7 +131,7 @@
 			delete(g.records, old)
 		}
 	}
-	g.sweepAt = max(minSweep, 2*len(g.records))
+	g.sweepAt = max(minSweep, len(g.records)*3/2)
 }
 
 func later(a, b time.Time) time.Time {
