hostd: requests wait for a host that has just started

Cause: after a restart of the whole fleet each host refused all requests until it had read the store, 0.3 to 0.5 s after its start, and then gates that had not found their targets refused offers, which kept those targets unused for 1.5 s. Change: a request waits for the first configuration and freshness proof for at most 1 s or a quarter of its caller's time; an offer waits at most 200 ms while the gate looks for its target; a failed first read of the hosts table is repeated after its back-off, not 0.7 s later.

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -49,7 +49,9 @@
 	ownRowLost chan struct{}
 	// storeRestored is signalled when the store has come back from an older copy.
 	storeRestored chan struct{}
-	liveness      livenessTracker
+	// ready is closed when the host can serve requests for the first time.
+	ready    chan struct{}
+	liveness livenessTracker
 	// firstReadDelay is how long after the start the hosts table is read.
 	firstReadDelay time.Duration
 	// tableWrites is how many writes of a table the store performs a second.
@@ -120,6 +122,7 @@
 		ownRowLost: make(chan struct{}, 1),
 		keptHosts:  map[string]keptHost{},
 
+		ready:           make(chan struct{}),
 		storeRestored:   make(chan struct{}, 1),
 		keptEvacuations: map[string]time.Time{},
 		evacuated:       map[string]bool{},
@@ -221,6 +224,18 @@
 		// older view. The first one may be older than the start of the machine.
 		c.proof.Store(int64(n.provenAt))
 	}
+	c.signalReady()
+}
+
+// signalReady closes ready once the host has its tables and a freshness proof.
+func (c *Control) signalReady() {
+	select {
+	case <-c.ready:
+	default:
+		if c.View().Ready() && c.proven() {
+			close(c.ready)
+		}
+	}
 }
 
 func raise(v *atomic.Uint64, to uint64) {
--- a/hostd/feed.go
+++ b/hostd/feed.go
@@ -72,7 +72,9 @@
 		rank, hosts := c.rank()
 		switch {
 		case !f.loaded:
-			f.poll(ctx, 0)
+			if f.poll(ctx, 0); !f.loaded {
+				continue // poll has backed off
+			}
 		case hosts < storepoll.Readers:
 			pause.For(ctx, startPollPause/2+rand.N(startPollPause))
 			f.poll(ctx, 0)
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -44,6 +44,10 @@
 	records  *offerlog.Gate
 	waiting  map[string]*admission.Item
 	stopping bool
+
+	// searched is closed when the search for the target at the start has ended.
+	searched      chan struct{}
+	endSearchOnce sync.Once
 }
 
 // targetIdle is how long a connection to the target may be idle before it is
@@ -74,6 +78,7 @@
 		latencies:   map[string]*gray.DurationModel{},
 		records:     offerlog.NewGate(incarnation),
 		waiting:     map[string]*admission.Item{},
+		searched:    make(chan struct{}),
 		answers:     newAnswerBudget(int64(settings().MemoryBytes)),
 		links: link.New(link.Options{
 			DialTimeout:    targetDialTimeout,
@@ -136,6 +141,7 @@
 // just before the request is sent to the target.
 func (g *Gate) Forward(ctx context.Context, f Forward, req *fasthttp.Request, onSend func()) Reply {
 	arrived := time.Now()
+	g.awaitTarget(ctx, time.Duration(f.TimeLeftMs)*time.Millisecond)
 	tk, refusal := g.admit(ctx, f, arrived)
 	if refusal != nil {
 		g.mu.Lock()
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -111,6 +111,7 @@
 		g.target.signedOffAt = now
 	}
 	g.target.update(h, now)
+	g.endSearch()
 	if old != nil {
 		g.flush(old, "target "+old.id+" has been replaced")
 		g.links.CloseIdle(old.address)
@@ -220,13 +221,18 @@
 // Timing of the search for a target at start-up.
 const (
 	discoverTimeout      = time.Second
-	discoverPollInterval = 50 * time.Millisecond
+	discoverPollInterval = 10 * time.Millisecond
+	// maxTargetWait is how long an offer waits for the target of a gate that has just
+	// started: a check for a configuration and a health check. It is shorter than the time
+	// after which the ingress takes the gate for silent.
+	maxTargetWait = 200 * time.Millisecond
 )
 
 // Discover finds the target by a health check, so that a restarted daemon can
 // serve before the next heartbeat. It waits for a configuration, which gives
 // the path of the health check, and stops if a heartbeat arrives first.
 func (g *Gate) Discover(ctx context.Context) {
+	defer g.endSearch()
 	for g.service(g.settings().Service) == nil {
 		if !pause.For(ctx, discoverPollInterval) {
 			return
@@ -249,6 +255,27 @@
 	return g.target != nil
 }
 
+// endSearch lets the offers go on that wait for the target.
+func (g *Gate) endSearch() { g.endSearchOnce.Do(func() { close(g.searched) }) }
+
+// awaitTarget waits while a gate that has just started looks for its target. Without it, all
+// gates of a fleet that has restarted refuse their first offers, and their targets are
+// avoided for a while.
+func (g *Gate) awaitTarget(ctx context.Context, timeLeft time.Duration) {
+	select {
+	case <-g.searched:
+		return
+	default:
+	}
+	timer := time.NewTimer(min(maxTargetWait, timeLeft))
+	defer timer.Stop()
+	select {
+	case <-g.searched:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // checkHealth queries the target's health. It returns false unless the target
 // is healthy.
 func (g *Gate) checkHealth(ctx context.Context, timeout time.Duration) (karpithaz.Heartbeat, bool) {
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -124,9 +124,10 @@
 // Handle answers a request.
 func (in *Ingress) Handle(ctx context.Context, x *h1.Exchange) {
 	e := &exchange{in: in, x: x, started: x.ReceivedAt}
-	e.view, e.proof = in.control.ProvenView()
 	e.caller = karpithaz.ParseRequest(&x.Request.Header)
 	in.metrics.Add("requests", 1)
+	e.awaitReady(ctx)
+	e.view, e.proof = in.control.ProvenView()
 	if refusal := e.admit(ctx); refusal != nil {
 		e.refuse(refusal, "refused")
 		return
