--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -244,6 +244,7 @@
 		ObjectiveLeftMs: time.Until(e.started.Add(e.route.Objective)).Milliseconds(),
 		Priority:        e.priority(),
 		Nested:          e.nested,
+		Served:          e.served,
 		Repeatable:      e.route.Kind.Repeatable(),
 		MaxWaitMs:       terms.maxWait.Milliseconds(),
 		MaxGray:         terms.maxGray,
--- a/hostd/datagrams.go
+++ b/hostd/datagrams.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberryshed/gooseberryshed/metrics"
+	"github.com/gooseberryshed/gooseberryshed/retry"
 )
 
 // datagram is a query from one daemon to another or the answer to it. Datagrams
@@ -44,6 +45,9 @@
 	// Authoritative is set if the answer comes from the host that the query is
 	// addressed to.
 	Authoritative bool `json:"o,omitempty"`
+	// Value is that of the repeat for which a token is requested. Daemons of earlier
+	// versions state none.
+	Value retry.Value `json:"e,omitempty"`
 	// Result and Millis are the answer.
 	Result bool  `json:"y,omitempty"`
 	Millis int64 `json:"m,omitempty"`
--- a/hostd/execution.go
+++ b/hostd/execution.go
@@ -31,8 +31,10 @@
 // is hedged with a second attempt if the first one takes too long.
 type execution struct {
 	e       *exchange
-	budget  *retry.Budget
+	retries *serviceRetries
 	charge  retry.Charge
+	// wait is a retry that waits for the budget.
+	wait    retryWait
 	results chan attemptResult
 	cancels []context.CancelCauseFunc
 	// running is the number of attempts without a result, and sent the number
@@ -51,10 +53,6 @@
 	lastRefusal *wire.Refusal
 }
 
-// maxShedReplies bounds how often targets may shed one request. Each time costs
-// one retry of the budget, and after this many most targets are shedding.
-const maxShedReplies = 4
-
 func countDistinct(ids []string) int {
 	return len(slices.Compact(slices.Sorted(slices.Values(ids))))
 }
@@ -70,6 +68,11 @@
 	return r.target.ID == "" && r.reply.Refusal != nil && r.reply.Refusal.Run == wire.NotRun
 }
 
+// shed reports whether a target turned the attempt away.
+func (r attemptResult) shed() bool {
+	return r.reply.Refusal != nil && r.reply.Refusal.Reason == wire.ReasonTargetShed
+}
+
 // arrived reports whether the attempt reached a target, or may have. An attempt that
 // has been canceled has a result that does not tell.
 func (a *attempt) arrived(ctx context.Context, r attemptResult) bool {
@@ -97,9 +100,9 @@
 const resultBuffer = 8
 
 func newExecution(e *exchange) *execution {
-	b := e.in.budget(e.service)
-	b.Deposit()
-	return &execution{e: e, budget: b, results: make(chan attemptResult, resultBuffer), offers: &offers{}, hedgeSoon: make(chan struct{}, 1)}
+	r := e.in.retriesOf(e.service)
+	r.deposit()
+	return &execution{e: e, retries: r, results: make(chan attemptResult, resultBuffer), offers: &offers{}, hedgeSoon: make(chan struct{}, 1)}
 }
 
 // hedgeQuantile is the latency quantile after which a request is hedged.
@@ -112,6 +115,7 @@
 // run makes attempts until there is an outcome.
 func (ex *execution) run(ctx context.Context) outcome {
 	defer ex.cancelAll()
+	defer ex.abandonWait()
 	ex.launch(ctx, firstAttempt)
 	deadline := time.NewTimer(time.Until(ex.e.deadline))
 	defer deadline.Stop()
@@ -133,11 +137,17 @@
 			if !ex.retryAllowed() {
 				continue
 			}
-			if ex.takeRetry(ctx) {
+			if ex.wait.waiter == nil && ex.takeRetry(ctx, true) {
 				ex.launch(ctx, hedgeAttempt)
 			} else {
 				hedge.Reset(jitter(budgetRetryDelay))
 			}
+		case <-ex.wait.granted:
+			ex.afterWait(ctx)
+		case <-ex.wait.timeout:
+			if out := ex.afterWait(ctx); out != nil {
+				return *out
+			}
 		case <-ex.hedgeSoon:
 			w := ex.e.in.latency(ex.e.route)
 			hedge.Reset(w.Quantile(grayHedgeQuantile))
@@ -221,26 +231,6 @@
 		time.Now().Before(ex.e.deadline)
 }
 
-// mayRetry reports whether a request that may have run may be sent again. It
-// takes a retry from the budget if so.
-func (ex *execution) mayRetry(ctx context.Context) bool {
-	return ex.retryAllowed() && ex.takeRetry(ctx)
-}
-
-// takeRetry takes one retry from this host's budget or else from the fleet's
-// reserve.
-func (ex *execution) takeRetry(ctx context.Context) bool {
-	if ex.budget.Withdraw() {
-		return true
-	}
-	ok := ex.e.in.limiter.AllowRetry(ctx, ex.e.service)
-	if !ok {
-		ex.e.in.metrics.Add("repeats_over_budget", 1)
-		ex.e.in.log.Decide("over-budget", "id", ex.e.caller.Attempt, "service", ex.e.service)
-	}
-	return ok
-}
-
 // newRequest returns a copy of the caller's request, which shares its body.
 func (e *exchange) newRequest() *fasthttp.Request {
 	req := &fasthttp.Request{}
@@ -262,8 +252,12 @@
 	ex.charge.Start(kind != firstAttempt)
 	go func() {
 		r := a.run(ctx)
-		for range ex.charge.End(a.arrived(ctx, r)) {
-			ex.budget.Refund()
+		arrived := a.arrived(ctx, r)
+		if arrived {
+			ex.retries.observe(r.shed())
+		}
+		for range ex.charge.End(arrived) {
+			ex.retries.refund()
 		}
 		ex.results <- r
 	}()
@@ -295,23 +289,20 @@
 	if ex.running > 0 {
 		return nil
 	}
-	if ex.shouldRetry(ctx, refusal) {
-		ex.launch(ctx, retryAttempt)
-		return nil
-	}
-	return ex.finalOutcome()
+	return ex.retryOrEnd(ctx, ex.shouldRetry(refusal), ex.finalOutcome())
 }
 
-// shouldRetry reports whether another attempt follows a refusal.
-func (ex *execution) shouldRetry(ctx context.Context, r *wire.Refusal) bool {
+// shouldRetry reports whether another attempt may follow a refusal, apart from the
+// retry budget.
+func (ex *execution) shouldRetry(r *wire.Refusal) bool {
 	if r.Run == wire.NotRun {
 		// Only a refusal by the target itself leads to another attempt, which
 		// counts against the budget. Otherwise the attempt has already asked
 		// all gates.
 		return (r.Reason == wire.ReasonTargetShed || r.Reason == wire.ReasonWrongTarget) &&
-			len(ex.shedBy) < maxShedReplies && ex.takeRetry(ctx)
+			len(ex.shedBy) < ex.maxShedReplies()
 	}
-	return ex.mayRetry(ctx)
+	return ex.retryAllowed()
 }
 
 func (ex *execution) handleAnswer(ctx context.Context, r attemptResult) *outcome {
@@ -326,11 +317,7 @@
 	if ex.running > 0 {
 		return nil
 	}
-	if ex.mayRetry(ctx) {
-		ex.launch(ctx, retryAttempt)
-		return nil
-	}
-	return out
+	return ex.retryOrEnd(ctx, ex.retryAllowed(), out)
 }
 
 // finalOutcome returns the outcome when no attempt is left.
--- a/hostd/execution_test.go
+++ b/hostd/execution_test.go
@@ -18,6 +18,7 @@
 	"github.com/gooseberryshed/gooseberryshed/placing"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/platform/standin"
+	"github.com/gooseberryshed/gooseberryshed/retry"
 	"github.com/gooseberryshed/gooseberryshed/routes"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 )
@@ -70,7 +71,7 @@
 
 func (unlimitedRates) Allow(context.Context, *routes.Workspace) (bool, time.Duration) { return true, 0 }
 
-func (r *unlimitedRates) AllowRetry(context.Context, string) bool {
+func (r *unlimitedRates) AllowRetry(context.Context, string, retry.Value) bool {
 	r.retries--
 	return r.retries >= 0
 }
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -10,6 +10,7 @@
 	"github.com/gooseberryshed/gooseberryshed/link"
 	"github.com/gooseberryshed/gooseberryshed/placing"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
+	"github.com/gooseberryshed/gooseberryshed/retry"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 )
 
@@ -50,6 +51,9 @@
 	// request may be sent.
 	MaxGray  float64 `json:"g"`
 	Revision uint64  `json:"v"`
+	// Served is the rank of the request that a nested call serves. It is nil if that is
+	// not known.
+	Served *retry.Rank `json:"u,omitempty"`
 	// Incarnation is set in an offer that is made again: that of the gate's process at
 	// the first offer. A later process does not know whether the request has run.
 	Incarnation int64 `json:"n,omitempty"`
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -275,6 +275,7 @@
 		t.grayProbedAt = now
 		g.log.Decide("gray-tried", "id", tk.f.Attempt, "target", t.id, "gray", p)
 	}
+	t.running.Add(tk.f.rank())
 	tk.started = now
 	tk.request = t.filter.Start(now, g.latency(tk.f))
 }
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -104,6 +104,7 @@
 	h.crashes = newCrashTracker(o.Settings.Host, h.control.View, conn.query, h.log)
 	h.gate.onDeath = h.crashes.reportDeath
 	h.ingress.quarantined = h.crashes.quarantined
+	h.ingress.servedRank = h.gate.servedRank
 	if err := h.open(o); err != nil {
 		h.close()
 		return nil, err
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -44,7 +44,7 @@
 	Allow(ctx context.Context, w *routes.Workspace) (ok bool, retryAfter time.Duration)
 	// AllowRetry reports whether a request to a service may be retried from the
 	// fleet's reserve, beyond the retries earned by the service's requests.
-	AllowRetry(ctx context.Context, service string) bool
+	AllowRetry(ctx context.Context, service string, v retry.Value) bool
 }
 
 // Ingress handles the requests of this host's callers.
@@ -62,6 +62,9 @@
 	quarantined func(fingerprint uint64, now time.Time) bool
 	// onCallFailed is called when a call made by this host's target fails.
 	onCallFailed func()
+	// servedRank returns the highest rank among the requests that this host's target is
+	// running, or nil if there are none.
+	servedRank func() *retry.Rank
 	// stopBegan is when a planned stop began, or nil.
 	stopBegan atomic.Pointer[time.Time]
 	// refuseUnsent and endRequests are closed shortly before the end of a planned
@@ -70,7 +73,7 @@
 
 	mu        sync.Mutex
 	latencies map[string]*gray.DurationModel
-	budgets   map[string]*retry.Budget
+	retries   map[string]*serviceRetries
 }
 
 // BeginStop marks the beginning of a planned stop.
@@ -96,7 +99,8 @@
 		refuseUnsent: make(chan struct{}),
 		endRequests:  make(chan struct{}),
 		latencies:    map[string]*gray.DurationModel{},
-		budgets:      map[string]*retry.Budget{},
+		servedRank:   func() *retry.Rank { return nil },
+		retries:      map[string]*serviceRetries{},
 	}
 }
 
@@ -111,6 +115,8 @@
 	service   string
 	workspace *routes.Workspace
 	nested    bool
+	// served is the rank of the request that a nested call serves; nil if not known.
+	served *retry.Rank
 	// fingerprint is a hash of the request's sender and content.
 	fingerprint uint64
 	// deadline is when the caller must have an answer.
@@ -172,6 +178,9 @@
 			return r
 		}
 	}
+	if e.nested && cfg.Ranked() {
+		e.served = e.in.servedRank()
+	}
 	e.service = pickService(e.route.Services, rand.Float64())
 	return nil
 }
--- a/hostd/limiter.go
+++ b/hostd/limiter.go
@@ -11,6 +11,7 @@
 	"github.com/gooseberryshed/gooseberryshed/metrics"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/quota"
+	"github.com/gooseberryshed/gooseberryshed/retry"
 	"github.com/gooseberryshed/gooseberryshed/routes"
 )
 
@@ -51,6 +52,16 @@
 	rate, burst float64
 	// initial returns the tokens of a new bucket for shares of rate and burst.
 	initial func(rate, burst float64) float64
+	// value is that of the repeat that needs the token.
+	value retry.Value
+}
+
+// remain returns the share of the burst that must remain in the bucket.
+func (b bucketSpec) remain(view *View) float64 {
+	if b.kind != queryRetry || view.Config == nil || !view.Config.Ranked() {
+		return 0
+	}
+	return b.value.ReserveShare()
 }
 
 // fleetLimiter takes tokens from the owners of token buckets and owns some
@@ -114,22 +125,23 @@
 }
 
 // AllowRetry implements rateLimiter.
-func (l *fleetLimiter) AllowRetry(ctx context.Context, service string) bool {
-	ok, _ := l.takeToken(ctx, l.retryBucket(service))
+func (l *fleetLimiter) AllowRetry(ctx context.Context, service string, v retry.Value) bool {
+	ok, _ := l.takeToken(ctx, l.retryBucket(service, v))
 	return ok
 }
 
 func (l *fleetLimiter) workspaceBucket(w *routes.Workspace) bucketSpec {
-	return bucketSpec{queryRate, w.Name, w.Rate, w.Burst + burstSlackShare*l.bounds().RateSlack, quota.BoundedFill}
+	return bucketSpec{kind: queryRate, name: w.Name, rate: w.Rate, burst: w.Burst + burstSlackShare*l.bounds().RateSlack, initial: quota.BoundedFill}
 }
 
 // retryBucket returns the part of a service's retry budget that does not depend
 // on its request rate. Half of it is available at once and the other half over
 // the budget's window.
-func (l *fleetLimiter) retryBucket(service string) bucketSpec {
+func (l *fleetLimiter) retryBucket(service string, v retry.Value) bucketSpec {
 	b := l.bounds()
 	half := retryBudgetShare * b.RetryBudgetSlack / 2
-	return bucketSpec{queryRetry, service, half / b.RetryBudgetWindow.Seconds(), half, func(_, burst float64) float64 { return quota.InitialFill(burst) }}
+	return bucketSpec{kind: queryRetry, name: service, rate: half / b.RetryBudgetWindow.Seconds(), burst: half, value: v,
+		initial: func(_, burst float64) float64 { return quota.InitialFill(burst) }}
 }
 
 // takeToken takes a token of a bucket from its owner.
@@ -157,7 +169,7 @@
 
 // queryOwner asks an owner for a token. The owner may relay the query.
 func (l *fleetLimiter) queryOwner(ctx context.Context, owner string, b bucketSpec) (datagram, bool) {
-	return l.ask(ctx, owner, owner, datagram{Kind: b.kind, Name: b.name, Host: l.host})
+	return l.ask(ctx, owner, owner, datagram{Kind: b.kind, Name: b.name, Host: l.host, Value: b.value})
 }
 
 // ask sends a query about the bucket of an owner to a host, unless that has
@@ -198,7 +210,7 @@
 	if len(owners) == 0 {
 		return datagram{}, false
 	}
-	q := datagram{Kind: b.kind, Name: b.name, Host: l.host, Owner: owners[0], Origin: origin}
+	q := datagram{Kind: b.kind, Name: b.name, Host: l.host, Owner: owners[0], Origin: origin, Value: b.value}
 	deadline := time.Now().Add(maxRelayTimeouts * relayTimeout)
 	for _, host := range append([]string{owners[0]}, l.witnesses(owners)...) {
 		if time.Until(deadline) < relayTimeout {
@@ -261,7 +273,8 @@
 // takeLocal takes a token from this host's bucket for shares of the rate and of the
 // burst.
 func (l *fleetLimiter) takeLocal(b bucketSpec, first bool, rateShare, burstShare float64) datagram {
-	since := l.view().hostsChangedAt
+	view := l.view()
+	since := view.hostsChangedAt
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key := b.kind + " " + b.name
@@ -274,7 +287,7 @@
 		own.TakeOver(since, time.Now(), rate, b.initial(rate, burst))
 	}
 	own.first = first
-	ok, after := own.Take(time.Now(), rate, burst)
+	ok, after := own.TakeAbove(time.Now(), rate, burst, b.remain(view))
 	return datagram{Result: ok, Millis: after.Milliseconds()}
 }
 
@@ -309,12 +322,12 @@
 // answerOnce takes the token.
 func (l *fleetLimiter) answerOnce(ctx context.Context, q datagram) datagram {
 	if q.Owner != "" && q.Owner != l.host {
-		a, ok := l.ask(ctx, q.Owner, q.Owner, datagram{Kind: q.Kind, Name: q.Name, Host: l.host, Owner: q.Owner, Origin: q.Origin})
+		a, ok := l.ask(ctx, q.Owner, q.Owner, datagram{Kind: q.Kind, Name: q.Name, Host: l.host, Owner: q.Owner, Origin: q.Origin, Value: q.Value})
 		a.Authoritative = ok
 		return a
 	}
 	view := l.view()
-	b := l.retryBucket(q.Name)
+	b := l.retryBucket(q.Name, q.Value)
 	if q.Kind == queryRate {
 		if view.Config == nil {
 			return datagram{Millis: ownerBackoff.Milliseconds()}
--- a/hostd/retries_test.go
+++ b/hostd/retries_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/gooseberryshed/gooseberryshed/placing"
+	"github.com/gooseberryshed/gooseberryshed/retry"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 )
 
@@ -63,7 +64,7 @@
 	refused int
 }
 
-func (r *recoveringBudget) AllowRetry(context.Context, string) bool {
+func (r *recoveringBudget) AllowRetry(context.Context, string, retry.Value) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refused--
@@ -85,7 +86,7 @@
 	}
 	in := newTestIngress(t, g, "h1", "h2")
 	in.limiter = &recoveringBudget{refused: 2}
-	in.budget("svc").Withdraw() // this host's own reserve
+	in.retriesOf("svc").budget.Withdraw() // this host's own reserve
 	x := newExchange("a", "GET", "/read/1", 3*time.Second)
 	in.Handle(context.Background(), x)
 	assert.Equal(t, x.Response.StatusCode(), 200)
@@ -110,7 +111,7 @@
 	}
 	in := newTestIngress(t, g, "h1", "h2")
 	in.limiter = &unlimitedRates{}
-	budget := in.budget("svc")
+	budget := in.retriesOf("svc").budget
 	for i := range 20 {
 		x := newExchange(fmt.Sprintf("r%d", i), "GET", "/read/1", time.Second)
 		in.Handle(context.Background(), x)
@@ -157,7 +158,7 @@
 				}
 				in := newTestIngress(t, g, "h1", "h2")
 				in.limiter = &unlimitedRates{}
-				budget := in.budget("svc")
+				budget := in.retriesOf("svc").budget
 				x := newExchange("a", "GET", "/read/1", 10*time.Second)
 				in.Handle(context.Background(), x)
 				synctest.Wait()
--- a/hostd/stats.go
+++ b/hostd/stats.go
@@ -31,17 +31,18 @@
 	in.latencyLocked(r).Observe(took)
 }
 
-// budget returns this host's retry budget for a service, which grows with the
+// retriesOf returns the retries of this host for a service, whose number grows with the
 // requests sent to the service.
-func (in *Ingress) budget(service string) *retry.Budget {
+func (in *Ingress) retriesOf(service string) *serviceRetries {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	b := in.budgets[service]
-	if b == nil {
-		b = retry.NewBudget(retryBudgetShare*in.settings().Bounds.RetryBudgetRatio, hostRetryReserve)
-		in.budgets[service] = b
+	r := in.retries[service]
+	if r == nil {
+		b := retry.NewBudget(retryBudgetShare*in.settings().Bounds.RetryBudgetRatio, hostRetryReserve)
+		r = &serviceRetries{budget: b, queue: retry.NewQueue(b)}
+		in.retries[service] = r
 	}
-	return b
+	return r
 }
 
 // hostRetryReserve is how many retries a host may accumulate. It is small
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -7,6 +7,7 @@
 	"github.com/gooseberryshed/gooseberryshed/gray"
 	"github.com/gooseberryshed/gooseberryshed/placing"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
+	"github.com/gooseberryshed/gooseberryshed/retry"
 	"github.com/gooseberryshed/gooseberryshed/routes"
 	"github.com/gooseberryshed/gooseberryshed/slowstart"
 )
@@ -46,6 +47,8 @@
 	probing bool
 	// failedCalls are the times at which calls made by the target failed.
 	failedCalls []time.Time
+	// running are the ranks of the requests sent to the target.
+	running retry.Running
 }
 
 const (
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -142,13 +142,21 @@
 // Take takes a token. If there is none, it returns the time until the next one
 // is available.
 func (b *Bucket) Take(now time.Time, rate, burst float64) (ok bool, after time.Duration) {
-	b.tokens = min(b.tokens+rate*max(now.Sub(b.updatedAt).Seconds(), 0), max(burst, 1))
+	return b.TakeAbove(now, rate, burst, 0)
+}
+
+// TakeAbove is Take if a share of the burst must remain after it. A full bucket always
+// grants a token.
+func (b *Bucket) TakeAbove(now time.Time, rate, burst, remain float64) (ok bool, after time.Duration) {
+	burst = max(burst, 1)
+	b.tokens = min(b.tokens+rate*max(now.Sub(b.updatedAt).Seconds(), 0), burst)
 	b.updatedAt = now
-	if b.tokens >= 1-tokenTolerance {
+	need := min(1+remain*burst, burst)
+	if b.tokens >= need-tokenTolerance {
 		b.tokens--
 		return true, 0
 	}
-	return false, time.Duration((1 - b.tokens) / rate * float64(time.Second))
+	return false, time.Duration((need - b.tokens) / rate * float64(time.Second))
 }
 
 // Idle reports whether the bucket has been unused for so long that it can be
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -100,6 +100,7 @@
 	workspaces map[string]*Workspace
 	byKey      map[string]*Workspace
 	routeCount int
+	ranked     bool
 }
 
 // Key is an API key and the workspace to which it belongs.
@@ -149,9 +150,23 @@
 		}
 		c.byKey[k.Secret] = w
 	}
+	c.ranked = hasRanks(d)
 	return c, nil
 }
 
+func hasRanks(d Document) bool {
+	seen := map[int]bool{}
+	for i := range d.Routes {
+		seen[d.Routes[i].Priority] = true
+	}
+	for i := range d.Workspaces {
+		if p := d.Workspaces[i].Priority; p != nil {
+			seen[*p] = true
+		}
+	}
+	return len(seen) > 1
+}
+
 func (c *Config) addRoute(r *Route) error {
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 		return errors.Errorf("route %q: prefix %q must begin and end with a slash", r.Name, r.Prefix)
@@ -213,5 +228,9 @@
 // requests need no keys.
 func (c *Config) HasWorkspaces() bool { return len(c.workspaces) > 0 }
 
+// Ranked reports whether some requests have precedence over others: routes or workspaces
+// have different priorities.
+func (c *Config) Ranked() bool { return c.ranked }
+
 // RouteCount returns the number of routes.
 func (c *Config) RouteCount() int { return c.routeCount }
