admission, fairqueue, hostd: fair shares of workspaces in a gate's queue

Cause: the queue knew priorities and objectives, not workspaces, so a workspace that sends 4.5 times its usual took most of the slots in a busy hour. Change: within a priority, items of workspaces that recently used more than the mean of those in the queue come later, by steps of a quarter; then objective, as before. Use is slot time with decay: fairqueue's record of it is exported as fairqueue.Usage and serves both daemons. Forward carries what a workspace used of the service through the sender's host; a gate adds the last report of each sender to its own count. Offers without a workspace are ordered as before. Counters over_share and over_share_refused, log line over-share.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/fairqueue"
 )
 
 // Item is a request for a slot.
@@ -13,6 +15,8 @@
 	Nested bool
 	// Priority ranks requests; 0 is the most urgent.
 	Priority int
+	// Workspace is the workspace of the request; empty if there are none.
+	Workspace string
 	// Expected is the expected duration of execution.
 	Expected time.Duration
 	// Deadline is the time after which the response is useless.
@@ -27,8 +31,15 @@
 	Value any
 
 	arrival uint64
+	// excess is by how many steps the workspace's recent use exceeds that of the others
+	// in the queue.
+	excess int
 }
 
+// Excess reports by how many steps the recent use of the item's workspace exceeded that
+// of the others in the queue when the item was last compared with them.
+func (it *Item) Excess() int { return it.excess }
+
 // Decision is the result of Offer.
 type Decision int
 
@@ -79,6 +90,7 @@
 	// for which nested requests hold a slot, with 0 for others, and of the time
 	// for which any request does.
 	nestedSlotTime, allSlotTime mean
+	usage                       *fairqueue.Usage
 }
 
 // mean is an exponential moving average.
@@ -105,7 +117,9 @@
 const maxNestedShare = 0.8
 
 // NewQueue returns an empty queue for a target with the given number of slots.
-func NewQueue(slots int) *Queue { return &Queue{slots: max(slots, 1), rate: unlimited} }
+func NewQueue(slots int) *Queue {
+	return &Queue{slots: max(slots, 1), rate: unlimited, usage: fairqueue.NewUsage()}
+}
 
 func (q *Queue) SetSlots(slots int) { q.slots = max(slots, 1) }
 
@@ -154,6 +168,9 @@
 	if a.Priority != b.Priority {
 		return cmp.Compare(a.Priority, b.Priority)
 	}
+	if a.excess != b.excess {
+		return cmp.Compare(a.excess, b.excess)
+	}
 	if in := a.meetsObjective(now); in != b.meetsObjective(now) {
 		return orderFirst(in)
 	} else if in && !a.Objective.Equal(b.Objective) {
@@ -170,8 +187,9 @@
 }
 
 // sortWaiting sorts the queue for the current time, since items lose precedence
-// when they miss their objectives.
-func (q *Queue) sortWaiting(now time.Time) {
+// when they miss their objectives. arriving is an item to be queued, or nil.
+func (q *Queue) sortWaiting(now time.Time, arriving *Item) {
+	q.setExcess(now, arriving)
 	slices.SortFunc(q.waiting, func(a, b *Item) int { return compare(now, a, b) })
 }
 
@@ -187,7 +205,7 @@
 	if it.MaxWait <= 0 {
 		return NoSlot, nil
 	}
-	q.sortWaiting(now)
+	q.sortWaiting(now, it)
 	at, _ := slices.BinarySearchFunc(q.waiting, it, func(a, b *Item) int { return compare(now, a, b) })
 	wait := q.expectedWaitAt(at, it.Nested)
 	if wait > it.MaxWait {
@@ -297,7 +315,7 @@
 // Next assigns free slots to queued items. late lists items that are dropped
 // because too little time is left before their deadline.
 func (q *Queue) Next(now time.Time) (run, late []*Item) {
-	q.sortWaiting(now)
+	q.sortWaiting(now, nil)
 	for q.canStart() && len(q.waiting) > 0 {
 		it := q.waiting[0]
 		q.waiting = slices.Delete(q.waiting, 0, 1)
--- a/fairqueue/doc.go
+++ b/fairqueue/doc.go
@@ -21,6 +21,10 @@
 // number of requests they send. A fixed share per workspace leaves capacity
 // unused and requires the number of workspaces in advance.
 //
+// Usage, the record of what each workspace used recently, also serves package
+// admission, whose queues know priorities and objectives. There a workspace is served by
+// many targets, and Tell adds what others know of its use.
+//
 // The package does no I/O and reads no clock: the current time is passed as an
 // argument, and the caller serializes calls.
 package fairqueue
--- a/fairqueue/fairqueue.go
+++ b/fairqueue/fairqueue.go
@@ -55,7 +55,7 @@
 	size     int
 	flows    map[string]*flow[T]
 	rotation list.List // of *flow[T], in round-robin order
-	usage    usageByWorkspace
+	usage    *Usage
 }
 
 // New returns an empty queue of the given capacity; less than 1 counts as 1.
@@ -63,7 +63,7 @@
 	return &Queue[T]{
 		capacity: max(capacity, 1),
 		flows:    map[string]*flow[T]{},
-		usage:    usageByWorkspace{},
+		usage:    NewUsage(),
 	}
 }
 
@@ -97,13 +97,13 @@
 // Begin records that service of a request of the workspace has started. Pop does
 // so itself; Begin must be called for requests that did not have to wait.
 func (q *Queue[T]) Begin(workspace string, now time.Time) {
-	q.usage.of(workspace, now).inService++
+	q.usage.Begin(workspace, now)
 }
 
 // End records that service of a request of the workspace has ended, and its
 // service time.
 func (q *Queue[T]) End(workspace string, now time.Time, held time.Duration) {
-	q.usage.of(workspace, now).end(now, held)
+	q.usage.End(workspace, now, held)
 }
 
 // Pop removes and returns the next item whose deadline has not passed, or nil.
@@ -183,12 +183,8 @@
 // sharePerWeight returns the requests in service and the recent service time of
 // a flow's workspace, relative to its weight.
 func (q *Queue[T]) sharePerWeight(f *flow[T], now time.Time) (serving, used float64) {
-	u := q.usage[f.workspace]
-	if u == nil {
-		return 0, 0
-	}
 	weight := float64(f.weight)
-	return float64(u.inService) / weight, u.decayed(now) / weight
+	return float64(q.usage.InService(f.workspace)) / weight, q.usage.Recent(f.workspace, now) / weight
 }
 
 func (q *Queue[T]) flowOf(it *Item[T]) *flow[T] {
--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -245,6 +245,7 @@
 		Priority:        e.priority(),
 		Nested:          e.nested,
 		Served:          e.served,
+		Use:             e.recentUse(),
 		Repeatable:      e.route.Kind.Repeatable(),
 		MaxWaitMs:       terms.maxWait.Milliseconds(),
 		MaxGray:         terms.maxGray,
@@ -256,7 +257,9 @@
 		"known_age_ms", ageMillis(c.Report.ReceivedAt), "revision", f.Revision)
 	quiet := quietTime(terms, e.in.states.get(t.ID))
 	stopWatch := a.watchSilence(t, terms, quiet)
+	var sentAt atomic.Int64
 	onSent := sync.OnceFunc(func() {
+		sentAt.Store(time.Now().UnixNano())
 		stopWatch()
 		a.onSent(record, t, terms)
 	})
@@ -281,6 +284,7 @@
 		a.e.in.states.recordFailure(t.Host, time.Now())
 	}
 	a.offers.end(record, runStateOf(reply))
+	e.recordUse(sentAt.Load())
 	return reply, t
 }
 
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -54,6 +54,9 @@
 	// Served is the rank of the request that a nested call serves. It is nil if that is
 	// not known.
 	Served *retry.Rank `json:"u,omitempty"`
+	// Use is the recent use of the service by the workspace through the sender. It is nil
+	// if there is none.
+	Use *recentUse `json:"x,omitempty"`
 	// Incarnation is set in an offer that is made again: that of the gate's process at
 	// the first offer. A later process does not know whether the request has run.
 	Incarnation int64 `json:"n,omitempty"`
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -191,14 +191,17 @@
 	it := &admission.Item{
 		Nested:    tk.f.Nested,
 		Priority:  tk.f.Priority,
+		Workspace: tk.f.Workspace,
 		Expected:  latency.Mean(),
 		Deadline:  tk.deadline,
 		Objective: softDeadline(tk.f, now),
 		MaxWait:   time.Duration(tk.f.MaxWaitMs) * time.Millisecond,
 		Value:     make(chan *wire.Refusal, 1),
 	}
+	t.recordTold(now, &tk.f)
 	g.updateRate(t, now)
 	verdict, dropped := t.queue.Offer(now, it)
+	g.logOverShare(t, tk, it, verdict, now)
 	for _, d := range dropped {
 		answerWaiting(d, g.busy(t, "requests with precedence leave too little time"))
 	}
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -12,6 +12,7 @@
 
 	"github.com/gooseberryshed/gooseberryshed/admission"
 	"github.com/gooseberryshed/gooseberryshed/decisions"
+	"github.com/gooseberryshed/gooseberryshed/fairqueue"
 	"github.com/gooseberryshed/gooseberryshed/gray"
 	"github.com/gooseberryshed/gooseberryshed/h1"
 	"github.com/gooseberryshed/gooseberryshed/metrics"
@@ -74,6 +75,7 @@
 	mu        sync.Mutex
 	latencies map[string]*gray.DurationModel
 	retries   map[string]*serviceRetries
+	uses      map[string]*fairqueue.Usage
 }
 
 // BeginStop marks the beginning of a planned stop.
@@ -101,6 +103,7 @@
 		latencies:    map[string]*gray.DurationModel{},
 		servedRank:   func() *retry.Rank { return nil },
 		retries:      map[string]*serviceRetries{},
+		uses:         map[string]*fairqueue.Usage{},
 	}
 }
 
--- a/hostd/roundtrip.go
+++ b/hostd/roundtrip.go
@@ -143,6 +143,7 @@
 	}
 	gray := t.filter.Probability(now)
 	t.running.Remove(tk.f.rank())
+	t.queue.Used(now, tk.f.Workspace, now.Sub(tk.started))
 	t.queue.Complete(now.Sub(tk.started), tk.f.Nested)
 	g.grantSlots(t, now)
 	g.mu.Unlock()
