admission: a play of a busy workspace that moves to other gates

Cause: the plays sent all workspaces to all gates, so they could not tell what reports of use are for. Change: one workspace moves to the other half of the gates.

--- a/admission/fair_test.go
+++ b/admission/fair_test.go
@@ -20,6 +20,11 @@
 	perSecond []float64
 	// onHost, if not nil, is the only host that a workspace sends to.
 	onHost map[int]int
+	// movesAt, if not 0, is when the first workspace moves from the first half of the
+	// hosts to the other one.
+	movesAt time.Duration
+	// from and until limit the time that is counted, if not 0.
+	from, until time.Duration
 	// byWorkspace selects the present order, and reports whether use is told to gates.
 	byWorkspace, reports bool
 }
@@ -58,6 +63,9 @@
 	}
 	now := t0
 	tick := 0
+	counted := func(at time.Time) bool {
+		return at.Sub(t0) > max(l.from, playWarm) && (l.until == 0 || at.Sub(t0) < l.until)
+	}
 	var grant func(host int)
 	type request struct{ workspace, ingress int }
 	start := func(host int, r request, began time.Time) {
@@ -71,7 +79,7 @@
 			queues[host].Complete(hold, false)
 			queues[host].Used(now, name, hold)
 			used[r.ingress].Add(name, now, hold)
-			if began.Sub(t0) > playWarm {
+			if counted(began) {
 				res[r.workspace].answered++
 				res[r.workspace].byHost[r.ingress]++
 				if now.Sub(began) <= objective {
@@ -123,11 +131,11 @@
 				if h, only := l.onHost[w]; only {
 					r.ingress = h
 				}
-				if now.Sub(t0) > playWarm {
+				if counted(now) {
 					res[w].sent++
 					sentBy[w][r.ingress]++
 				}
-				hosts := rng.Perm(l.hosts)
+				hosts := l.gatesOf(w, now.Sub(t0), rng)
 				_ = slices.ContainsFunc(hosts[:freeTries], func(h int) bool { return offer(h, r, 0) }) ||
 					slices.ContainsFunc(hosts[:freeTries], func(h int) bool { return offer(h, r, objective/12) }) ||
 					slices.ContainsFunc(hosts[:waitTries], func(h int) bool { return offer(h, r, patience) })
@@ -144,6 +152,15 @@
 	return res
 }
 
+// gatesOf returns the gates to which a workspace offers a request, in random order.
+func (l fleetLoad) gatesOf(w int, at time.Duration, rng *rand.Rand) []int {
+	gates := rng.Perm(l.hosts)
+	if w != 0 || l.movesAt == 0 {
+		return gates
+	}
+	return slices.DeleteFunc(gates, func(h int) bool { return (h < l.hosts/2) != (at < l.movesAt) })
+}
+
 // busyHour is a busy hour: the first workspace sends 4.5 times what the others do, which
 // alone would use 0.9 of the slots.
 var busyHour = []float64{243, 54, 54, 54, 54, 54, 54, 54}
@@ -241,3 +258,25 @@
 		}
 	}
 }
+
+// A busy workspace moves to other gates, as when its data centre is taken out. Reports
+// tell them at once what it has used.
+func TestReportsTellOfAWorkspaceThatMoves(t *testing.T) {
+	const moves = 15 * time.Second
+	l := fleetLoad{hosts: 16, slots: 6, perSecond: []float64{450, 90, 90, 90, 90, 90, 90}, movesAt: moves, from: moves, until: moves + 3*time.Second}
+	small := func(l fleetLoad) (mean float64) {
+		for seed := range uint64(4) {
+			for _, r := range l.play(seed)[1:] {
+				mean += r.inTime / 4 / float64(len(l.perSecond)-1)
+			}
+		}
+		return mean
+	}
+	before := small(l)
+	l.byWorkspace = true
+	lost := small(l)
+	l.reports = true
+	with := small(l)
+	t.Logf("in time of the others in the 3 s after the move: before %.3f, reports lost %.3f, with reports %.3f", before, lost, with)
+	assert.Check(t, with >= lost && with > before)
+}
