--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -244,6 +244,8 @@
 		ObjectiveLeftMs: time.Until(e.started.Add(e.route.Objective)).Milliseconds(),
 		Priority:        e.priority(),
 		Nested:          e.nested,
+		Served:          e.served,
+		Use:             e.recentUse(),
 		Repeatable:      e.route.Kind.Repeatable(),
 		MaxWaitMs:       terms.maxWait.Milliseconds(),
 		MaxGray:         terms.maxGray,
@@ -255,7 +257,9 @@
 		"known_age_ms", ageMillis(c.Report.ReceivedAt), "revision", f.Revision)
 	quiet := quietTime(terms, e.in.states.get(t.ID))
 	stopWatch := a.watchSilence(t, terms, quiet)
+	var sentAt atomic.Int64
 	onSent := sync.OnceFunc(func() {
+		sentAt.Store(time.Now().UnixNano())
 		stopWatch()
 		a.onSent(record, t, terms)
 	})
@@ -282,6 +286,7 @@
 	if run := a.offers.end(record, runStateOf(reply)); reply.Refusal != nil && run != wire.NotRun {
 		reply.Refusal.Run = run
 	}
+	e.recordUse(sentAt.Load())
 	return reply, t
 }
 
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -10,6 +10,7 @@
 	"github.com/gooseberryshed/gooseberryshed/link"
 	"github.com/gooseberryshed/gooseberryshed/placing"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
+	"github.com/gooseberryshed/gooseberryshed/retry"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 )
 
@@ -54,6 +55,12 @@
 	// request may be sent.
 	MaxGray  float64 `json:"g"`
 	Revision uint64  `json:"v"`
+	// Served is the rank of the request that a nested call serves. It is nil if that is
+	// not known.
+	Served *retry.Rank `json:"u,omitempty"`
+	// Use is the recent use of the service by the workspace through the sender. It is nil
+	// if there is none.
+	Use *recentUse `json:"x,omitempty"`
 	// Incarnation is set in an offer that is made again: that of the gate's process at
 	// the first offer. A later process does not know whether the request has run.
 	Incarnation int64 `json:"n,omitempty"`
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -215,14 +215,17 @@
 	it := &admission.Item{
 		Nested:    tk.f.Nested,
 		Priority:  tk.f.Priority,
+		Workspace: tk.f.Workspace,
 		Expected:  latency.Mean(),
 		Deadline:  tk.deadline,
 		Objective: softDeadline(tk.f, now),
 		MaxWait:   time.Duration(tk.f.MaxWaitMs) * time.Millisecond,
 		Value:     make(chan *wire.Refusal, 1),
 	}
+	t.recordTold(now, &tk.f)
 	g.updateRate(t, now)
 	verdict, dropped := t.queue.Offer(now, it)
+	g.logOverShare(t, tk, it, verdict, now)
 	for _, d := range dropped {
 		answerWaiting(d, g.busy(t, "requests with precedence leave too little time"))
 	}
@@ -302,6 +305,7 @@
 		t.grayProbedAt = now
 		g.log.Decide("gray-tried", "id", tk.f.Attempt, "target", t.id, "gray", p)
 	}
+	t.running.Add(tk.f.rank())
 	tk.started = now
 	tk.request = t.filter.Start(now, g.latency(tk.f))
 }
