--- a/admission/queue.go
+++ b/admission/queue.go
@@ -68,6 +68,7 @@
 // for concurrent use.
 type Queue struct {
 	slots    int
+	limit    int // of requests that run at once, at most the slots
 	running  int
 	rate     Rate
 	waiting  []*Item
@@ -105,9 +106,23 @@
 const maxNestedShare = 0.8
 
 // NewQueue returns an empty queue for a target with the given number of slots.
-func NewQueue(slots int) *Queue { return &Queue{slots: max(slots, 1), rate: unlimited} }
+func NewQueue(slots int) *Queue {
+	slots = max(slots, 1)
+	return &Queue{slots: slots, limit: slots, rate: unlimited}
+}
+
+// SetSlots sets the stated slots and removes a lower limit.
+func (q *Queue) SetSlots(slots int) {
+	q.slots = max(slots, 1)
+	q.limit = q.slots
+}
+
+// SetLimit sets the number of requests that may run at once, between 1 and the
+// slots. Requests that run beyond a lowered limit continue.
+func (q *Queue) SetLimit(limit int) { q.limit = min(max(limit, 1), q.slots) }
 
-func (q *Queue) SetSlots(slots int) { q.slots = max(slots, 1) }
+// Limit is the number of requests that may run at once.
+func (q *Queue) Limit() int { return q.limit }
 
 func (q *Queue) Slots() int { return q.slots }
 
@@ -115,7 +130,7 @@
 func (q *Queue) SetRate(r Rate) { q.rate = r }
 
 // canStart reports whether there is a free slot and room in the rate.
-func (q *Queue) canStart() bool { return q.running < q.slots && q.rate.Room != 0 }
+func (q *Queue) canStart() bool { return q.running < q.limit && q.rate.Room != 0 }
 
 // start takes a slot.
 func (q *Queue) start() {
@@ -196,7 +211,7 @@
 	if q.unservable(now, it, at) || it.meetsObjective(now) && !it.meetsObjective(now.Add(wait)) {
 		return TooLate, nil
 	}
-	if len(q.waiting) >= maxQueuePerSlot*q.slots {
+	if len(q.waiting) >= maxQueuePerSlot*q.limit {
 		if at == len(q.waiting) {
 			return QueueFull, nil
 		}
@@ -241,12 +256,12 @@
 // Future nested requests will overtake all others, for which only the remaining
 // slots count.
 func (q *Queue) expectedWaitAt(at int, nested bool) time.Duration {
-	hold, slots := q.allSlotTime.value, float64(q.slots)
+	hold, slots := q.allSlotTime.value, float64(q.limit)
 	if !nested && q.otherSlotTime.known {
 		hold = q.otherSlotTime.value
 		slots *= 1 - min(q.nestedShare(), maxNestedShare)
 	}
-	if q.running < q.slots {
+	if q.running < q.limit {
 		return q.rateWait(at)
 	}
 	return max(time.Duration(float64(at+1)*hold/slots*float64(time.Second)), q.rateWait(at))
@@ -284,7 +299,7 @@
 // Reserve takes a free slot for a request that does not come from the queue. It
 // returns false if there is none.
 func (q *Queue) Reserve() bool {
-	if q.running >= q.slots {
+	if q.running >= q.limit {
 		return false
 	}
 	q.running++
--- a/gray/duration.go
+++ b/gray/duration.go
@@ -63,6 +63,15 @@
 	return time.Duration(math.Exp(w.mu+s*s/2) * float64(time.Second))
 }
 
+// Typical is the geometric mean of the durations.
+func (w *DurationModel) Typical() time.Duration {
+	return time.Duration(math.Exp(w.mu) * float64(time.Second))
+}
+
+// Observations is the weight of the observed requests, without that of the initial
+// estimate.
+func (w *DurationModel) Observations() float64 { return w.weight - initialWeight }
+
 // Quantile is the duration within which the share q of requests ends.
 func (w *DurationModel) Quantile(q float64) time.Duration {
 	z := math.Sqrt2 * math.Erfinv(2*q-1)
--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -249,6 +249,7 @@
 		MaxGray:         terms.maxGray,
 		Revision:        e.revision(),
 		Fingerprint:     e.fingerprint,
+		UsualUs:         e.in.usual.get(t.Service, e.route.Name).Microseconds(),
 	}
 	e.in.log.Decide("offered", "id", f.Attempt, "target", t.ID, "host", t.Host, "near", c.Local, "doubtful", c.PathFailed, "max_wait_ms", f.MaxWaitMs, "max_gray", f.MaxGray,
 		"hedge", a.hedge, "time_left_ms", f.TimeLeftMs, "known_gray", c.Report.GrayProbability, "known_running", c.Report.Running,
@@ -353,6 +354,7 @@
 		return
 	}
 	a.e.in.states.recordSuccess(t.Host)
+	a.e.in.usual.observe(t.Service, a.e.route.Name, r.Report.Typical)
 	if r.Refusal == nil {
 		return
 	}
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -48,8 +49,11 @@
 	MaxWaitMs int64 `json:"q,omitempty"`
 	// MaxGray is the highest probability that the target is gray at which the
 	// request may be sent.
-	MaxGray  float64 `json:"g"`
-	Revision uint64  `json:"v"`
+	MaxGray float64 `json:"g"`
+	// UsualUs is the usual duration of the route at the service's targets in microseconds,
+	// or 0 if the sender does not know it.
+	UsualUs  int64  `json:"d,omitempty"`
+	Revision uint64 `json:"v"`
 	// Incarnation is set in an offer that is made again: that of the gate's process at
 	// the first offer. A later process does not know whether the request has run.
 	Incarnation int64 `json:"n,omitempty"`
@@ -79,7 +83,10 @@
 	WaitMs      int64   `json:"m,omitempty"`
 	Gray        float64 `json:"g"`
 	Cold        bool    `json:"c,omitempty"`
-	Resumes     bool    `json:"z,omitempty"`
+	// Slowness is 0 for 1, and TypicalUs a number of microseconds.
+	Slowness  float64 `json:"x,omitempty"`
+	TypicalUs int64   `json:"d,omitempty"`
+	Resumes   bool    `json:"z,omitempty"`
 }
 
 // wireRefusal is the encoding of a wire.Refusal between daemons.
@@ -101,6 +108,17 @@
 // grayScale rounds gray probabilities to three decimal places.
 const grayScale = 1000
 
+// slownessScale rounds the slowness to two decimal places.
+const slownessScale = 100
+
+// encodeSlowness returns the slowness for a report, in which 0 stands for 1.
+func encodeSlowness(slowness float64) float64 {
+	if rounded := math.Round(slowness*slownessScale) / slownessScale; rounded != 1 {
+		return rounded
+	}
+	return 0
+}
+
 func writeReport(h *fasthttp.ResponseHeader, r placing.Report) {
 	h.Set(headerReport, encodeHeader(wireReport{
 		Incarnation: r.Incarnation,
@@ -110,6 +128,8 @@
 		WaitMs:      r.ExpectedWait.Milliseconds(),
 		Gray:        float64(int(r.GrayProbability*grayScale)) / grayScale,
 		Cold:        r.Cold,
+		Slowness:    encodeSlowness(r.Slowness),
+		TypicalUs:   r.Typical.Microseconds(),
 		Resumes:     true,
 	}))
 }
@@ -120,7 +140,8 @@
 		return placing.Report{}
 	}
 	return placing.Report{ReceivedAt: now, Incarnation: w.Incarnation, Running: w.Running, Waiting: w.Waiting, Slots: w.Slots,
-		ExpectedWait: time.Duration(w.WaitMs) * time.Millisecond, GrayProbability: w.Gray, Cold: w.Cold, Resumes: w.Resumes}
+		ExpectedWait: time.Duration(w.WaitMs) * time.Millisecond, GrayProbability: w.Gray, Cold: w.Cold, Resumes: w.Resumes,
+		Slowness: w.Slowness, Typical: time.Duration(w.TypicalUs) * time.Microsecond}
 }
 
 // writeReply writes a gate's reply to another daemon.
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -141,6 +141,7 @@
 	}
 	reply := g.exchange(ctx, tk, req)
 	reply.Report = g.report()
+	reply.Report.Typical = g.typical(f)
 	return reply
 }
 
@@ -162,6 +163,9 @@
 	deadline time.Time
 	started  time.Time
 	request  *gray.Request
+	// inProgress is the number of requests in progress when this one was sent, itself
+	// included.
+	inProgress int
 	// retransmitted is set if the request was sent to the target a second time.
 	retransmitted bool
 }
@@ -259,7 +263,7 @@
 // must be held.
 func (g *Gate) busy(t *localTarget, why string) *wire.Refusal {
 	r := wire.Refuse(wire.ReasonBusy, "target %s: %s", t.id, why)
-	if t.queue.Running() < t.queue.Slots() {
+	if t.queue.Running() < t.queue.Limit() {
 		r = wire.Refuse(wire.ReasonTargetCold, "target %s has reached its cold-start rate limit: %s", t.id, why)
 	}
 	r.RetryAfter = t.queue.ExpectedWait()
@@ -275,7 +279,7 @@
 		t.grayProbedAt = now
 		g.log.Decide("gray-tried", "id", tk.f.Attempt, "target", t.id, "gray", p)
 	}
-	tk.started = now
+	tk.started, tk.inProgress = now, t.queue.Running()
 	tk.request = t.filter.Start(now, g.latency(tk.f))
 }
 
--- a/hostd/grants.go
+++ b/hostd/grants.go
@@ -31,7 +31,7 @@
 
 // probeDue reports whether the target is to be probed. g.mu must be held.
 func (g *Gate) probeDue(t *localTarget, now time.Time, bound int) bool {
-	return !g.stopping && !t.leaving && !t.cold(now) && t.queue.Running() < t.queue.Slots() &&
+	return !g.stopping && !t.leaving && !t.cold(now) && t.queue.Running() < t.queue.Limit() &&
 		t.startLimit.ProbeDue(now, bound, t.slowdown(now)) && t.filter.Probability(now) <= maxProbedGray
 }
 
@@ -61,7 +61,7 @@
 // if requests wait for that alone. g.mu must be held.
 func (g *Gate) scheduleGrants(t *localTarget, now time.Time) {
 	room, wait := g.updateRate(t, now)
-	if room != 0 || t.grantsScheduled || t.queue.Waiting() == 0 || t.queue.Running() >= t.queue.Slots() {
+	if room != 0 || t.grantsScheduled || t.queue.Waiting() == 0 || t.queue.Running() >= t.queue.Limit() {
 		return
 	}
 	t.grantsScheduled = true
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -56,6 +56,7 @@
 	log      *decisions.Log
 	metrics  *metrics.Registry
 	states   *gateStates
+	usual    *usualDurations
 
 	// quarantined reports whether a request is refused because it crashes
 	// targets.
@@ -91,6 +92,7 @@
 		log:          l,
 		metrics:      m,
 		states:       newGateStates(),
+		usual:        newUsualDurations(),
 		onCallFailed: callFailed,
 		quarantined:  func(uint64, time.Time) bool { return false },
 		refuseUnsent: make(chan struct{}),
--- a/hostd/roundtrip.go
+++ b/hostd/roundtrip.go
@@ -127,6 +127,7 @@
 	}
 	switch e.signal {
 	case signalGood:
+		g.observeSpeed(tk, now)
 		t.filter.RecordSuccess(now, tk.request)
 	case signalFailed, signalShed:
 		t.filter.RecordFailure(now, tk.request)
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -9,6 +9,7 @@
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/routes"
 	"github.com/gooseberryshed/gooseberryshed/slowstart"
+	"github.com/gooseberryshed/gooseberryshed/speed"
 )
 
 // localTarget is the state of this host's target at its gate. It is guarded by
@@ -35,6 +36,7 @@
 	queue      *admission.Queue
 	filter     *gray.Filter
 	startLimit *slowstart.Limiter
+	speed      *speed.Estimator
 	// grantsScheduled is set while a timer is due to grant slots.
 	grantsScheduled bool
 	// grayProbedAt is when a request was last sent to the target although it
@@ -83,6 +85,7 @@
 		address:    h.Address,
 		queue:      admission.NewQueue(h.Slots),
 		startLimit: &slowstart.Limiter{},
+		speed:      speed.NewEstimator(h.Slots),
 		filter:     gray.NewFilter(gray.Options{}),
 	}
 }
@@ -113,7 +116,9 @@
 // update applies the values that may change within an incarnation.
 func (t *localTarget) update(h karpithaz.Heartbeat, now time.Time) {
 	t.born, t.sequence = h.StartedAtMillis, h.Sequence
+	t.speed.SetSlots(h.Slots)
 	t.queue.SetSlots(h.Slots)
+	t.queue.SetLimit(t.speed.Limit())
 	t.leaving = t.leaving || h.Leaving
 	t.coldUntil = now.Add(h.ColdRemaining)
 	if h.ColdRemaining > 0 {
@@ -155,7 +160,8 @@
 		ReceivedAt:      now,
 		Running:         t.queue.Running(),
 		Waiting:         t.queue.Waiting(),
-		Slots:           t.queue.Slots(),
+		Slots:           t.queue.Limit(),
+		Slowness:        t.speed.Slowness(),
 		ExpectedWait:    t.queue.ExpectedWait(),
 		GrayProbability: t.filter.Probability(now),
 		Cold:            t.cold(now),
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -21,6 +22,12 @@
 	ExpectedWait time.Duration
 	// GrayProbability is the probability that the target is in a gray failure.
 	GrayProbability float64
+	// Slowness is the duration of requests at the target relative to the usual one. 0
+	// stands for 1, also in reports of versions that do not know it.
+	Slowness float64
+	// Typical is the typical duration of the request's route at the target, or 0 if it
+	// is not known.
+	Typical time.Duration
 	// Cold is set while the target is warming up and has little capacity.
 	Cold bool
 	// Resumes is set if the gate sends heartbeats while an attempt is in progress and
@@ -59,7 +66,7 @@
 	grayCostUnrepeatable = 1.0
 	grayCostRepeatable   = 0.6
 	// loadCost multiplies the square of the share of slots in use, because
-	// targets slow down when they are nearly full.
+	// targets slow down when they are nearly full, and the square root of the slowness.
 	loadCost = 0.2
 	// waitCost is the cost of a wait as long as the objective.
 	waitCost = 0.5
@@ -82,6 +89,8 @@
 	defaultLoad = 0.4
 	// loadFadeTime is the age at which a reported load no longer counts.
 	loadFadeTime = 1500 * time.Millisecond
+	// slownessFadeTime is the age at which a reported slowness counts for 1/e.
+	slownessFadeTime = 20 * time.Second
 )
 
 // Rand is a source of random numbers. *rand.Rand of math/rand/v2 implements it.
@@ -90,7 +99,7 @@
 // Cost returns the cost of a candidate for a request.
 func Cost(now time.Time, c Candidate, r Request) float64 {
 	grayProbability, load := estimate(now, c.Report)
-	cost := loadCost * min(load, 1) * min(load, 1)
+	cost := loadCost * min(load, 1) * min(load, 1) * loadFactor(now, c.Report)
 	cost += waitCost * waitInObjectives(now, c.Report, r.Objective)
 	if r.Repeatable {
 		cost += grayCostRepeatable * grayProbability
@@ -141,6 +150,21 @@
 	return gray.Decay(r.GrayProbability, age), defaultLoad + weight*(load-defaultLoad)
 }
 
+// slowness is the duration of requests at a target relative to the usual one. A report
+// that is old is given less weight, because the target may have been replaced.
+func slowness(now time.Time, r Report) float64 {
+	if r.Slowness <= 0 {
+		return 1
+	}
+	weight := math.Exp(-max(now.Sub(r.ReceivedAt).Seconds(), 0) / slownessFadeTime.Seconds())
+	return math.Pow(r.Slowness, weight)
+}
+
+// loadFactor multiplies the cost of load and the noise. It is the square root of the
+// slowness: the factor itself sends so many requests to the fastest targets that they
+// become the busiest (package documentation).
+func loadFactor(now time.Time, r Report) float64 { return math.Sqrt(slowness(now, r)) }
+
 // SortByCost sorts candidates by cost, lowest first.
 func SortByCost(now time.Time, cands []Candidate, r Request, rnd Rand) {
 	type scored struct {
@@ -149,7 +173,7 @@
 	}
 	list := make([]scored, len(cands))
 	for i, c := range cands {
-		list[i] = scored{c, Cost(now, c, r) + noise*rnd.Float64()}
+		list[i] = scored{c, Cost(now, c, r) + noise*loadFactor(now, c.Report)*rnd.Float64()}
 	}
 	slices.SortStableFunc(list, func(a, b scored) int { return cmp.Compare(a.cost, b.cost) })
 	for i := range list {
