placing, hostd: spill to another data centre by marginal cost

Cause: a search kept the eight cheapest of all candidates and split them by locality afterwards. Bytes between data centres cost money.

The price rises with the size of the body; downloads cost as much as before.

--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -102,11 +102,14 @@
 	if a.placementRequest().Repeatable {
 		moveStaleFirst(cands, time.Now())
 	}
-	local, remote := splitByLocality(cands[:min(len(cands), maxGatesTried)])
+	// Split before the cut: loaded local targets come after ten remote ones.
+	local, remote := splitByLocality(cands)
+	local = local[:min(len(local), maxGatesTried)]
 	first := offerTerms{maxGray: a.grayLimit()}
 	short := offerTerms{maxGray: a.grayLimit(), maxWait: a.shortWait()}
+	spilt := a.spill(local, remote)
 	remote = remote[:min(len(remote), maxRemoteGatesTried)]
-	return s.tryAll(ctx, local, first) || s.tryAll(ctx, local, short) || s.tryAll(ctx, remote, first)
+	return s.tryAll(ctx, spilt, first) || s.tryAll(ctx, local, first) || s.tryAll(ctx, local, short) || s.tryAll(ctx, remote, first)
 }
 
 // explorationInterval is the age of a local target's last report after which a
@@ -176,7 +179,8 @@
 }
 
 func (a *attempt) placementRequest() placing.Request {
-	return placing.Request{Repeatable: a.e.route.Kind.Repeatable(), Nested: a.e.nested, LargeResponse: a.e.route.Kind == routes.Download, Objective: a.e.route.Objective}
+	return placing.Request{Repeatable: a.e.route.Kind.Repeatable(), Nested: a.e.nested, LargeResponse: a.e.route.Kind == routes.Download,
+		BodyBytes: len(a.req.Body()), Objective: a.e.route.Objective}
 }
 
 // candidates returns the targets that may be chosen.
@@ -198,6 +202,7 @@
 		out = append(out, placing.Candidate{
 			Target:     t.ID,
 			Host:       t.Host,
+			DataCentre: t.DataCentre,
 			Local:      t.DataCentre == a.e.in.settings().DataCentre,
 			PathFailed: a.e.in.states.backingOff(t.Host, now),
 			Report:     a.e.in.states.get(t.ID),
@@ -354,6 +359,7 @@
 		return
 	}
 	a.e.in.states.recordSuccess(t.Host)
+	a.e.in.balances.observe(t, r.Report)
 	a.e.in.usual.observe(t.Service, a.e.route.Name, r.Report.Typical)
 	if r.Refusal == nil {
 		return
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -57,6 +57,7 @@
 	metrics  *metrics.Registry
 	states   *gateStates
 	usual    *usualDurations
+	balances *balances
 
 	// quarantined reports whether a request is refused because it crashes
 	// targets.
@@ -93,6 +94,7 @@
 		metrics:      m,
 		states:       newGateStates(),
 		usual:        newUsualDurations(),
+		balances:     newBalances(),
 		onCallFailed: callFailed,
 		quarantined:  func(uint64, time.Time) bool { return false },
 		refuseUnsent: make(chan struct{}),
--- a/placing/fleet_test.go
+++ b/placing/fleet_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/gooseberryshed/gooseberryshed/admission"
@@ -32,6 +33,10 @@
 	rate      float64 // of arrivals a second, over the fleet
 	swing     float64 // of the rate of a data centre, each in its own phase
 	learn     bool    // gates learn speed and limit
+	allLocal  bool    // no local candidate is left out
+	spill     bool    // ingresses spill to other data centres
+	// quiet is the share of its arrivals that a data centre other than the first has.
+	quiet float64
 	// lostReports is the share of reports that do not arrive.
 	lostReports float64
 	duration    time.Duration
@@ -75,6 +80,7 @@
 	dc      int
 	reports []placing.Report // by target
 	usual   [4]speed.Usual
+	balance placing.Balance
 }
 
 type request struct {
@@ -97,7 +103,7 @@
 	// latencies, late, refused and offers are those of requests that arrived after warmUp.
 	latencies     []time.Duration
 	late, refused int
-	offers        int
+	offers, spilt int
 }
 
 type event struct {
@@ -157,6 +163,10 @@
 	f.after(time.Duration(f.rnd.ExpFloat64()/peak*float64(time.Second)), func() {
 		in := f.ingresses[f.rnd.IntN(len(f.ingresses))]
 		phase := 2 * math.Pi * (f.now.Seconds()/demandPeriod.Seconds() + float64(in.dc)/float64(f.spec.dcs))
+		if in.dc != 0 && f.spec.quiet > 0 && f.rnd.Float64() >= f.spec.quiet {
+			f.scheduleArrival()
+			return
+		}
 		if f.rnd.Float64() < (1+f.spec.swing*math.Sin(phase))/(1+f.spec.swing) {
 			f.arrive(&request{at: f.now, in: in, route: f.rnd.IntN(len(routes))})
 		}
@@ -172,8 +182,22 @@
 		cands[i] = placing.Candidate{Target: t.name, Host: t.name, Local: t.dc == r.in.dc, Report: r.in.reports[i]}
 	}
 	placing.SortByCost(f.time(), cands, placing.Request{Repeatable: true, Objective: rt.objective}, f.rnd)
-	cands = cands[:min(len(cands), 8)]
+	if !f.spec.spill && !f.spec.allLocal {
+		cands = cands[:min(len(cands), 8)]
+	}
 	steps := f.search(cands, rt)
+	if f.spec.spill {
+		var remote []string
+		for dc := range f.spec.dcs {
+			if dc != r.in.dc {
+				remote = append(remote, strconv.Itoa(dc))
+			}
+		}
+		if to := r.in.balance.Choose(f.time(), strconv.Itoa(r.in.dc), remote, placing.Request{Objective: rt.objective}, f.rnd); to != "" {
+			f.countSpill(r)
+			steps = append(f.stepsIn(cands, to), steps...)
+		}
+	}
 	f.offer(r, steps, 0)
 }
 
@@ -209,6 +233,17 @@
 	return steps
 }
 
+// stepsIn returns the offers to the first two candidates in a data centre.
+func (f *fleet) stepsIn(cands []placing.Candidate, dc string) []step {
+	var steps []step
+	for _, c := range cands {
+		if len(steps) < 2 && strconv.Itoa(f.targets[f.index(c)].dc) == dc {
+			steps = append(steps, step{c: c})
+		}
+	}
+	return steps
+}
+
 func (f *fleet) index(c placing.Candidate) int {
 	return slices.IndexFunc(f.targets, func(t *target) bool { return t.name == c.Target })
 }
@@ -266,6 +301,7 @@
 		rep.Slowness = t.speed.Slowness()
 	}
 	r.in.reports[i] = rep
+	r.in.balance.Observe(f.time(), strconv.Itoa(t.dc), rep)
 	r.in.usual[r.route].Observe(t.typical[r.route].Duration())
 }
 
@@ -307,6 +343,12 @@
 
 func (f *fleet) counted(r *request) bool { return r.at >= warmUp }
 
+func (f *fleet) countSpill(r *request) {
+	if f.counted(r) {
+		f.spilt++
+	}
+}
+
 func (f *fleet) countRefused(r *request) {
 	if f.counted(r) {
 		f.refused++
@@ -321,6 +363,7 @@
 	p50, p95            time.Duration
 	lateShare, refused  float64
 	remoteShare         float64
+	spilt               float64
 }
 
 func (f *fleet) result() result {
@@ -338,6 +381,7 @@
 		p50: f.latencies[n/2].Round(time.Millisecond), p95: f.latencies[n*95/100].Round(time.Millisecond),
 		lateShare: float64(f.late) / float64(n), refused: float64(f.refused) / float64(n+f.refused),
 		remoteShare: float64(remote) / float64(n),
+		spilt:       float64(f.spilt) / float64(n),
 	}
 }
 
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -39,6 +39,8 @@
 type Candidate struct {
 	// Target is the target's ID; Host is the host that runs it.
 	Target, Host string
+	// DataCentre is that of the host.
+	DataCentre string
 	// Local is set for targets in the own data centre.
 	Local bool
 	// PathFailed is set if the path to the host failed recently.
@@ -55,6 +57,8 @@
 	// LargeResponse is set if the response is large, which makes traffic between
 	// data centres expensive.
 	LargeResponse bool
+	// BodyBytes is the size of the request's body.
+	BodyBytes int
 	// Objective is the latency objective.
 	Objective time.Duration
 }
@@ -76,6 +80,9 @@
 	// request, crossDCLargeCost for one with a large response.
 	crossDCCost      = 0.06
 	crossDCLargeCost = 0.6
+	// largeBodyBytes is the size of a body that costs as much as a large response:
+	// the mean size of uploads.
+	largeBodyBytes = 60_000
 	// pathFailureCost is the penalty for a path that failed recently.
 	pathFailureCost = 0.7
 	// coldCost is the penalty for a cold target.
@@ -112,12 +119,8 @@
 	} else {
 		cost += grayCostUnrepeatable * grayProbability
 	}
-	switch {
-	case c.Local:
-	case r.LargeResponse:
-		cost += crossDCLargeCost
-	default:
-		cost += crossDCCost
+	if !c.Local {
+		cost += distanceCost(r)
 	}
 	if c.PathFailed {
 		cost += pathFailureCost
@@ -128,6 +131,17 @@
 	return cost
 }
 
+// distanceCost is the price of sending a request to another data centre.
+func distanceCost(r Request) float64 {
+	if r.LargeResponse {
+		return crossDCLargeCost
+	}
+	return crossDCCost + (crossDCLargeCost-crossDCCost)*min(float64(r.BodyBytes)/largeBodyBytes, 1)
+}
+
+// typicalSize reports whether the request and its response have the usual size.
+func (r Request) typicalSize() bool { return !r.LargeResponse && r.BodyBytes < largeBodyBytes/16 }
+
 // waitInObjectives is the expected wait as a multiple of the objective, weighted
 // by the age of the report.
 func waitInObjectives(now time.Time, r Report, objective time.Duration) float64 {
--- a/placing/play_test.go
+++ b/placing/play_test.go
@@ -14,7 +14,7 @@
 	s := fleetSpec{dcs: dcs, ingresses: 40, rate: 90, duration: 60 * time.Second}
 	for i, x := range slowness {
 		t := targetSpec{dc: i % dcs, slots: 6, slowness: x, knee: 6}
-		if i%5 == 3 {
+		if i == 2 || i == 6 || i == 10 { // in different data centres
 			t.knee = 3
 		}
 		s.targets = append(s.targets, t)
@@ -44,10 +44,11 @@
 		sum.p95 += r.p95 / time.Duration(runs)
 		sum.lateShare += r.lateShare / float64(runs)
 		sum.refused += r.refused / float64(runs)
+		sum.spilt += r.spilt / float64(runs)
 		sum.remoteShare += r.remoteShare / float64(runs)
 	}
-	t.Logf("%s: busiest %.2f, most requests %.2f, p50 %v, p95 %v, late %.4f, refused %.4f, remote %.3f", what,
-		sum.busiest, sum.mostServed, sum.p50.Round(time.Millisecond), sum.p95.Round(time.Millisecond), sum.lateShare, sum.refused, sum.remoteShare)
+	t.Logf("%s: busiest %.2f, most requests %.2f, p50 %v, p95 %v, late %.4f, refused %.4f, remote %.3f, spilt %.3f", what,
+		sum.busiest, sum.mostServed, sum.p50.Round(time.Millisecond), sum.p95.Round(time.Millisecond), sum.lateShare, sum.refused, sum.remoteShare, sum.spilt)
 	return sum
 }
 
@@ -90,3 +91,25 @@
 	assert.Assert(t, after.lateShare <= 1.05*before.lateShare)
 	assert.Assert(t, after.refused <= before.refused+0.0005)
 }
+
+// Guards against callers of a data centre with too much demand waiting, or getting
+// later answers, while other data centres have room, and against traffic between
+// data centres that does not serve this. Before, the eight cheapest of all
+// candidates were tried, of which loaded local targets were none.
+func TestSpill(t *testing.T) {
+	for _, rate := range []float64{130, 280} {
+		s := unevenFleet(5)
+		s.rate, s.swing, s.learn = rate, 0.55, true
+		if rate > 200 {
+			s.quiet, s.swing = 0.3, 0
+		}
+		before := meanResult(t, "before", 8, s)
+		s.allLocal = true
+		meanResult(t, "no spill", 8, s)
+		s.spill = true
+		after := meanResult(t, "after", 8, s)
+		assert.Assert(t, after.remoteShare <= 0.6*before.remoteShare)
+		assert.Assert(t, after.lateShare <= 1.05*before.lateShare)
+		assert.Assert(t, after.refused <= before.refused+0.0005)
+	}
+}
