hostload, placing, hostd, h1: a host short of processor or link takes a smaller part

Cause: hosts have 0.16 to 0.8 of a core and links of 10 to 200 Mbit/s. A gate on a host that is held back delays every request, and its report shows free slots.

Change: package hostload derives a shortage from 0 to 1 from the lateness of a timer (five times a second) and from the share of time in which answers of 32 KiB and more to other daemons are blocked in writing (new hook h1.Options.OnSent; answers to callers do not count, as callers may read slowly). The gate's report carries it in one field, which is left out when 0; placing.Cost adds up to the cost of a full target, fading in three seconds. Processor time against the share that the process may use is not measured: the settings do not state the share. The target's own processes use it as well.

The thresholds are derived from the period of 100 ms after which a share is renewed; they have not been tried on a host with such a share.

--- a/h1/conn.go
+++ b/h1/conn.go
@@ -285,10 +285,14 @@
 	if x.Request.Header.IsHead() {
 		x.Response.SkipBody = true
 	}
+	started := time.Now()
 	if c.send(x) != nil {
 		c.Conn.Close()
 		return
 	}
+	if c.s.opts.OnSent != nil {
+		c.s.opts.OnSent(len(x.Response.Body()), time.Since(started))
+	}
 	if closing {
 		c.closeWrite()
 	}
--- a/h1/server.go
+++ b/h1/server.go
@@ -95,6 +95,9 @@
 	// Stopping reports whether the server is stopping; responses then close
 	// their connections.
 	Stopping func() bool
+	// OnSent, if not nil, is called after each response with the size of its body and the
+	// time that writing it took.
+	OnSent func(bodyBytes int, took time.Duration)
 }
 
 // Server is an HTTP/1.1 server; use New to create one.
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -86,6 +86,7 @@
 	// Slowness is 0 for 1, and TypicalUs a number of microseconds.
 	Slowness  float64 `json:"x,omitempty"`
 	TypicalUs int64   `json:"d,omitempty"`
+	Shortage  float64 `json:"h,omitempty"`
 	Resumes   bool    `json:"z,omitempty"`
 }
 
@@ -130,6 +131,7 @@
 		Cold:        r.Cold,
 		Slowness:    encodeSlowness(r.Slowness),
 		TypicalUs:   r.Typical.Microseconds(),
+		Shortage:    r.Shortage,
 		Resumes:     true,
 	}))
 }
@@ -141,7 +143,7 @@
 	}
 	return placing.Report{ReceivedAt: now, Incarnation: w.Incarnation, Running: w.Running, Waiting: w.Waiting, Slots: w.Slots,
 		ExpectedWait: time.Duration(w.WaitMs) * time.Millisecond, GrayProbability: w.Gray, Cold: w.Cold, Resumes: w.Resumes,
-		Slowness: w.Slowness, Typical: time.Duration(w.TypicalUs) * time.Microsecond}
+		Slowness: w.Slowness, Shortage: w.Shortage, Typical: time.Duration(w.TypicalUs) * time.Microsecond}
 }
 
 // writeReply writes a gate's reply to another daemon.
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -27,10 +27,12 @@
 	// onDeath is called with the fingerprints of the requests in flight when
 	// the target has died.
 	onDeath func(ctx context.Context, target string, incarnation int64, fingerprints []uint64)
-	log     *decisions.Log
-	metrics *metrics.Registry
-	links   *link.Pool
-	answers *byteBudget
+	// shortage returns the shortage of the host's processor or link.
+	shortage func() float64
+	log      *decisions.Log
+	metrics  *metrics.Registry
+	links    *link.Pool
+	answers  *byteBudget
 	// incarnation distinguishes this gate process from earlier ones on the
 	// host.
 	incarnation int64
@@ -66,6 +68,7 @@
 		view:        view,
 		publish:     publish,
 		onDeath:     func(context.Context, string, int64, []uint64) {},
+		shortage:    func() float64 { return 0 },
 		log:         l,
 		metrics:     m,
 		incarnation: time.Now().UnixNano(),
@@ -152,7 +155,7 @@
 		return placing.Report{Incarnation: g.incarnation}
 	}
 	r := g.target.report(time.Now())
-	r.Incarnation = g.incarnation
+	r.Incarnation, r.Shortage = g.incarnation, g.shortage()
 	return r
 }
 
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -55,6 +55,7 @@
 	ingress *Ingress
 	limiter *fleetLimiter
 	crashes *crashTracker
+	load    *hostLoad
 	// withdrawals withdraws attempts at the gates of all hosts.
 	withdrawals *withdrawals
 	datagrams   *datagramConn
@@ -103,6 +104,8 @@
 	h.ingress = NewIngress(h.current.Load, h.control, h, h.limiter, h.gate.RecordCallFailure, h.log, h.metrics)
 	h.crashes = newCrashTracker(o.Settings.Host, h.control.View, conn.query, h.log)
 	h.gate.onDeath = h.crashes.reportDeath
+	h.load = &hostLoad{log: h.log, metrics: h.metrics}
+	h.gate.shortage = h.load.shortage
 	h.ingress.quarantined = h.crashes.quarantined
 	if err := h.open(o); err != nil {
 		h.close()
@@ -115,7 +118,7 @@
 	s := &h.servers
 	bodies := newRequestBudget(int64(h.settings.MemoryBytes))
 	s.callers = h1.New(h1.Options{Handler: h.ingress.Handle, ErrorHandler: h.rejectCaller, Limits: h.callerLimits, Stopping: h.stopping, Bodies: bodies})
-	s.gates = h1.New(h1.Options{Handler: h.handleForward, ErrorHandler: h.rejectForward, Limits: h.gateLimits, Stopping: h.stopping, Bodies: bodies})
+	s.gates = h1.New(h1.Options{Handler: h.handleForward, ErrorHandler: h.rejectForward, Limits: h.gateLimits, Stopping: h.stopping, Bodies: bodies, OnSent: h.load.sent})
 	s.announcements = h1.New(h1.Options{Handler: h.gate.handleAnnouncement})
 	s.ready = h1.New(h1.Options{Handler: h.handleReady})
 	s.metrics = h1.New(h1.Options{Handler: h.handleMetrics})
@@ -189,6 +192,7 @@
 		{Name: "own-row", Run: h.control.RunOwnRow},
 		{Name: "datagrams", Run: h.datagrams.run},
 		{Name: "sweep", Run: h.runSweep},
+		{Name: "host-load", Run: h.load.run},
 		{Name: "own-row-watch", Run: h.runOwnRowWatch},
 	}, h.servers.children...)
 	failed := make(chan error, 1)
--- a/placing/fleet_test.go
+++ b/placing/fleet_test.go
@@ -23,6 +23,10 @@
 	// slowness multiplies durations; beyond knee requests in progress they grow in proportion.
 	slowness float64
 	knee     int
+	// delay is what the host adds to each request, for lack of processor, and shortage
+	// what its reports say.
+	delay    time.Duration
+	shortage float64
 }
 
 // fleetSpec describes a simulated fleet and its load.
@@ -32,9 +36,11 @@
 	ingresses int
 	rate      float64 // of arrivals a second, over the fleet
 	swing     float64 // of the rate of a data centre, each in its own phase
-	learn     bool    // gates learn speed and limit
-	allLocal  bool    // no local candidate is left out
-	spill     bool    // ingresses spill to other data centres
+	// tellShortage is set if gates tell the shortage of their hosts.
+	tellShortage bool
+	learn        bool // gates learn speed and limit
+	allLocal     bool // no local candidate is left out
+	spill        bool // ingresses spill to other data centres
 	// quiet is the share of its arrivals that a data centre other than the first has.
 	quiet float64
 	// lostReports is the share of reports that do not arrive.
@@ -106,32 +112,6 @@
 	offers, spilt int
 }
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
-func (f *fleet) after(d time.Duration, do func()) {
-	f.seq++
-	heap.Push(&f.events, event{f.now + d, f.seq, do})
-}
-
 func (f *fleet) time() time.Time { return time.Unix(1_700_000_000, 0).Add(f.now) }
 
 func play(spec fleetSpec) *fleet {
@@ -297,6 +277,9 @@
 	}
 	t := f.targets[i]
 	rep := placing.Report{ReceivedAt: f.time(), Running: t.queue.Running(), Waiting: t.queue.Waiting(), Slots: t.queue.Limit(), ExpectedWait: t.queue.ExpectedWait(), GrayProbability: 0.1}
+	if f.spec.tellShortage {
+		rep.Shortage = t.shortage
+	}
 	if f.spec.learn {
 		rep.Slowness = t.speed.Slowness()
 	}
@@ -318,6 +301,12 @@
 			t.remote++
 		}
 	}
+	f.after(t.delay, func() { f.finish(i, r, took) })
+}
+
+// finish runs a request at its target.
+func (f *fleet) finish(i int, r *request, took time.Duration) {
+	t := f.targets[i]
 	f.after(took, func() {
 		t.typical[r.route].Observe(took)
 		if f.spec.learn {
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -28,6 +28,8 @@
 	// Typical is the typical duration of the request's route at the target, or 0 if it
 	// is not known.
 	Typical time.Duration
+	// Shortage is that of the host's processor or link, from 0 to 1 (package hostload).
+	Shortage float64
 	// Cold is set while the target is warming up and has little capacity.
 	Cold bool
 	// Resumes is set if the gate sends heartbeats while an attempt is in progress and
@@ -85,6 +87,9 @@
 	largeBodyBytes = 60_000
 	// pathFailureCost is the penalty for a path that failed recently.
 	pathFailureCost = 0.7
+	// shortageCost multiplies the shortage of the host. A host without processor time
+	// is as costly as a full target.
+	shortageCost = 0.2
 	// coldCost is the penalty for a cold target.
 	coldCost = 0.3
 	// explorationBonus attracts retriable requests to targets without a recent
@@ -98,6 +103,8 @@
 	loadFadeTime = 1500 * time.Millisecond
 	// slownessFadeTime is the age at which a reported slowness counts for 1/e.
 	slownessFadeTime = 20 * time.Second
+	// shortageFadeTime is the same for a shortage, which lasts for seconds.
+	shortageFadeTime = 3 * time.Second
 )
 
 // Rand is a source of random numbers. *rand.Rand of math/rand/v2 implements it.
@@ -125,6 +132,7 @@
 	if c.PathFailed {
 		cost += pathFailureCost
 	}
+	cost += shortageCost * shortage(now, c.Report)
 	if c.Report.Cold {
 		cost += coldCost
 	}
@@ -174,6 +182,11 @@
 	return math.Pow(r.Slowness, weight)
 }
 
+// shortage is the shortage of a target's host, weighted by the age of the report.
+func shortage(now time.Time, r Report) float64 {
+	return r.Shortage * math.Exp(-max(now.Sub(r.ReceivedAt).Seconds(), 0)/shortageFadeTime.Seconds())
+}
+
 // loadFactor multiplies the cost of load and the noise. It is the square root of the
 // slowness: the factor itself sends so many requests to the fastest targets that they
 // become the busiest (package documentation).
--- a/placing/play_test.go
+++ b/placing/play_test.go
@@ -113,3 +113,18 @@
 		assert.Assert(t, after.refused <= before.refused+0.0005)
 	}
 }
+
+// Guards against hosts without processor time taking the same part as others.
+func TestShortHosts(t *testing.T) {
+	s := evenFleet(1)
+	for i := range 3 {
+		s.targets[i].delay, s.targets[i].shortage = 120*time.Millisecond, 0.6
+	}
+	s.learn, s.allLocal = true, true
+	before := meanResult(t, "before", 8, s)
+	s.tellShortage = true
+	after := meanResult(t, "after", 8, s)
+	assert.Assert(t, after.lateShare < 0.9*before.lateShare)
+	assert.Assert(t, after.p50 < before.p50)
+	assert.Assert(t, after.refused <= before.refused+0.0005)
+}
