admission, hostd: keep urgent overdue requests after a restart of the fleet

Cause: a request that misses its objective is refused if the one ahead of it can still meet its own, or if its wait would make it late, so that it goes to another target. After a restart of most hosts all gates do so at once: the most urgent requests, which have waited for the fleet, are refused while less urgent ones are served.

Change: for 3 s after its first target is known, a gate keeps such a request as long as its deadline allows, if less urgent requests are offered to the same gate. With equal ranks nothing changes (TestReturnWithEqualRanksIsAsBefore).

The ramp itself is that of package slowstart, unchanged.

--- a/admission/doc.go
+++ b/admission/doc.go
@@ -14,9 +14,10 @@
 // or if waiting would make it miss its objective. A request that has already
 // missed its objective may wait as long as no request ahead of it can still meet
 // its own. Expected waits take into account the slots that nested requests
-// usually use, because future nested requests overtake all others. Where a limit
-// on the rate of starts is reached (package slowstart), requests are queued as
-// they are for a slot.
+// usually use, because future nested requests overtake all others. While a gate has
+// just started, as after a restart of the whole fleet, a request that misses its
+// objective is kept if less urgent ones are offered. Where a limit on the rate of starts is
+// reached (package slowstart), requests are queued as they are for a slot.
 //
 // Alternatives, compared with the simulated load of internal/measure and on days
 // of heavy load: with a FIFO queue, the queue is always full and every request
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -67,12 +67,16 @@
 // Queue manages the slots of one target and the queue for them. It is not safe
 // for concurrent use.
 type Queue struct {
-	slots    int
-	limit    int // of requests that run at once, at most the slots
-	running  int
-	rate     Rate
-	waiting  []*Item
-	arrivals uint64
+	slots   int
+	limit   int // of requests that run at once, at most the slots
+	running int
+	rate    Rate
+	// returning is set while the gate has just started (SetReturning).
+	returning bool
+	// leastUrgent is the highest Priority offered so far.
+	leastUrgent int
+	waiting     []*Item
+	arrivals    uint64
 	// otherSlotTime is the mean time for which a request that is not nested
 	// holds a slot.
 	otherSlotTime mean
@@ -126,6 +130,15 @@
 
 func (q *Queue) Slots() int { return q.slots }
 
+// SetReturning sets whether the gate has just started. Then many requests have waited
+// for it and have missed their objectives, and other gates have probably just
+// started too. A request that misses its objective is then kept while less urgent ones
+// are served.
+func (q *Queue) SetReturning(returning bool) { q.returning = returning }
+
+// keepsOverdue reports whether an item is kept although it misses its objective.
+func (q *Queue) keepsOverdue(it *Item) bool { return q.returning && it.Priority < q.leastUrgent }
+
 // SetRate sets the state of the rate limit. Each start reduces its room.
 func (q *Queue) SetRate(r Rate) { q.rate = r }
 
@@ -195,6 +208,7 @@
 func (q *Queue) Offer(now time.Time, it *Item) (v Decision, dropped []*Item) {
 	q.arrivals++
 	it.arrival = q.arrivals
+	q.leastUrgent = max(q.leastUrgent, it.Priority)
 	if q.canStart() && len(q.waiting) == 0 {
 		q.start()
 		return Admitted, nil
@@ -208,7 +222,7 @@
 	if wait > it.MaxWait {
 		return NoSlot, nil
 	}
-	if q.unservable(now, it, at) || it.meetsObjective(now) && !it.meetsObjective(now.Add(wait)) {
+	if q.unservable(now, it, at) || !q.keepsOverdue(it) && it.meetsObjective(now) && !it.meetsObjective(now.Add(wait)) {
 		return TooLate, nil
 	}
 	if len(q.waiting) >= maxQueuePerSlot*q.limit {
@@ -230,7 +244,7 @@
 	if now.Add(q.expectedWaitAt(at, it.Nested) + it.Expected).After(it.Deadline) {
 		return true
 	}
-	if at == 0 || it.meetsObjective(now) {
+	if q.keepsOverdue(it) || at == 0 || it.meetsObjective(now) {
 		return false
 	}
 	ahead := q.waiting[at-1]
--- a/hostd/grants.go
+++ b/hostd/grants.go
@@ -22,6 +22,7 @@
 		t.queue.Reserve()
 		go g.probeWarmth(t, now)
 	}
+	t.queue.SetReturning(now.Before(t.returningUntil))
 	return t.updateRate(now, bound)
 }
 
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -96,6 +96,11 @@
 	}
 }
 
+// returnTime is how long after the first target is known a gate counts as just started.
+// After a restart of the whole fleet the requests that have waited arrive in this time.
+// In plays five seconds served no more of the most urgent requests than three.
+const returnTime = 3 * time.Second
+
 // startIncarnation registers a new incarnation of the target. g.mu must be
 // held.
 func (g *Gate) startIncarnation(h karpithaz.Heartbeat, now time.Time) {
@@ -104,6 +109,8 @@
 	if old != nil {
 		// What was sent in the last second may have reached this incarnation.
 		g.target.startLimit = old.startLimit
+	} else {
+		g.target.returningUntil = now.Add(returnTime)
 	}
 	g.target.startLimit.Restarted(now)
 	g.target.firstSeen = now
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -37,6 +37,8 @@
 	filter     *gray.Filter
 	startLimit *slowstart.Limiter
 	speed      *speed.Estimator
+	// returningUntil is until when the gate counts as just started.
+	returningUntil time.Time
 	// grantsScheduled is set while a timer is due to grant slots.
 	grantsScheduled bool
 	// grayProbedAt is when a request was last sent to the target although it
