speed, placing, hostd: tell the mean load of a target

Cause: an ingress hears of one target every few seconds, and the load in a report counts for 1.5 s. So most choices are made at the default load, by chance, and a slow target or one that has had more than its part stays the busiest.

Change: gates tell the mean share of the limit in use over five seconds (one report field, speed.Load). placing.Cost takes it instead of the default load when the report of the present load has faded. A gate tells none in its first five seconds, so that a new target does not seem idle to all ingresses at once.

--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -87,6 +87,7 @@
 	Slowness  float64 `json:"x,omitempty"`
 	TypicalUs int64   `json:"d,omitempty"`
 	Shortage  float64 `json:"h,omitempty"`
+	MeanLoad  float64 `json:"e,omitempty"`
 	Resumes   bool    `json:"z,omitempty"`
 }
 
@@ -109,12 +110,14 @@
 // grayScale rounds gray probabilities to three decimal places.
 const grayScale = 1000
 
-// slownessScale rounds the slowness to two decimal places.
+// slownessScale rounds the slowness and the mean load to two decimal places.
 const slownessScale = 100
 
+func roundHundredth(x float64) float64 { return math.Round(x*slownessScale) / slownessScale }
+
 // encodeSlowness returns the slowness for a report, in which 0 stands for 1.
 func encodeSlowness(slowness float64) float64 {
-	if rounded := math.Round(slowness*slownessScale) / slownessScale; rounded != 1 {
+	if rounded := roundHundredth(slowness); rounded != 1 {
 		return rounded
 	}
 	return 0
@@ -132,6 +135,7 @@
 		Slowness:    encodeSlowness(r.Slowness),
 		TypicalUs:   r.Typical.Microseconds(),
 		Shortage:    r.Shortage,
+		MeanLoad:    roundHundredth(r.MeanLoad),
 		Resumes:     true,
 	}))
 }
@@ -143,7 +147,7 @@
 	}
 	return placing.Report{ReceivedAt: now, Incarnation: w.Incarnation, Running: w.Running, Waiting: w.Waiting, Slots: w.Slots,
 		ExpectedWait: time.Duration(w.WaitMs) * time.Millisecond, GrayProbability: w.Gray, Cold: w.Cold, Resumes: w.Resumes,
-		Slowness: w.Slowness, Shortage: w.Shortage, Typical: time.Duration(w.TypicalUs) * time.Microsecond}
+		Slowness: w.Slowness, Shortage: w.Shortage, MeanLoad: w.MeanLoad, Typical: time.Duration(w.TypicalUs) * time.Microsecond}
 }
 
 // writeReply writes a gate's reply to another daemon.
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -206,6 +206,7 @@
 	}
 	g.updateRate(t, now)
 	verdict, dropped := t.queue.Offer(now, it)
+	t.observeLoad(now)
 	for _, d := range dropped {
 		answerWaiting(d, g.busy(t, "requests with precedence leave too little time"))
 	}
--- a/hostd/grants.go
+++ b/hostd/grants.go
@@ -90,5 +90,6 @@
 			break
 		}
 	}
+	t.observeLoad(now)
 	g.scheduleGrants(t, now)
 }
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -37,6 +37,7 @@
 	filter     *gray.Filter
 	startLimit *slowstart.Limiter
 	speed      *speed.Estimator
+	load       speed.Load
 	// returningUntil is until when the gate counts as just started.
 	returningUntil time.Time
 	// grantsScheduled is set while a timer is due to grant slots.
@@ -142,6 +143,11 @@
 	return room, wait
 }
 
+// observeLoad records the present load.
+func (t *localTarget) observeLoad(now time.Time) {
+	t.load.Observe(now, float64(t.queue.Running()+t.queue.Waiting())/float64(t.queue.Limit()))
+}
+
 func (t *localTarget) cold(now time.Time) bool { return now.Before(t.coldUntil) }
 
 // coldLimit returns how many requests a second the target may receive while it
@@ -164,6 +170,7 @@
 		Waiting:         t.queue.Waiting(),
 		Slots:           t.queue.Limit(),
 		Slowness:        t.speed.Slowness(),
+		MeanLoad:        t.load.Mean(now),
 		ExpectedWait:    t.queue.ExpectedWait(),
 		GrayProbability: t.filter.Probability(now),
 		Cold:            t.cold(now),
--- a/placing/doc.go
+++ b/placing/doc.go
@@ -9,7 +9,8 @@
 // expected delay from its load and its speed (package speed), of the price of its
 // distance, and of a penalty for a path that failed recently. Candidates are tried in order of cost plus a
 // little random noise. The report on a target is as old as the last response
-// from its gate, so its weight decays with age. The gate makes the final
+// from its gate, so its weight decays with age to that of the mean load over some
+// seconds, which the gate tells as well. The gate makes the final
 // decision; a refusal costs one round trip within the data centre.
 //
 // The slowness of a target multiplies the cost of its load, and the noise, by its
--- a/placing/fleet_test.go
+++ b/placing/fleet_test.go
@@ -38,6 +38,7 @@
 	swing     float64 // of the rate of a data centre, each in its own phase
 	// tellShortage is set if gates tell the shortage of their hosts.
 	tellShortage bool
+	meanLoad     bool // gates tell the mean load
 	learn        bool // gates learn speed and limit
 	allLocal     bool // no local candidate is left out
 	spill        bool // ingresses spill to other data centres
@@ -76,6 +77,7 @@
 	queue   *admission.Queue
 	speed   *speed.Estimator
 	typical [4]speed.Usual // by route
+	load    speed.Load
 	// served, busy and remote count requests, slot time, and requests of other data
 	// centres, all after warmUp.
 	served, remote int
@@ -106,10 +108,10 @@
 	seq       int
 	targets   []*target
 	ingresses []*ingress
-	// latencies, late, refused and offers are those of requests that arrived after warmUp.
+	// latencies, late, refused and spilt are those of requests that arrived after warmUp.
 	latencies     []time.Duration
 	late, refused int
-	offers, spilt int
+	spilt         int
 }
 
 func (f *fleet) time() time.Time { return time.Unix(1_700_000_000, 0).Add(f.now) }
@@ -184,7 +186,6 @@
 type step struct {
 	c    placing.Candidate
 	wait time.Duration
-	last bool
 }
 
 // search returns the offers in the order of hostd's attempt.search and tryLastResort.
@@ -208,7 +209,7 @@
 		steps = append(steps, step{c: c})
 	}
 	for _, c := range cands[:min(len(cands), 2)] {
-		steps = append(steps, step{c: c, wait: 2 * rt.objective, last: true})
+		steps = append(steps, step{c: c, wait: 2 * rt.objective})
 	}
 	return steps
 }
@@ -246,14 +247,12 @@
 		f.offer(r, steps, at+1)
 		return
 	}
-	if f.counted(r) {
-		f.offers++
-	}
 	f.after(delay/2, func() {
 		t := f.targets[i]
 		it := &admission.Item{Expected: routes[r.route].usual, Deadline: f.time().Add(4 * routes[r.route].objective), MaxWait: s.wait}
 		it.Value = func() { f.run(i, r) }
 		v, dropped := t.queue.Offer(f.time(), it)
+		t.observeLoad(f.time())
 		for range dropped {
 			f.countRefused(r)
 		}
@@ -280,6 +279,9 @@
 	if f.spec.tellShortage {
 		rep.Shortage = t.shortage
 	}
+	if f.spec.meanLoad {
+		rep.MeanLoad = t.load.Mean(f.time())
+	}
 	if f.spec.learn {
 		rep.Slowness = t.speed.Slowness()
 	}
@@ -315,6 +317,7 @@
 		}
 		t.queue.Complete(took, false)
 		run, late := t.queue.Next(f.time())
+		t.observeLoad(f.time())
 		for _, it := range run {
 			it.Value.(func())()
 		}
@@ -381,3 +384,7 @@
 	}
 	return slices.Max(xs) * float64(len(xs)) / sum
 }
+
+func (t *target) observeLoad(now time.Time) {
+	t.load.Observe(now, float64(t.queue.Running()+t.queue.Waiting())/float64(t.queue.Limit()))
+}
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -25,6 +25,9 @@
 	// Slowness is the duration of requests at the target relative to the usual one. 0
 	// stands for 1, also in reports of versions that do not know it.
 	Slowness float64
+	// MeanLoad is the mean share of its limit that the target has used in the last
+	// seconds, or 0 if it is not known.
+	MeanLoad float64
 	// Typical is the typical duration of the request's route at the target, or 0 if it
 	// is not known.
 	Typical time.Duration
@@ -97,11 +100,13 @@
 	explorationBonus = 0.15
 	// noise spreads requests over targets of equal cost.
 	noise = 0.04
-	// defaultLoad is the load assumed for a target without a report.
+	// defaultLoad is the load assumed for a target without a report, and for one whose
+	// report is old and without a mean load.
 	defaultLoad = 0.4
 	// loadFadeTime is the age at which a reported load no longer counts.
 	loadFadeTime = 1500 * time.Millisecond
-	// slownessFadeTime is the age at which a reported slowness counts for 1/e.
+	// slownessFadeTime is the age at which a reported slowness or mean load counts for
+	// 1/e. An ingress hears of one target every few seconds.
 	slownessFadeTime = 20 * time.Second
 	// shortageFadeTime is the same for a shortage, which lasts for seconds.
 	shortageFadeTime = 3 * time.Second
@@ -169,7 +174,11 @@
 	age := now.Sub(r.ReceivedAt)
 	load = float64(r.Running+r.Waiting) / float64(r.Slots)
 	weight := max(0, 1-age.Seconds()/loadFadeTime.Seconds())
-	return gray.Decay(r.GrayProbability, age), defaultLoad + weight*(load-defaultLoad)
+	usual := defaultLoad
+	if r.MeanLoad > 0 {
+		usual += math.Exp(-max(age.Seconds(), 0)/slownessFadeTime.Seconds()) * (min(r.MeanLoad, 1) - defaultLoad)
+	}
+	return gray.Decay(r.GrayProbability, age), usual + weight*(load-usual)
 }
 
 // slowness is the duration of requests at a target relative to the usual one. A report
--- a/placing/play_test.go
+++ b/placing/play_test.go
@@ -128,3 +128,21 @@
 	assert.Assert(t, after.p50 < before.p50)
 	assert.Assert(t, after.refused <= before.refused+0.0005)
 }
+
+// Guards against targets that become the busiest because an ingress hears of each of them
+// only every few seconds, by when a report of the load at one moment says nothing.
+func TestMeanLoad(t *testing.T) {
+	for _, c := range []struct {
+		what  string
+		s     fleetSpec
+		share float64 // of the excess over the mean that may remain
+	}{{"even", evenFleet(1), 0.5}, {"uneven", unevenFleet(1), 0.85}, {"five data centres", unevenFleet(5), 1.05}} {
+		c.s.learn, c.s.spill = true, true
+		before := meanResult(t, c.what+", before", 8, c.s)
+		c.s.meanLoad = true
+		after := meanResult(t, c.what+", after", 8, c.s)
+		assert.Assert(t, after.busiest-1 <= c.share*(before.busiest-1))
+		assert.Assert(t, after.lateShare <= 1.1*before.lateShare)
+		assert.Assert(t, after.refused <= before.refused+0.0005)
+	}
+}
--- a/speed/doc.go
+++ b/speed/doc.go
@@ -22,6 +22,9 @@
 // limit is raised by one for a trial now and then; a trial that fails doubles
 // the time until the next.
 //
+// Load is the mean load of the target. An ingress hears of one target every few
+// seconds; after that time the mean still tells a busy target from an idle one.
+//
 // Durations of a target that is cold or probably gray must not be observed:
 // packages slowstart and gray answer those.
 //
--- a/speed/estimator_test.go
+++ b/speed/estimator_test.go
@@ -210,3 +210,18 @@
 		e.Observe(start.Add(time.Duration(i)*100*time.Millisecond), speed.Sample{InProgress: 1 + i%8, Took: usual * time.Duration(1+i%3), Usual: usual, Warm: true})
 	}
 }
+
+func TestLoad(t *testing.T) {
+	var l speed.Load
+	assert.Equal(t, l.Mean(start), 0.0)
+	assert.Equal(t, l.Mean(start.Add(time.Second)), 0.0)
+	l = speed.Load{}
+	for i := range 3000 { // a target that is full for a third of the time
+		l.Observe(start.Add(time.Duration(i)*10*time.Millisecond), float64(((i/10)%3)/2))
+	}
+	mean := l.Mean(start.Add(30 * time.Second))
+	assert.Assert(t, math.Abs(mean-1.0/3) < 0.03, "%v", mean)
+	l.Observe(start.Add(30*time.Second), 0)
+	assert.Equal(t, l.Mean(start.Add(60*time.Second)), 0.01)
+	assert.Equal(t, l.Mean(start.Add(50*time.Second)), 0.01) // time may go back
+}
