--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -108,7 +108,7 @@
 	first := offerTerms{maxGray: a.grayLimit()}
 	short := offerTerms{maxGray: a.grayLimit(), maxWait: a.shortWait()}
 	spilt := a.spill(local, remote)
-	remote = remote[:min(len(remote), maxRemoteGatesTried)]
+	remote = remote[:min(len(remote), maxRemoteGatesTried-len(spilt))]
 	return s.tryAll(ctx, spilt, first) || s.tryAll(ctx, local, first) || s.tryAll(ctx, local, short) || s.tryAll(ctx, remote, first)
 }
 
--- a/hostd/spill.go
+++ b/hostd/spill.go
@@ -48,7 +48,8 @@
 }
 
 // maxSpillGatesTried is how many gates of another data centre are asked before those of
-// the own one. They are expected to have room.
+// the own one. They are expected to have room, and
+// they count towards maxRemoteGatesTried.
 const maxSpillGatesTried = 2
 
 // spill returns the candidates of another data centre that the request is offered to
