--- a/admission/doc.go
+++ b/admission/doc.go
@@ -15,9 +15,10 @@
 // or if waiting would make it miss its objective. A request that has already
 // missed its objective may wait as long as no request ahead of it can still meet
 // its own. Expected waits take into account the slots that nested requests
-// usually use, because future nested requests overtake all others. Where a limit
-// on the rate of starts is reached (package slowstart), requests are queued as
-// they are for a slot.
+// usually use, because future nested requests overtake all others. While a gate has
+// just started, as after a restart of the whole fleet, a request that misses its
+// objective is kept if less urgent ones are offered. Where a limit on the rate of starts is
+// reached (package slowstart), requests are queued as they are for a slot.
 //
 // Workspaces: in a busy hour most of the capacity would go to the workspace that sends
 // most. Of the workspaces in the queue those that used more than the mean come later, by
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -78,11 +78,16 @@
 // Queue manages the slots of one target and the queue for them. It is not safe
 // for concurrent use.
 type Queue struct {
-	slots    int
-	running  int
-	rate     Rate
-	waiting  []*Item
-	arrivals uint64
+	slots   int
+	limit   int // of requests that run at once, at most the slots
+	running int
+	rate    Rate
+	// returning is set while the gate has just started (SetReturning).
+	returning bool
+	// leastUrgent is the highest Priority offered so far.
+	leastUrgent int
+	waiting     []*Item
+	arrivals    uint64
 	// otherSlotTime is the mean time for which a request that is not nested
 	// holds a slot.
 	otherSlotTime mean
@@ -118,18 +123,39 @@
 
 // NewQueue returns an empty queue for a target with the given number of slots.
 func NewQueue(slots int) *Queue {
-	return &Queue{slots: max(slots, 1), rate: unlimited, usage: fairqueue.NewUsage()}
+	slots = max(slots, 1)
+	return &Queue{slots: slots, limit: slots, rate: unlimited, usage: fairqueue.NewUsage()}
 }
 
-func (q *Queue) SetSlots(slots int) { q.slots = max(slots, 1) }
+// SetSlots sets the stated slots and removes a lower limit.
+func (q *Queue) SetSlots(slots int) {
+	q.slots = max(slots, 1)
+	q.limit = q.slots
+}
+
+// SetLimit sets the number of requests that may run at once, between 1 and the
+// slots. Requests that run beyond a lowered limit continue.
+func (q *Queue) SetLimit(limit int) { q.limit = min(max(limit, 1), q.slots) }
+
+// Limit is the number of requests that may run at once.
+func (q *Queue) Limit() int { return q.limit }
 
 func (q *Queue) Slots() int { return q.slots }
 
+// SetReturning sets whether the gate has just started. Then many requests have waited
+// for it and have missed their objectives, and other gates have probably just
+// started too. A request that misses its objective is then kept while less urgent ones
+// are served.
+func (q *Queue) SetReturning(returning bool) { q.returning = returning }
+
+// keepsOverdue reports whether an item is kept although it misses its objective.
+func (q *Queue) keepsOverdue(it *Item) bool { return q.returning && it.Priority < q.leastUrgent }
+
 // SetRate sets the state of the rate limit. Each start reduces its room.
 func (q *Queue) SetRate(r Rate) { q.rate = r }
 
 // canStart reports whether there is a free slot and room in the rate.
-func (q *Queue) canStart() bool { return q.running < q.slots && q.rate.Room != 0 }
+func (q *Queue) canStart() bool { return q.running < q.limit && q.rate.Room != 0 }
 
 // start takes a slot.
 func (q *Queue) start() {
@@ -198,6 +224,7 @@
 func (q *Queue) Offer(now time.Time, it *Item) (v Decision, dropped []*Item) {
 	q.arrivals++
 	it.arrival = q.arrivals
+	q.leastUrgent = max(q.leastUrgent, it.Priority)
 	if q.canStart() && len(q.waiting) == 0 {
 		q.start()
 		return Admitted, nil
@@ -211,10 +238,10 @@
 	if wait > it.MaxWait {
 		return NoSlot, nil
 	}
-	if q.unservable(now, it, at) || it.meetsObjective(now) && !it.meetsObjective(now.Add(wait)) {
+	if q.unservable(now, it, at) || !q.keepsOverdue(it) && it.meetsObjective(now) && !it.meetsObjective(now.Add(wait)) {
 		return TooLate, nil
 	}
-	if len(q.waiting) >= maxQueuePerSlot*q.slots {
+	if len(q.waiting) >= maxQueuePerSlot*q.limit {
 		if at == len(q.waiting) {
 			return QueueFull, nil
 		}
@@ -233,7 +260,7 @@
 	if now.Add(q.expectedWaitAt(at, it.Nested) + it.Expected).After(it.Deadline) {
 		return true
 	}
-	if at == 0 || it.meetsObjective(now) {
+	if q.keepsOverdue(it) || at == 0 || it.meetsObjective(now) {
 		return false
 	}
 	ahead := q.waiting[at-1]
@@ -259,12 +286,12 @@
 // Future nested requests will overtake all others, for which only the remaining
 // slots count.
 func (q *Queue) expectedWaitAt(at int, nested bool) time.Duration {
-	hold, slots := q.allSlotTime.value, float64(q.slots)
+	hold, slots := q.allSlotTime.value, float64(q.limit)
 	if !nested && q.otherSlotTime.known {
 		hold = q.otherSlotTime.value
 		slots *= 1 - min(q.nestedShare(), maxNestedShare)
 	}
-	if q.running < q.slots {
+	if q.running < q.limit {
 		return q.rateWait(at)
 	}
 	return max(time.Duration(float64(at+1)*hold/slots*float64(time.Second)), q.rateWait(at))
@@ -302,7 +329,7 @@
 // Reserve takes a free slot for a request that does not come from the queue. It
 // returns false if there is none.
 func (q *Queue) Reserve() bool {
-	if q.running >= q.slots {
+	if q.running >= q.limit {
 		return false
 	}
 	q.running++
--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -102,11 +102,14 @@
 	if a.placementRequest().Repeatable {
 		moveStaleFirst(cands, time.Now())
 	}
-	local, remote := splitByLocality(cands[:min(len(cands), maxGatesTried)])
+	// Split before the cut: loaded local targets come after ten remote ones.
+	local, remote := splitByLocality(cands)
+	local = local[:min(len(local), maxGatesTried)]
 	first := offerTerms{maxGray: a.grayLimit()}
 	short := offerTerms{maxGray: a.grayLimit(), maxWait: a.shortWait()}
-	remote = remote[:min(len(remote), maxRemoteGatesTried)]
-	return s.tryAll(ctx, local, first) || s.tryAll(ctx, local, short) || s.tryAll(ctx, remote, first)
+	spilt := a.spill(local, remote)
+	remote = remote[:min(len(remote), maxRemoteGatesTried-len(spilt))]
+	return s.tryAll(ctx, spilt, first) || s.tryAll(ctx, local, first) || s.tryAll(ctx, local, short) || s.tryAll(ctx, remote, first)
 }
 
 // explorationInterval is the age of a local target's last report after which a
@@ -176,7 +179,8 @@
 }
 
 func (a *attempt) placementRequest() placing.Request {
-	return placing.Request{Repeatable: a.e.route.Kind.Repeatable(), Nested: a.e.nested, LargeResponse: a.e.route.Kind == routes.Download, Objective: a.e.route.Objective}
+	return placing.Request{Repeatable: a.e.route.Kind.Repeatable(), Nested: a.e.nested, LargeResponse: a.e.route.Kind == routes.Download,
+		BodyBytes: len(a.req.Body()), Objective: a.e.route.Objective}
 }
 
 // candidates returns the targets that may be chosen.
@@ -198,6 +202,7 @@
 		out = append(out, placing.Candidate{
 			Target:     t.ID,
 			Host:       t.Host,
+			DataCentre: t.DataCentre,
 			Local:      t.DataCentre == a.e.in.settings().DataCentre,
 			PathFailed: a.e.in.states.backingOff(t.Host, now),
 			Report:     a.e.in.states.get(t.ID),
@@ -251,6 +256,7 @@
 		MaxGray:         terms.maxGray,
 		Revision:        e.revision(),
 		Fingerprint:     e.fingerprint,
+		UsualUs:         e.in.usual.get(t.Service, e.route.Name).Microseconds(),
 	}
 	e.in.log.Decide("offered", "id", f.Attempt, "target", t.ID, "host", t.Host, "near", c.Local, "doubtful", c.PathFailed, "max_wait_ms", f.MaxWaitMs, "max_gray", f.MaxGray,
 		"hedge", a.hedge, "time_left_ms", f.TimeLeftMs, "known_gray", c.Report.GrayProbability, "known_running", c.Report.Running,
@@ -360,6 +366,8 @@
 		return
 	}
 	a.e.in.states.recordSuccess(t.Host)
+	a.e.in.balances.observe(t, r.Report)
+	a.e.in.usual.observe(t.Service, a.e.route.Name, r.Report.Typical)
 	if r.Refusal == nil {
 		return
 	}
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -53,8 +54,11 @@
 	MaxWaitMs int64 `json:"q,omitempty"`
 	// MaxGray is the highest probability that the target is gray at which the
 	// request may be sent.
-	MaxGray  float64 `json:"g"`
-	Revision uint64  `json:"v"`
+	MaxGray float64 `json:"g"`
+	// UsualUs is the usual duration of the route at the service's targets in microseconds,
+	// or 0 if the sender does not know it.
+	UsualUs  int64  `json:"d,omitempty"`
+	Revision uint64 `json:"v"`
 	// Served is the rank of the request that a nested call serves. It is nil if that is
 	// not known.
 	Served *retry.Rank `json:"u,omitempty"`
@@ -93,7 +97,12 @@
 	WaitMs      int64   `json:"m,omitempty"`
 	Gray        float64 `json:"g"`
 	Cold        bool    `json:"c,omitempty"`
-	Resumes     bool    `json:"z,omitempty"`
+	// Slowness is 0 for 1, and TypicalUs a number of microseconds.
+	Slowness  float64 `json:"x,omitempty"`
+	TypicalUs int64   `json:"d,omitempty"`
+	Shortage  float64 `json:"h,omitempty"`
+	MeanLoad  float64 `json:"e,omitempty"`
+	Resumes   bool    `json:"z,omitempty"`
 }
 
 // wireRefusal is the encoding of a wire.Refusal between daemons.
@@ -121,6 +130,19 @@
 // grayScale rounds gray probabilities to three decimal places.
 const grayScale = 1000
 
+// slownessScale rounds the slowness and the mean load to two decimal places.
+const slownessScale = 100
+
+func roundHundredth(x float64) float64 { return math.Round(x*slownessScale) / slownessScale }
+
+// encodeSlowness returns the slowness for a report, in which 0 stands for 1.
+func encodeSlowness(slowness float64) float64 {
+	if rounded := roundHundredth(slowness); rounded != 1 {
+		return rounded
+	}
+	return 0
+}
+
 func writeReport(h *fasthttp.ResponseHeader, r placing.Report) {
 	h.Set(headerReport, encodeHeader(wireReport{
 		Incarnation: r.Incarnation,
@@ -130,6 +152,10 @@
 		WaitMs:      r.ExpectedWait.Milliseconds(),
 		Gray:        float64(int(r.GrayProbability*grayScale)) / grayScale,
 		Cold:        r.Cold,
+		Slowness:    encodeSlowness(r.Slowness),
+		TypicalUs:   r.Typical.Microseconds(),
+		Shortage:    r.Shortage,
+		MeanLoad:    roundHundredth(r.MeanLoad),
 		Resumes:     true,
 	}))
 }
@@ -140,7 +166,8 @@
 		return placing.Report{}
 	}
 	return placing.Report{ReceivedAt: now, Incarnation: w.Incarnation, Running: w.Running, Waiting: w.Waiting, Slots: w.Slots,
-		ExpectedWait: time.Duration(w.WaitMs) * time.Millisecond, GrayProbability: w.Gray, Cold: w.Cold, Resumes: w.Resumes}
+		ExpectedWait: time.Duration(w.WaitMs) * time.Millisecond, GrayProbability: w.Gray, Cold: w.Cold, Resumes: w.Resumes,
+		Slowness: w.Slowness, Shortage: w.Shortage, MeanLoad: w.MeanLoad, Typical: time.Duration(w.TypicalUs) * time.Microsecond}
 }
 
 // writeReply writes a gate's reply to another daemon.
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -28,10 +28,12 @@
 	// onDeath is called with the fingerprints of the requests in flight when
 	// the target has died.
 	onDeath func(ctx context.Context, target string, incarnation int64, fingerprints []uint64)
-	log     *decisions.Log
-	metrics *metrics.Registry
-	links   *link.Pool
-	answers *byteBudget
+	// shortage returns the shortage of the host's processor or link.
+	shortage func() float64
+	log      *decisions.Log
+	metrics  *metrics.Registry
+	links    *link.Pool
+	answers  *byteBudget
 	// incarnation distinguishes this gate process from earlier ones on the
 	// host.
 	incarnation int64
@@ -72,6 +74,7 @@
 		view:        view,
 		publish:     publish,
 		onDeath:     func(context.Context, string, int64, []uint64) {},
+		shortage:    func() float64 { return 0 },
 		log:         l,
 		metrics:     m,
 		incarnation: incarnation,
@@ -157,6 +160,7 @@
 	}
 	reply := g.exchange(ctx, tk, req)
 	reply.Report = g.report()
+	reply.Report.Typical = g.typical(f)
 	return reply
 }
 
@@ -175,7 +179,7 @@
 		return placing.Report{Incarnation: g.incarnation}
 	}
 	r := g.target.report(time.Now())
-	r.Incarnation = g.incarnation
+	r.Incarnation, r.Shortage = g.incarnation, g.shortage()
 	return r
 }
 
@@ -186,6 +190,9 @@
 	deadline time.Time
 	started  time.Time
 	request  *gray.Request
+	// inProgress is the number of requests in progress when this one was sent, itself
+	// included.
+	inProgress int
 	// retransmitted is set if the request was sent to the target a second time.
 	retransmitted bool
 }
@@ -226,6 +233,7 @@
 	g.updateRate(t, now)
 	verdict, dropped := t.queue.Offer(now, it)
 	g.logOverShare(t, tk, it, verdict, now)
+	t.observeLoad(now)
 	for _, d := range dropped {
 		answerWaiting(d, g.busy(t, "requests with precedence leave too little time"))
 	}
@@ -289,7 +297,7 @@
 // must be held.
 func (g *Gate) busy(t *localTarget, why string) *wire.Refusal {
 	r := wire.Refuse(wire.ReasonBusy, "target %s: %s", t.id, why)
-	if t.queue.Running() < t.queue.Slots() {
+	if t.queue.Running() < t.queue.Limit() {
 		r = wire.Refuse(wire.ReasonTargetCold, "target %s has reached its cold-start rate limit: %s", t.id, why)
 	}
 	r.RetryAfter = t.queue.ExpectedWait()
@@ -306,7 +314,7 @@
 		g.log.Decide("gray-tried", "id", tk.f.Attempt, "target", t.id, "gray", p)
 	}
 	t.running.Add(tk.f.rank())
-	tk.started = now
+	tk.started, tk.inProgress = now, t.queue.Running()
 	tk.request = t.filter.Start(now, g.latency(tk.f))
 }
 
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -57,6 +57,8 @@
 	log      *decisions.Log
 	metrics  *metrics.Registry
 	states   *gateStates
+	usual    *usualDurations
+	balances *balances
 
 	// quarantined reports whether a request is refused because it crashes
 	// targets.
@@ -96,6 +98,8 @@
 		log:          l,
 		metrics:      m,
 		states:       newGateStates(),
+		usual:        newUsualDurations(),
+		balances:     newBalances(),
 		onCallFailed: callFailed,
 		quarantined:  func(uint64, time.Time) bool { return false },
 		refuseUnsent: make(chan struct{}),
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -10,6 +10,7 @@
 	"github.com/gooseberryshed/gooseberryshed/retry"
 	"github.com/gooseberryshed/gooseberryshed/routes"
 	"github.com/gooseberryshed/gooseberryshed/slowstart"
+	"github.com/gooseberryshed/gooseberryshed/speed"
 )
 
 // localTarget is the state of this host's target at its gate. It is guarded by
@@ -36,6 +37,10 @@
 	queue      *admission.Queue
 	filter     *gray.Filter
 	startLimit *slowstart.Limiter
+	speed      *speed.Estimator
+	load       speed.Load
+	// returningUntil is until when the gate counts as just started.
+	returningUntil time.Time
 	// grantsScheduled is set while a timer is due to grant slots.
 	grantsScheduled bool
 	// grayProbedAt is when a request was last sent to the target although it
@@ -86,6 +91,7 @@
 		address:    h.Address,
 		queue:      admission.NewQueue(h.Slots),
 		startLimit: &slowstart.Limiter{},
+		speed:      speed.NewEstimator(h.Slots),
 		filter:     gray.NewFilter(gray.Options{}),
 	}
 }
@@ -116,7 +122,9 @@
 // update applies the values that may change within an incarnation.
 func (t *localTarget) update(h karpithaz.Heartbeat, now time.Time) {
 	t.born, t.sequence = h.StartedAtMillis, h.Sequence
+	t.speed.SetSlots(h.Slots)
 	t.queue.SetSlots(h.Slots)
+	t.queue.SetLimit(t.speed.Limit())
 	t.leaving = t.leaving || h.Leaving
 	t.coldUntil = now.Add(h.ColdRemaining)
 	if h.ColdRemaining > 0 {
@@ -138,6 +146,11 @@
 	return room, wait
 }
 
+// observeLoad records the present load.
+func (t *localTarget) observeLoad(now time.Time) {
+	t.load.Observe(now, float64(t.queue.Running()+t.queue.Waiting())/float64(t.queue.Limit()))
+}
+
 func (t *localTarget) cold(now time.Time) bool { return now.Before(t.coldUntil) }
 
 // coldLimit returns how many requests a second the target may receive while it
@@ -158,7 +171,9 @@
 		ReceivedAt:      now,
 		Running:         t.queue.Running(),
 		Waiting:         t.queue.Waiting(),
-		Slots:           t.queue.Slots(),
+		Slots:           t.queue.Limit(),
+		Slowness:        t.speed.Slowness(),
+		MeanLoad:        t.load.Mean(now),
 		ExpectedWait:    t.queue.ExpectedWait(),
 		GrayProbability: t.filter.Probability(now),
 		Cold:            t.cold(now),
