memory, bodybuf, h1, hostd: one account of memory for a process

Cause: bodies up to 32 KiB, headers, connections and answers that a caller had not read yet were in no budget; buffers that double took up to three times what was counted; connections were not bounded. Change: package memory counts all of them in one account that the servers of callers and gates share. When a claim does not fit, the slowest senders and readers are closed, or the claim is refused: a body with 503, as it has not run. Package bodybuf takes memory before it allocates it. A body and a response have a minimum rate besides a time. An answer waits up to 1.5 s for memory, as the target has run the request.

--- a/h1/body_test.go
+++ b/h1/body_test.go
@@ -7,32 +7,14 @@
 	"fmt"
 	"io"
 	"net"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
-)
-
-// testBudget is a Budget that records its maximum.
-type testBudget struct {
-	limit      int64
-	used, peak atomic.Int64
-}
-
-func (b *testBudget) Take(n int64) bool {
-	used := b.used.Add(n)
-	if used > b.limit {
-		b.used.Add(-n)
-		return false
-	}
-	for p := b.peak.Load(); used > p && !b.peak.CompareAndSwap(p, used); p = b.peak.Load() {
-	}
-	return true
-}
 
-func (b *testBudget) Release(n int64) { b.used.Add(-n) }
+	"github.com/gooseberryshed/gooseberryshed/memory"
+)
 
 // upload sends a request with a body of n bytes and returns the status of the response.
 func upload(addr string, n int, chunked bool) (int, error) {
@@ -69,10 +51,11 @@
 	const large = 4 << 20
 	for _, chunked := range []bool{false, true} {
 		t.Run(fmt.Sprintf("chunked %t", chunked), func(t *testing.T) {
-			budget := &testBudget{limit: 2 * large}
+			// What is above memory.SmallBytes finds room for two bodies, and their overhead.
+			account := memory.NewAccount(memory.Limits{Bytes: 2*large + 2<<20, LargeBytes: 2*large + 1<<20, Connections: 100})
 			block := make(chan struct{})
-			s := New(Options{Bodies: budget, Handler: func(_ context.Context, x *Exchange) {
-				if len(x.Request.Body()) > smallBodyBytes {
+			s := New(Options{Memory: account, Handler: func(_ context.Context, x *Exchange) {
+				if len(x.Request.Body()) > memory.SmallBytes {
 					<-block
 				}
 			}})
@@ -95,7 +78,7 @@
 				assert.Equal(t, <-statuses, fasthttp.StatusServiceUnavailable)
 				refused++
 			}
-			status, err := upload(l.Addr().String(), smallBodyBytes, chunked)
+			status, err := upload(l.Addr().String(), memory.SmallBytes, chunked)
 			assert.NilError(t, err)
 			assert.Equal(t, status, 200, "a small body has its place")
 			close(block)
@@ -104,9 +87,9 @@
 					assert.Equal(t, status, 200)
 				}
 			}
-			assert.Assert(t, budget.peak.Load() <= budget.limit)
-			for end := time.Now().Add(2 * time.Second); budget.used.Load() != 0; time.Sleep(time.Millisecond) {
-				assert.Assert(t, time.Now().Before(end), "%d bytes stay taken", budget.used.Load())
+			assert.Assert(t, account.Stats().Peak <= 2*large+2<<20)
+			for end := time.Now().Add(2 * time.Second); account.Stats().Used != 0; time.Sleep(time.Millisecond) {
+				assert.Assert(t, time.Now().Before(end), "%d bytes stay taken", account.Stats().Used)
 			}
 		})
 	}
@@ -114,8 +97,8 @@
 
 // A body whose sender leaves gives its memory back.
 func TestBodyOfASenderThatLeavesIsReleased(t *testing.T) {
-	budget := &testBudget{limit: 1 << 30}
-	s := New(Options{Bodies: budget, Handler: func(context.Context, *Exchange) {}})
+	account := memory.NewAccount(memory.Limits{Bytes: 1 << 30, LargeBytes: 1 << 30, Connections: 100})
+	s := New(Options{Memory: account, Handler: func(context.Context, *Exchange) {}})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	go s.Serve(l) //nolint:errcheck // ends with the listener
@@ -125,12 +108,12 @@
 		assert.NilError(t, err)
 		_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\n"+head+string(make([]byte, 200_000)))
 		assert.NilError(t, err)
-		for end := time.Now().Add(2 * time.Second); budget.used.Load() == 0; time.Sleep(time.Millisecond) {
+		for end := time.Now().Add(2 * time.Second); account.Stats().Used < 100_000; time.Sleep(time.Millisecond) {
 			assert.Assert(t, time.Now().Before(end), "nothing is taken")
 		}
 		conn.Close()
-		for end := time.Now().Add(2 * time.Second); budget.used.Load() != 0; time.Sleep(time.Millisecond) {
-			assert.Assert(t, time.Now().Before(end), "%d bytes stay taken", budget.used.Load())
+		for end := time.Now().Add(2 * time.Second); account.Stats().Used != 0; time.Sleep(time.Millisecond) {
+			assert.Assert(t, time.Now().Before(end), "%d bytes stay taken", account.Stats().Used)
 		}
 	}
 }
--- a/h1/conn.go
+++ b/h1/conn.go
@@ -12,13 +12,17 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/gooseberryshed/gooseberryshed/bodybuf"
+	"github.com/gooseberryshed/gooseberryshed/memory"
 )
 
 const (
 	// maxPipelined limits the number of active requests on one connection; the
 	// reader blocks at the limit.
 	maxPipelined = 32
-	// writeTimeout limits the time to write one response to a slow peer.
+	// writeTimeout limits the time in which a peer that reads nothing is waited for. What
+	// it reads gives it more time, see Limits.MinRate.
 	writeTimeout = 30 * time.Second
 	// lingerTime and lingerBytes limit the data that is read and discarded after
 	// the last response on a connection, which may also be the rest of a body within
@@ -53,10 +57,13 @@
 	handlers sync.WaitGroup
 
 	acceptedAt time.Time
-	// metered is the exchange whose body is being read in chunks, and meterErr is set
-	// if it has exhausted the budget of bodies.
-	metered  *Exchange
-	meterErr error
+	// peer is the connection in the server's account of memory, of which it takes cost.
+	peer *memory.Peer
+	cost int64
+	// body is the pace of the body that is being read while bodyMoving is set, and answer
+	// that of the response that is being written, guarded by writeMu.
+	body, answer pace
+	bodyMoving   bool
 
 	mu sync.Mutex
 	// served is set when the first request has been accepted, and reading while a
@@ -73,21 +80,36 @@
 	bw      *bufio.Writer
 }
 
+// newConn returns a connection, or nil if there is no memory for it.
 func newConn(s *Server, nc net.Conn) *conn {
 	limits := s.opts.Limits().withDefaults()
 	c := &conn{
+		cost:       int64(limits.HeaderBytes) + memory.ConnectionBytes,
 		Conn:       nc,
 		s:          s,
 		limits:     limits,
-		bw:         bufio.NewWriterSize(nc, writeBufferBytes),
 		slots:      make(chan struct{}, maxPipelined),
 		acceptedAt: time.Now(),
 		idleSince:  time.Now(),
 	}
-	c.br = bufio.NewReaderSize(meteredReader{c}, limits.HeaderBytes)
+	peer, victims, err := s.opts.Memory.Connect(time.Now(), c.cost, c.evict)
+	memory.CloseAll(victims)
+	if err != nil {
+		return nil
+	}
+	c.peer = peer
+	c.br = bufio.NewReaderSize(pacedReader{c}, limits.HeaderBytes)
+	c.bw = bufio.NewWriterSize(pacedWriter{c}, writeBufferBytes)
 	return c
 }
 
+// evict closes the connection to make room for others.
+func (c *conn) evict() {
+	held, rate := c.peer.Closed()
+	c.s.opts.Evicted(c.Conn.RemoteAddr().String(), held, rate)
+	c.Conn.Close()
+}
+
 // unsettled reports whether a request is expected or unanswered, or the peer may
 // not have read the last response yet.
 func (c *conn) unsettled(now time.Time) bool {
@@ -109,6 +131,7 @@
 // serve reads requests until the stream ends and runs each in a goroutine.
 func (c *conn) serve() {
 	ctx, cancel := context.WithCancel(context.Background())
+	defer c.peer.Disconnect(c.cost)
 	defer c.s.remove(c)
 	defer c.Conn.Close()
 	defer c.handlers.Wait()
@@ -116,15 +139,15 @@
 	previous := make(chan struct{})
 	close(previous)
 	for c.awaitRequest() {
-		x := &Exchange{ReceivedAt: time.Now(), conn: c}
+		x := &Exchange{ReceivedAt: time.Now(), conn: c, lease: c.peer.Lease()}
 		c.setReading(true)
 		status, err := c.read(x)
 		if err != nil && status == 0 {
-			c.releaseBody(x)
+			x.release()
 			return
 		}
 		if !c.begin() {
-			c.releaseBody(x)
+			x.release()
 			time.Sleep(lateRequestDelay)
 			return
 		}
@@ -182,6 +205,7 @@
 // or 0 if no response can be sent.
 func (c *conn) read(x *Exchange) (status int, err error) {
 	c.limits = c.s.opts.Limits().withDefaults()
+	x.limits = c.limits
 	if err := c.Conn.SetReadDeadline(time.Now().Add(c.limits.HeaderTimeout)); err != nil {
 		return 0, err
 	}
@@ -194,6 +218,10 @@
 	if err := c.Conn.SetReadDeadline(time.Now().Add(c.limits.IdleTimeout)); err != nil {
 		return 0, err
 	}
+	c.peer.Served()
+	if err := c.takeHeader(x); err != nil {
+		return statusOf(err), err
+	}
 	if x.Request.MayContinue() {
 		if err := c.write([]byte(continueResponse)); err != nil {
 			return 0, err
@@ -228,7 +256,7 @@
 		return fasthttp.StatusServiceUnavailable
 	case errors.As(err, &small):
 		return fasthttp.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, bodybuf.ErrTooLarge):
 		return fasthttp.StatusRequestEntityTooLarge
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, os.ErrDeadlineExceeded):
 		return 0
@@ -260,7 +288,7 @@
 	defer close(answered)
 	defer func() { <-c.slots }()
 	defer c.s.active.Add(-1)
-	defer c.releaseBody(x)
+	defer x.release()
 	if c.s.opts.Stopping() {
 		// A response must wait for the previous one, which may not be ready
 		// before the server stops. A request that has not been passed to the
@@ -310,9 +338,10 @@
 func (c *conn) send(x *Exchange) error {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
+	now := time.Now()
+	c.peer.Begin(now)
+	defer c.peer.End()
+	c.answer = pace{begun: now, grace: min(x.limits.IdleTimeout, writeTimeout), rate: x.limits.MinRate}
 	if err := x.Response.Write(c.bw); err != nil {
 		return err
 	}
--- a/h1/server.go
+++ b/h1/server.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/gooseberryshed/gooseberryshed/memory"
 )
 
 // Limits restricts the size and duration of peers' requests.
@@ -21,9 +25,12 @@
 	// HeaderTimeout limits the time from the first byte of a request to the end
 	// of its header.
 	HeaderTimeout time.Duration
-	// IdleTimeout limits the time between a response and the next request, and
-	// the time to read a body.
+	// IdleTimeout limits the time between a response and the next request, and the
+	// time to read a body or write a response, to which MinRate adds.
 	IdleTimeout time.Duration
+	// MinRate is the rate in bytes a second at which bytes of a body or a response that
+	// have been moved add to the time for the rest.
+	MinRate int
 }
 
 // Defaults for Limits.
@@ -32,6 +39,8 @@
 	DefaultBodyBytes     = 16 << 20
 	DefaultHeaderTimeout = 10 * time.Second
 	DefaultIdleTimeout   = 60 * time.Second
+	// DefaultMinRate is an eightieth of the slowest link of a host, 10 Mbit/s.
+	DefaultMinRate = 16 << 10
 )
 
 func (l Limits) withDefaults() Limits {
@@ -47,22 +56,12 @@
 	if l.IdleTimeout <= 0 {
 		l.IdleTimeout = DefaultIdleTimeout
 	}
+	if l.MinRate <= 0 {
+		l.MinRate = DefaultMinRate
+	}
 	return l
 }
 
-// Budget is an amount of memory in bytes.
-type Budget interface {
-	// Take reserves n bytes. It returns false if they are not available.
-	Take(n int64) bool
-	// Release returns n bytes.
-	Release(n int64)
-}
-
-type unlimited struct{}
-
-func (unlimited) Take(int64) bool { return true }
-func (unlimited) Release(int64)   {}
-
 // Exchange is a request and its response.
 type Exchange struct {
 	Request  fasthttp.Request
@@ -70,9 +69,10 @@
 	// ReceivedAt is the time at which the first byte of the request was read.
 	ReceivedAt time.Time
 	conn       *conn
-	// bodyBytes is the size of the request's body as far as it has been read or
-	// announced.
-	bodyBytes int64
+	limits     Limits
+	// lease is the memory of the request, and held that of the response.
+	lease *memory.Lease
+	held  []*memory.Lease
 }
 
 // SendInterim sends an interim response with a status below 200. It must not be used
@@ -84,11 +84,14 @@
 	// Handler serves a request by setting x.Response. ctx is canceled when the
 	// peer disconnects.
 	Handler func(ctx context.Context, x *Exchange)
-	// Bodies bounds the bytes of all bodies over 32 KiB that are being read or handled;
+	// Memory bounds connections, requests and responses together; servers may share it.
 	// nil means that only Limits bound them.
-	Bodies Budget
+	Memory *memory.Account
+	// Evicted is called before a connection is closed to make room for others, with the
+	// bytes that it holds and its rate in bytes a second.
+	Evicted func(remote string, held int64, rate float64)
 	// ErrorHandler sets the response to a request that could not be read; status
-	// is 400, 413, 431, or 503 if Bodies is exhausted.
+	// is 400, 413, 431, or 503 if Memory is exhausted.
 	ErrorHandler func(x *Exchange, status int, err error)
 	// Limits is called for each request; nil means the defaults.
 	Limits func() Limits
@@ -111,8 +114,11 @@
 	if o.Limits == nil {
 		o.Limits = func() Limits { return Limits{} }
 	}
-	if o.Bodies == nil {
-		o.Bodies = unlimited{}
+	if o.Memory == nil {
+		o.Memory = memory.NewAccount(memory.Limits{Bytes: math.MaxInt64 / 4, LargeBytes: math.MaxInt64 / 4, Connections: math.MaxInt})
+	}
+	if o.Evicted == nil {
+		o.Evicted = func(string, int64, float64) {}
 	}
 	if o.Stopping == nil {
 		o.Stopping = func() bool { return false }
@@ -141,16 +147,28 @@
 	return l, errors.Wrapf(err, "listen on %s; check that the address is this host's and free", addr)
 }
 
+// acceptBackoff is the wait after a process or machine has run out of descriptors.
+const acceptBackoff = 10 * time.Millisecond
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
 	for {
 		nc, err := l.Accept()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			time.Sleep(acceptBackoff)
+			continue
+		}
 		if err != nil {
 			return errors.Wrap(err, "accept")
 		}
 		c := newConn(s, nc)
+		if c == nil {
+			nc.Close()
+			continue
+		}
 		if !s.add(c) {
 			nc.Close()
+			c.peer.Disconnect(c.cost)
 			continue
 		}
 		go c.serve()
--- a/hostd/answerbody.go
+++ b/hostd/answerbody.go
@@ -1,96 +1,83 @@
 package hostd
 
 import (
-	"bytes"
-	"io"
-	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/gooseberryshed/gooseberryshed/bodybuf"
+	"github.com/gooseberryshed/gooseberryshed/h1"
 	"github.com/gooseberryshed/gooseberryshed/link"
+	"github.com/gooseberryshed/gooseberryshed/memory"
+	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 )
 
 const (
 	// maxAnswerBytes is the maximum size of one answer.
 	maxAnswerBytes = 16 << 20
-	// answerMemoryShare is the share of the process's memory that answers may
-	// use while they are being read. A target that sends without end reaches it
-	// with a few requests.
-	answerMemoryShare = 0.25
-	// defaultAnswerMemory replaces answerMemoryShare if the platform sets no
-	// memory limit.
-	defaultAnswerMemory = 64 << 20
-	// requestMemoryShare is the share of the process's memory that the bodies of
-	// requests may use. While they arrive in chunks, their buffers take more than
-	// twice as much.
-	requestMemoryShare = 0.3
-	// defaultRequestMemory replaces requestMemoryShare if the platform sets no memory
-	// limit.
-	defaultRequestMemory = 128 << 20
-	// readStep is how much of an answer is read at a time.
-	readStep = 16 << 10
+	// answerWait is how long an answer waits for memory before it is given up. It is above
+	// memory.MinAge, after which slow readers are closed, and below the time after which a
+	// target cuts off an answer that is not read.
+	answerWait = 1500 * time.Millisecond
+	// answerRetryInterval is how often it tries.
+	answerRetryInterval = 50 * time.Millisecond
 )
 
-var errAnswerTooLarge = errors.Errorf("the answer is longer than %d bytes or does not end; check the target", maxAnswerBytes)
-
-// byteBudget bounds the bytes of all answers that are being read, or of all bodies of
-// requests that are being read or handled.
-type byteBudget struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// newByteBudget returns a share of the memory limit of a process in bytes, or byDefault
-// if it has none.
-func newByteBudget(memory int64, share float64, byDefault int64) *byteBudget {
-	if memory <= 0 {
-		return &byteBudget{limit: byDefault}
-	}
-	return &byteBudget{limit: int64(share * float64(memory))}
-}
+var (
+	errAnswerTooLarge = errors.Errorf("the answer is longer than %d bytes or does not end; check the target", maxAnswerBytes)
+	errAnswerMemory   = errors.New("answers and requests in progress use the memory set aside for them; check for callers that read slowly and for answers that do not end")
+)
 
-// newAnswerBudget returns the budget of answers.
-func newAnswerBudget(memory int64) *byteBudget {
-	return newByteBudget(memory, answerMemoryShare, defaultAnswerMemory)
+// newAccount returns the account of memory of a process.
+func newAccount(s *karpithaz.Settings) *memory.Account {
+	return memory.NewAccount(memory.LimitsFor(s.MemoryBytes, s.MaxDescriptors, h1.DefaultHeaderBytes))
 }
 
-// newRequestBudget returns the budget of the bodies of requests.
-func newRequestBudget(memory int64) *byteBudget {
-	return newByteBudget(memory, requestMemoryShare, defaultRequestMemory)
+// answerMeter takes the memory of an answer. It waits for memory for a while, since the
+// target has run the request.
+type answerMeter struct {
+	lease *memory.Lease
+	until time.Time
 }
 
-// Take implements h1.Budget.
-func (b *byteBudget) Take(n int64) bool {
-	if b.used.Add(n) > b.limit {
-		b.used.Add(-n)
-		return false
+func (m answerMeter) Grow(n int64) error {
+	for {
+		now := time.Now()
+		victims, err := m.lease.Grow(now, n)
+		memory.CloseAll(victims)
+		switch {
+		case err == nil:
+			return nil
+		case now.After(m.until):
+			return errAnswerMemory
+		}
+		time.Sleep(answerRetryInterval)
 	}
-	return true
 }
 
-// Release implements h1.Budget.
-func (b *byteBudget) Release(n int64) { b.used.Add(-n) }
+func (m answerMeter) Shrink(n int64) { m.lease.Shrink(n) }
 
 // readBody reads the whole body of a response and closes it. It fails if the body
-// exceeds maxAnswerBytes or the budget.
-func readBody(resp *link.Response, budget *byteBudget) ([]byte, error) {
+// exceeds maxAnswerBytes or the account. The lease of the body must be released.
+func readBody(resp *link.Response, account *memory.Account) ([]byte, *memory.Lease, error) {
 	defer resp.Body.Close()
-	var buf bytes.Buffer
-	taken := int64(0)
-	defer func() { budget.Release(taken) }()
-	for {
-		n, err := io.CopyN(&buf, resp.Body, readStep)
-		if !budget.Take(n) {
-			return nil, errors.Errorf("answers being read exceed %d bytes together; check the target for answers that do not end", budget.limit)
-		}
-		taken += n
-		switch {
-		case err == io.EOF:
-			return buf.Bytes(), nil
-		case err != nil:
-			return nil, err
-		case taken > maxAnswerBytes-readStep:
-			return nil, errAnswerTooLarge
-		}
+	lease := account.Lease()
+	body, err := bodybuf.Read(resp.Body, resp.Length, maxAnswerBytes, answerMeter{lease, time.Now().Add(answerWait)})
+	if errors.Is(err, bodybuf.ErrTooLarge) {
+		err = errAnswerTooLarge
+	}
+	if err != nil {
+		lease.Release()
+		return nil, nil, err
+	}
+	return body, lease, nil
+}
+
+// readWhole is readBody for a response that is used at once.
+func readWhole(resp *link.Response, account *memory.Account) ([]byte, error) {
+	body, lease, err := readBody(resp, account)
+	if err == nil {
+		lease.Release()
 	}
+	return body, err
 }
--- a/hostd/changes.go
+++ b/hostd/changes.go
@@ -166,7 +166,7 @@
 	if err != nil {
 		return err
 	}
-	body, err := readBody(resp, c.answers)
+	body, err := readWhole(resp, c.memory)
 	if err != nil {
 		return err
 	}
--- a/hostd/endless_test.go
+++ b/hostd/endless_test.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
+	"github.com/gooseberryshed/gooseberryshed/memory"
 	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 )
@@ -104,7 +105,7 @@
 func TestEndlessAnswersShareABudget(t *testing.T) {
 	const concurrent = 8
 	g, _ := newTestGate(t)
-	g.answers = &byteBudget{limit: 4 << 20}
+	g.memory = memory.NewAccount(memory.Limits{Bytes: 4 << 20, LargeBytes: 4 << 20})
 	h := newHeartbeat("a", 1, 1, false)
 	h.Slots = concurrent
 	h.Address = serveEndless(t, standin.SignedHead+"Connection: close\r\n\r\n", "x")
@@ -122,5 +123,6 @@
 		r := <-replies
 		assert.Assert(t, r.Refusal != nil, "passed on as an answer of %d bytes", answerSize(r))
 	}
-	assert.Equal(t, g.answers.used.Load(), int64(0))
+	assert.Equal(t, g.memory.Stats().Used, int64(0))
+	assert.Assert(t, g.memory.Stats().Peak <= 4<<20+4<<20/8)
 }
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"runtime"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/gooseberryshed/gooseberryshed/link"
+	"github.com/gooseberryshed/gooseberryshed/memory"
 	"github.com/gooseberryshed/gooseberryshed/placing"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/wire"
@@ -68,6 +70,28 @@
 type Answer struct {
 	Header fasthttp.ResponseHeader
 	Body   []byte
+	// lease is the memory of the body, or nil. The answer is a user of it until release,
+	// if owner is set.
+	lease   *memory.Lease
+	owner   bool
+	cleanup runtime.Cleanup
+}
+
+// newAnswer returns an answer with a body and its memory, which is released at the latest
+// when the answer is garbage: that of an attempt that came second has no other end.
+func newAnswer(body []byte, lease *memory.Lease) *Answer {
+	a := &Answer{Body: body, lease: lease, owner: true}
+	a.cleanup = runtime.AddCleanup(a, (*memory.Lease).Release, lease)
+	return a
+}
+
+// release ends the answer's use of its memory.
+func (a *Answer) release() {
+	if a != nil && a.owner {
+		a.owner = false
+		a.cleanup.Stop()
+		a.lease.Release()
+	}
 }
 
 // wireReport is the encoding of a placing.Report between daemons.
@@ -157,12 +181,12 @@
 
 // gateClient reaches the gates of other hosts.
 type gateClient struct {
-	links   *link.Pool
-	answers *byteBudget
+	links  *link.Pool
+	memory *memory.Account
 }
 
-func newGateClient(localIP string, answers *byteBudget) *gateClient {
-	return &gateClient{answers: answers, links: link.New(link.Options{
+func newGateClient(localIP string, account *memory.Account) *gateClient {
+	return &gateClient{memory: account, links: link.New(link.Options{
 		LocalAddr:      localIP,
 		DialTimeout:    gateDialTimeout,
 		TCPUserTimeout: gateUserTimeout,
@@ -207,17 +231,18 @@
 
 // readReply reads the reply of a gate.
 func (c *gateClient) readReply(resp *link.Response) (Reply, error) {
-	body, err := readBody(resp, c.answers)
+	body, lease, err := readBody(resp, c.memory)
 	if err != nil {
 		return Reply{}, err
 	}
 	reply := Reply{Report: readReport(&resp.Header, time.Now())}
 	if raw := resp.Header.Peek(headerRefusal); raw != nil {
 		reply.Refusal = readRefusal(raw)
+		lease.Release()
 		return reply, nil
 	}
 	resp.Header.Del(headerReport)
-	reply.Answer = &Answer{Body: body}
+	reply.Answer = newAnswer(body, lease)
 	resp.Header.CopyTo(&reply.Answer.Header)
 	return reply, nil
 }
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -11,6 +11,7 @@
 	"github.com/gooseberryshed/gooseberryshed/decisions"
 	"github.com/gooseberryshed/gooseberryshed/gray"
 	"github.com/gooseberryshed/gooseberryshed/link"
+	"github.com/gooseberryshed/gooseberryshed/memory"
 	"github.com/gooseberryshed/gooseberryshed/metrics"
 	"github.com/gooseberryshed/gooseberryshed/placing"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
@@ -30,7 +31,7 @@
 	log     *decisions.Log
 	metrics *metrics.Registry
 	links   *link.Pool
-	answers *byteBudget
+	memory  *memory.Account
 	// incarnation distinguishes this gate process from earlier ones on the
 	// host.
 	incarnation int64
@@ -73,7 +74,7 @@
 		sent:        attemptTimes{},
 		withdrawn:   attemptTimes{},
 		waiting:     map[string]*admission.Item{},
-		answers:     newAnswerBudget(int64(settings().MemoryBytes)),
+		memory:      newAccount(settings()),
 		links: link.New(link.Options{
 			DialTimeout:    targetDialTimeout,
 			TCPUserTimeout: targetUserTimeout,
--- a/hostd/handlers.go
+++ b/hostd/handlers.go
@@ -33,6 +33,9 @@
 	x.Request.Header.CopyTo(&req.Header)
 	req.SetBodyRaw(x.Request.Body())
 	h.serveRun(ctx, x, h.runs.start(f, func(ctx context.Context, onSend func()) Reply {
+		body := x.Lease() // req shares the body
+		body.Retain()
+		defer body.Release()
 		return h.gate.Forward(ctx, f, req, onSend)
 	}))
 }
@@ -45,6 +48,10 @@
 		}
 	})
 	if ok {
+		if a := reply.Answer; a != nil && a.lease != nil {
+			x.Hold(a.lease)
+			a.lease.Release() // the copy's
+		}
 		writeReply(&x.Response, reply)
 	}
 }
@@ -75,6 +82,13 @@
 	return h1.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes}
 }
 
+// logEvicted records that a connection was closed to make room for others.
+func (h *Host) logEvicted(remote string, held int64, rate float64) {
+	h.metrics.Add("connections_closed_for_memory", 1)
+	s := h.client.memory.Stats()
+	h.log.Decide("connection-closed", "remote", remote, "held_bytes", held, "bytes_per_s", int64(rate), "used_bytes", s.Used, "connections", s.Connections)
+}
+
 // rejectCaller answers a request that could not be read.
 func (h *Host) rejectCaller(x *h1.Exchange, status int, err error) {
 	h.log.Decide("malformed", "status", status, "err", err)
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -269,7 +269,7 @@
 		g.log.Decide("health-failed", "address", g.settings().TargetAddress, "err", err)
 		return karpithaz.Heartbeat{}, false
 	}
-	if _, err := readBody(resp, g.answers); err != nil {
+	if _, err := readWhole(resp, g.memory); err != nil {
 		return karpithaz.Heartbeat{}, false
 	}
 	answer := karpithaz.ParseResponse(&resp.Header)
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -83,7 +83,7 @@
 		log:      decisions.New(o.Output),
 		metrics:  metrics.New(),
 		store:    karpithaz.NewStore(o.Settings.StoreAddress, o.Settings.IP),
-		client:   newGateClient(o.Settings.IP, newAnswerBudget(int64(o.Settings.MemoryBytes))),
+		client:   newGateClient(o.Settings.IP, newAccount(o.Settings)),
 		stopCh:   make(chan struct{}),
 	}
 	h.current.Store(o.Settings)
@@ -96,7 +96,7 @@
 	h.control.tableWrites = o.Settings.TableWritesPerSecond
 	h.control.firstReadDelay = storepoll.FirstReadDelay(o.Settings.FleetStart, rand.Float64())
 	h.gate = NewGate(h.current.Load, h.control.View, h.control.PublishTarget, h.log, h.metrics)
-	h.gate.answers = h.client.answers
+	h.gate.memory = h.client.memory
 	h.runs = newRuns(func(attempt string) { h.gate.Withdraw(attempt, h.gate.incarnation) })
 	h.limiter = newFleetLimiter(o.Settings.Host, h.bounds, h.control.View, conn.query, h.control.Isolated, h.log, h.metrics)
 	h.withdrawals = &withdrawals{host: o.Settings.Host, gate: h.gate, view: h.control.View, query: conn.query}
@@ -113,9 +113,9 @@
 
 func (h *Host) open(o Options) error {
 	s := &h.servers
-	bodies := newRequestBudget(int64(h.settings.MemoryBytes))
-	s.callers = h1.New(h1.Options{Handler: h.ingress.Handle, ErrorHandler: h.rejectCaller, Limits: h.callerLimits, Stopping: h.stopping, Bodies: bodies})
-	s.gates = h1.New(h1.Options{Handler: h.handleForward, ErrorHandler: h.rejectForward, Limits: h.gateLimits, Stopping: h.stopping, Bodies: bodies})
+	account := h.client.memory
+	s.callers = h1.New(h1.Options{Handler: h.ingress.Handle, ErrorHandler: h.rejectCaller, Limits: h.callerLimits, Stopping: h.stopping, Memory: account, Evicted: h.logEvicted})
+	s.gates = h1.New(h1.Options{Handler: h.handleForward, ErrorHandler: h.rejectForward, Limits: h.gateLimits, Stopping: h.stopping, Memory: account, Evicted: h.logEvicted})
 	s.announcements = h1.New(h1.Options{Handler: h.gate.handleAnnouncement})
 	s.ready = h1.New(h1.Options{Handler: h.handleReady})
 	s.metrics = h1.New(h1.Options{Handler: h.handleMetrics})
--- a/hostd/response.go
+++ b/hostd/response.go
@@ -31,6 +31,8 @@
 		resp.Header.Del(name)
 	}
 	resp.SetBodyRaw(out.answer.Body)
+	e.x.Hold(out.answer.lease)
+	out.answer.release()
 	e.in.metrics.Add("served", 1)
 	e.in.metrics.Observe("request_time", took)
 	e.in.log.Decide("answered", "id", e.caller.Attempt, "route", e.route.Name, "workspace", e.workspaceName(), "status", resp.StatusCode(), "target", out.target,
--- a/hostd/roundtrip.go
+++ b/hostd/roundtrip.go
@@ -58,11 +58,11 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := readBody(resp, g.answers)
+	body, lease, err := readBody(resp, g.memory)
 	if err != nil {
 		return nil, err
 	}
-	a := &Answer{Body: body}
+	a := newAnswer(body, lease)
 	resp.Header.CopyTo(&a.Header)
 	return a, nil
 }
--- a/hostd/runs.go
+++ b/hostd/runs.go
@@ -94,6 +94,9 @@
 	defer rs.mu.Unlock()
 	if r.connections--; r.connections == 0 {
 		r.cancel()
+		if r.finished() && rs.byAttempt[r.Attempt] != r {
+			r.reply.Answer.release() // it is not retained
+		}
 	}
 }
 
@@ -154,6 +157,7 @@
 			break
 		}
 		rs.bytes -= r.size()
+		r.reply.Answer.release()
 		if rs.byAttempt[r.Attempt] == r {
 			delete(rs.byAttempt, r.Attempt)
 		}
@@ -172,8 +176,9 @@
 	for {
 		select {
 		case <-r.done:
+			reply := rs.copyReply(r)
 			rs.leave(r)
-			return rs.copyReply(r), true
+			return reply, true
 		case <-ctx.Done():
 			time.AfterFunc(reconnectGrace, func() { rs.leave(r) })
 			return Reply{}, false
@@ -185,13 +190,17 @@
 	}
 }
 
-// copyReply returns a copy of a reply, as several connections may wait for it.
+// copyReply returns a copy of a reply, as several connections may wait for it. The copy is
+// a user of the answer's memory.
 func (rs *runs) copyReply(r *attemptRun) Reply {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	reply := r.reply
 	if r.reply.Answer != nil {
-		reply.Answer = &Answer{Body: r.reply.Answer.Body}
+		reply.Answer = &Answer{Body: r.reply.Answer.Body, lease: r.reply.Answer.lease}
+		if reply.Answer.lease != nil {
+			reply.Answer.lease.Retain()
+		}
 		r.reply.Answer.Header.CopyTo(&reply.Answer.Header)
 	}
 	return reply
--- /dev/null
+++ b/memory/peer.go
@@ -0,0 +1,196 @@
+package memory
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// MinAge is how long a body or an answer must have been moving before its rate counts:
+	// longer than several retransmissions on a slow link.
+	MinAge = time.Second
+	// SlowRate is the rate, in bytes a second, above which a connection is not closed to
+	// make room: a twentieth of the slowest link of a host, 10 Mbit/s.
+	SlowRate = 64 << 10
+	// rateWindow is the time over which a rate is measured. A client that has moved much
+	// and then stops counts as slow after two of them.
+	rateWindow = time.Second
+)
+
+// Peer is a connection from a client.
+type Peer struct {
+	// Close closes the connection. It is called by the user of the package.
+	Close func()
+
+	a *Account
+	// held are the bytes that closing the connection would return.
+	held int64
+	// moving counts the bodies and answers that are being read or written, since is when
+	// the first of them began.
+	moving int
+	since  time.Time
+	// current and previous are the bytes moved in the present window and the one before.
+	current, previous         int64
+	currentSince, previousFor time.Time
+	// served is set when the first request has been read.
+	served  bool
+	opened  time.Time
+	closing bool
+	// closedHeld and closedRate are the held bytes and the rate when it was chosen to be
+	// closed.
+	closedHeld int64
+	closedRate float64
+}
+
+// Closed returns the bytes that a peer held and its rate in bytes a second when it was
+// chosen to be closed.
+func (p *Peer) Closed() (held int64, rate float64) {
+	p.a.mu.Lock()
+	defer p.a.mu.Unlock()
+	return p.closedHeld, p.closedRate
+}
+
+// Connect opens a connection that takes bytes of memory. If it returns an error, the
+// connection must be closed. victims are to be closed in any case.
+func (a *Account) Connect(now time.Time, bytes int64, closeConn func()) (p *Peer, victims []*Peer, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.peers)-a.closing >= a.limits.Connections {
+		if v := a.slowest(now, true); v != nil {
+			victims = a.dismiss(now, []*Peer{v})
+		}
+	}
+	if len(a.peers) >= a.limits.Connections {
+		a.stats.Unaccepted++
+		return nil, victims, ErrShort
+	}
+	more, err := a.take(now, bytes, bytes, nil)
+	if err != nil {
+		a.stats.Unaccepted++
+		return nil, append(victims, more...), err
+	}
+	p = &Peer{a: a, Close: closeConn, held: bytes, opened: now}
+	a.peers[p] = struct{}{}
+	return p, append(victims, more...), nil
+}
+
+// Disconnect returns the memory of the connection itself. Leases are released apart from
+// it.
+func (p *Peer) Disconnect(bytes int64) {
+	p.a.mu.Lock()
+	defer p.a.mu.Unlock()
+	delete(p.a.peers, p)
+	p.a.used -= bytes
+	p.held -= bytes
+	if p.closing {
+		p.a.closing--
+		p.a.leaving -= bytes
+	}
+}
+
+// Served records that a request has been read.
+func (p *Peer) Served() {
+	p.a.mu.Lock()
+	defer p.a.mu.Unlock()
+	p.served = true
+}
+
+// Begin records that a body or an answer begins to move.
+func (p *Peer) Begin(now time.Time) {
+	p.a.mu.Lock()
+	defer p.a.mu.Unlock()
+	if p.moving++; p.moving == 1 {
+		p.since, p.currentSince, p.previousFor = now, now, now
+		p.current, p.previous = 0, 0
+	}
+}
+
+// End records that a body or an answer has been moved.
+func (p *Peer) End() {
+	p.a.mu.Lock()
+	defer p.a.mu.Unlock()
+	p.moving--
+}
+
+// Moved records n bytes of bodies or answers.
+func (p *Peer) Moved(now time.Time, n int64) {
+	p.a.mu.Lock()
+	defer p.a.mu.Unlock()
+	p.turn(now)
+	p.current += n
+}
+
+// turn begins a new window if the present one is over.
+func (p *Peer) turn(now time.Time) {
+	if now.Sub(p.currentSince) >= rateWindow {
+		p.previous, p.previousFor = p.current, p.currentSince
+		p.current, p.currentSince = 0, now
+	}
+}
+
+// rate returns the bytes a second that the peer has moved recently.
+func (p *Peer) rate(now time.Time) float64 {
+	p.turn(now)
+	return float64(p.current+p.previous) / max(now.Sub(p.previousFor), rateWindow).Seconds()
+}
+
+// slow reports whether the peer may be closed to make room for bytes.
+func (p *Peer) slow(now time.Time) bool {
+	return !p.closing && p.moving > 0 && now.Sub(p.since) >= MinAge && p.rate(now) < SlowRate
+}
+
+// silent reports whether the peer has connected and not sent a request.
+func (p *Peer) silent(now time.Time) bool {
+	return !p.closing && !p.served && p.moving == 0 && now.Sub(p.opened) >= MinAge
+}
+
+// slowest returns the slowest peer that may be closed, or nil. For a connection it may also
+// be the one that has been silent longest. a.mu must be held.
+func (a *Account) slowest(now time.Time, orSilent bool) *Peer {
+	var slowest, silent *Peer
+	for p := range a.peers {
+		if p.slow(now) && (slowest == nil || p.rate(now) < slowest.rate(now)) {
+			slowest = p
+		}
+		if orSilent && p.silent(now) && (silent == nil || p.opened.Before(silent.opened)) {
+			silent = p
+		}
+	}
+	if slowest == nil {
+		return silent
+	}
+	return slowest
+}
+
+// victims returns the slowest peers, other than the claimant, that hold at least the
+// missing bytes together, or nil if there are too few. a.mu must be held.
+func (a *Account) victims(now time.Time, missing int64, claimant *Peer) []*Peer {
+	var slow []*Peer
+	for p := range a.peers {
+		if p != claimant && p.slow(now) {
+			slow = append(slow, p)
+		}
+	}
+	slices.SortFunc(slow, func(x, y *Peer) int {
+		switch rx, ry := x.rate(now), y.rate(now); {
+		case rx < ry:
+			return -1
+		case rx > ry:
+			return 1
+		}
+		return int(max(min(y.held-x.held, 1), -1)) // the larger one first
+	})
+	for i, p := range slow {
+		if missing -= p.held; missing <= 0 {
+			return slow[:i+1]
+		}
+	}
+	return nil
+}
+
+// CloseAll closes peers.
+func CloseAll(peers []*Peer) {
+	for _, p := range peers {
+		p.Close()
+	}
+}
