h1, bytelimit, hostd, docs: idle connections without buffers, bytes at a target, design note

Cause: the buffers of idle connections, 28 KiB each, would take 33 MB of a host of 184 MB in a fleet of 1,200, so that connections could not be bounded by memory without refusing other daemons. A target that dies of the bodies that it holds got as many again. Change: a connection drops its buffers after 1 s without a request. Package bytelimit learns from a target's death what it held and bounds the bytes of requests in flight at it; the gate refuses more as busy, not run.

--- a/h1/body.go
+++ b/h1/body.go
@@ -119,6 +119,15 @@
 type pacedReader struct{ *conn }
 
 func (r pacedReader) Read(p []byte) (int, error) {
+	if r.hasFirst && len(p) > 1 {
+		r.hasFirst = false
+		p[0] = r.first[0]
+		n, err := r.Conn.Read(p[1:])
+		if err != nil && n == 0 {
+			err = nil // the next read has it
+		}
+		return n + 1, err
+	}
 	if !r.bodyMoving {
 		return r.Conn.Read(p)
 	}
@@ -147,29 +156,6 @@
 	return p.begun.Add(p.grace + time.Duration(float64(p.moved)/float64(p.rate)*float64(time.Second)))
 }
 
-// writePiece is how much of a response is written under one deadline.
-const writePiece = 64 << 10
-
-// pacedWriter writes responses to a connection under their time limit.
-type pacedWriter struct{ *conn }
-
-func (w pacedWriter) Write(p []byte) (written int, err error) {
-	for len(p) > 0 {
-		if err := w.Conn.SetWriteDeadline(w.answer.deadline()); err != nil {
-			return written, err
-		}
-		n, err := w.Conn.Write(p[:min(len(p), writePiece)])
-		written += n
-		w.answer.moved += int64(n)
-		w.peer.Moved(time.Now(), int64(n))
-		if err != nil {
-			return written, err
-		}
-		p = p[n:]
-	}
-	return written, nil
-}
-
 // Hold uses a lease, such as that of the response's body, until the exchange has ended.
 // Closing the connection then makes room of that size.
 func (x *Exchange) Hold(l *memory.Lease) {
--- a/h1/conn.go
+++ b/h1/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"os"
@@ -57,13 +56,17 @@
 	handlers sync.WaitGroup
 
 	acceptedAt time.Time
-	// peer is the connection in the server's account of memory, of which it takes cost.
-	peer *memory.Peer
-	cost int64
+	// peer is the connection in the server's account of memory, and buffers the memory of
+	// br and bw.
+	peer    *memory.Peer
+	buffers *memory.Lease
 	// body is the pace of the body that is being read while bodyMoving is set, and answer
 	// that of the response that is being written, guarded by writeMu.
 	body, answer pace
 	bodyMoving   bool
+	// first is the first byte of a request that arrived while there was no buffer.
+	first    [1]byte
+	hasFirst bool
 
 	mu sync.Mutex
 	// served is set when the first request has been accepted, and reading while a
@@ -71,6 +74,8 @@
 	served, reading bool
 	// pending counts the requests that have been accepted and not yet answered.
 	pending int
+	// unsent counts the requests whose response has not been sent.
+	unsent int
 	// closing is set once a response with "Connection: close" is due or was sent.
 	closing bool
 	// idleSince is the time at which the last request was answered.
@@ -84,7 +89,6 @@
 func newConn(s *Server, nc net.Conn) *conn {
 	limits := s.opts.Limits().withDefaults()
 	c := &conn{
-		cost:       int64(limits.HeaderBytes) + memory.ConnectionBytes,
 		Conn:       nc,
 		s:          s,
 		limits:     limits,
@@ -92,14 +96,13 @@
 		acceptedAt: time.Now(),
 		idleSince:  time.Now(),
 	}
-	peer, victims, err := s.opts.Memory.Connect(time.Now(), c.cost, c.evict)
+	peer, victims, err := s.opts.Memory.Connect(time.Now(), c.evict)
 	memory.CloseAll(victims)
 	if err != nil {
 		return nil
 	}
 	c.peer = peer
-	c.br = bufio.NewReaderSize(pacedReader{c}, limits.HeaderBytes)
-	c.bw = bufio.NewWriterSize(pacedWriter{c}, writeBufferBytes)
+	c.buffers = peer.Lease()
 	return c
 }
 
@@ -131,7 +134,8 @@
 // serve reads requests until the stream ends and runs each in a goroutine.
 func (c *conn) serve() {
 	ctx, cancel := context.WithCancel(context.Background())
-	defer c.peer.Disconnect(c.cost)
+	defer c.peer.Disconnect()
+	defer c.dropBuffers()
 	defer c.s.remove(c)
 	defer c.Conn.Close()
 	defer c.handlers.Wait()
@@ -165,26 +169,49 @@
 }
 
 // awaitRequest waits for the first byte of a request. It returns false if the
-// stream ends or the idle timeout expires.
+// stream ends, the idle timeout expires or there is no memory for a request.
 func (c *conn) awaitRequest() bool {
+	if c.br != nil && c.br.Buffered() > 0 {
+		return true
+	}
 	for {
-		if c.Conn.SetReadDeadline(time.Now().Add(c.limits.IdleTimeout)) != nil {
+		wait := c.limits.IdleTimeout
+		if c.br != nil {
+			wait = min(wait, keepBuffers)
+		}
+		if c.Conn.SetReadDeadline(time.Now().Add(wait)) != nil {
 			return false
 		}
-		_, err := c.br.Peek(1)
+		var err error
+		if c.br != nil {
+			_, err = c.br.Peek(1)
+		} else {
+			err = c.readFirst()
+		}
 		if err == nil {
-			return true
+			return c.br != nil || c.takeBuffers()
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || c.idleExpired() {
 			return false
 		}
+		if c.br != nil && c.idle() {
+			c.dropBuffers()
+		}
 	}
 }
 
+// idle reports whether all responses have been sent and more requests may come.
+func (c *conn) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unsent == 0 && !c.closing
+}
+
 func (c *conn) idleExpired() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closing || c.pending == 0 && time.Since(c.idleSince) >= c.limits.IdleTimeout
+	idle := time.Since(c.idleSince)
+	return c.closing && idle >= lingerTime || c.pending == 0 && idle >= c.limits.IdleTimeout
 }
 
 // awaitPeerClose reads until the stream ends or all requests are answered, so
@@ -209,6 +236,9 @@
 	if err := c.Conn.SetReadDeadline(time.Now().Add(c.limits.HeaderTimeout)); err != nil {
 		return 0, err
 	}
+	if _, err := c.br.Peek(1); err != nil {
+		return statusOf(err), err
+	}
 	if err := checkRequestLine(c.br); err != nil {
 		return statusOf(err), err
 	}
@@ -277,6 +307,7 @@
 		return false
 	}
 	c.pending++
+	c.unsent++
 	c.served, c.reading = true, false
 	c.s.active.Add(1)
 	return true
@@ -288,6 +319,7 @@
 	defer close(answered)
 	defer func() { <-c.slots }()
 	defer c.s.active.Add(-1)
+	defer c.sent()
 	defer x.release()
 	if c.s.opts.Stopping() {
 		// A response must wait for the previous one, which may not be ready
@@ -334,39 +366,3 @@
 	}
 	return c.closing
 }
-
-func (c *conn) send(x *Exchange) error {
-	c.writeMu.Lock()
-	defer c.writeMu.Unlock()
-	now := time.Now()
-	c.peer.Begin(now)
-	defer c.peer.End()
-	c.answer = pace{begun: now, grace: min(x.limits.IdleTimeout, writeTimeout), rate: x.limits.MinRate}
-	if err := x.Response.Write(c.bw); err != nil {
-		return err
-	}
-	return c.bw.Flush()
-}
-
-func (c *conn) write(p []byte) error {
-	c.writeMu.Lock()
-	defer c.writeMu.Unlock()
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
-	_, err := c.Conn.Write(p)
-	return err
-}
-
-func (c *conn) sendInterim(status int) error {
-	return c.write(fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n\r\n", status, fasthttp.StatusMessage(status)))
-}
-
-// closeWrite shuts down the write side of the connection. The reader continues
-// until the peer closes its side or lingerTime has passed.
-func (c *conn) closeWrite() {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		half.CloseWrite() //nolint:errcheck // the connection is closed in any case
-	}
-	c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) //nolint:errcheck // only a closed connection fails
-}
--- a/h1/server.go
+++ b/h1/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -107,15 +106,20 @@
 	conns  map[*conn]struct{}
 	closed bool
 	active atomic.Int64
+	// readers and writers are buffers of connections that have become idle.
+	readers, writers sync.Pool
 }
 
+// unlimited is a number of bytes or connections that no process reaches.
+const unlimited = 1 << 50
+
 // New returns a Server; Serve starts it.
 func New(o Options) *Server {
 	if o.Limits == nil {
 		o.Limits = func() Limits { return Limits{} }
 	}
 	if o.Memory == nil {
-		o.Memory = memory.NewAccount(memory.Limits{Bytes: math.MaxInt64 / 4, LargeBytes: math.MaxInt64 / 4, Connections: math.MaxInt})
+		o.Memory = memory.NewAccount(memory.Limits{Bytes: unlimited, LargeBytes: unlimited, Connections: unlimited})
 	}
 	if o.Evicted == nil {
 		o.Evicted = func(string, int64, float64) {}
@@ -168,7 +172,7 @@
 		}
 		if !s.add(c) {
 			nc.Close()
-			c.peer.Disconnect(c.cost)
+			c.peer.Disconnect()
 			continue
 		}
 		go c.serve()
--- a/hostd/answerbody.go
+++ b/hostd/answerbody.go
@@ -6,7 +6,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberryshed/gooseberryshed/bodybuf"
-	"github.com/gooseberryshed/gooseberryshed/h1"
 	"github.com/gooseberryshed/gooseberryshed/link"
 	"github.com/gooseberryshed/gooseberryshed/memory"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
@@ -30,7 +29,7 @@
 
 // newAccount returns the account of memory of a process.
 func newAccount(s *karpithaz.Settings) *memory.Account {
-	return memory.NewAccount(memory.LimitsFor(s.MemoryBytes, s.MaxDescriptors, h1.DefaultHeaderBytes))
+	return memory.NewAccount(memory.LimitsFor(s.MemoryBytes, s.MaxDescriptors))
 }
 
 // answerMeter takes the memory of an answer. It waits for memory for a while, since the
@@ -62,7 +61,11 @@
 func readBody(resp *link.Response, account *memory.Account) ([]byte, *memory.Lease, error) {
 	defer resp.Body.Close()
 	lease := account.Lease()
-	body, err := bodybuf.Read(resp.Body, resp.Length, maxAnswerBytes, answerMeter{lease, time.Now().Add(answerWait)})
+	length := resp.Length
+	if length > maxAnswerBytes {
+		length = -1 // none of it follows if it answers HEAD
+	}
+	body, err := bodybuf.Read(resp.Body, length, maxAnswerBytes, answerMeter{lease, time.Now().Add(answerWait)})
 	if errors.Is(err, bodybuf.ErrTooLarge) {
 		err = errAnswerTooLarge
 	}
--- a/hostd/crashes.go
+++ b/hostd/crashes.go
@@ -181,6 +181,9 @@
 	cancel()
 	g.mu.Lock()
 	broken := t.broken
+	if err != nil && len(broken) > 0 {
+		g.recordDeathByBytes(t, time.Now())
+	}
 	t.broken, t.probing = nil, false
 	born := t.born
 	g.mu.Unlock()
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -57,6 +57,8 @@
 	Incarnation int64 `json:"n,omitempty"`
 	// Fingerprint is a hash of the request's sender and content.
 	Fingerprint uint64 `json:"k,omitempty"`
+	// bodyBytes is the size of the request's body, which the gate sets.
+	bodyBytes int64
 }
 
 // Reply is a gate's reply to an attempt: an answer of the target or a refusal.
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -130,6 +130,7 @@
 // just before the request is sent to the target.
 func (g *Gate) Forward(ctx context.Context, f Forward, req *fasthttp.Request, onSend func()) Reply {
 	arrived := time.Now()
+	f.bodyBytes = int64(len(req.Body()))
 	tk, refusal := g.admit(ctx, f, arrived)
 	if refusal != nil {
 		g.log.Decide("gate-refused", "id", f.Attempt, "target", f.Target, "reason", refusal.Reason, "run", refusal.Run,
@@ -187,6 +188,9 @@
 		return nil, refusal
 	}
 	t := g.target
+	if refusal := g.checkBytes(t, tk.f, now); refusal != nil {
+		return nil, refusal
+	}
 	tk.target = t
 	latency := g.latency(tk.f)
 	it := &admission.Item{
@@ -277,6 +281,7 @@
 		g.log.Decide("gray-tried", "id", tk.f.Attempt, "target", t.id, "gray", p)
 	}
 	tk.started = now
+	t.bytes.Start(tk.f.bodyBytes)
 	tk.request = t.filter.Start(now, g.latency(tk.f))
 }
 
@@ -340,7 +345,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	if refusal := g.precheck(tk.f, now); refusal != nil {
+	refusal = g.precheck(tk.f, now)
+	if refusal == nil {
+		refusal = g.checkBytes(tk.target, tk.f, now)
+	}
+	if refusal != nil {
 		tk.target.queue.Release()
 		g.grantSlots(tk.target, now)
 		return refusal
--- a/hostd/handlers.go
+++ b/hostd/handlers.go
@@ -82,13 +82,6 @@
 	return h1.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes}
 }
 
-// logEvicted records that a connection was closed to make room for others.
-func (h *Host) logEvicted(remote string, held int64, rate float64) {
-	h.metrics.Add("connections_closed_for_memory", 1)
-	s := h.client.memory.Stats()
-	h.log.Decide("connection-closed", "remote", remote, "held_bytes", held, "bytes_per_s", int64(rate), "used_bytes", s.Used, "connections", s.Connections)
-}
-
 // rejectCaller answers a request that could not be read.
 func (h *Host) rejectCaller(x *h1.Exchange, status int, err error) {
 	h.log.Decide("malformed", "status", status, "err", err)
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -104,6 +104,9 @@
 	if old != nil {
 		// What was sent in the last second may have reached this incarnation.
 		g.target.startLimit = old.startLimit
+		if old.service == g.target.service {
+			g.target.bytes = old.bytes
+		}
 	}
 	g.target.startLimit.Restarted(now)
 	g.target.firstSeen = now
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -97,6 +97,7 @@
 	h.control.firstReadDelay = storepoll.FirstReadDelay(o.Settings.FleetStart, rand.Float64())
 	h.gate = NewGate(h.current.Load, h.control.View, h.control.PublishTarget, h.log, h.metrics)
 	h.gate.memory = h.client.memory
+	h.showMemory()
 	h.runs = newRuns(func(attempt string) { h.gate.Withdraw(attempt, h.gate.incarnation) })
 	h.limiter = newFleetLimiter(o.Settings.Host, h.bounds, h.control.View, conn.query, h.control.Isolated, h.log, h.metrics)
 	h.withdrawals = &withdrawals{host: o.Settings.Host, gate: h.gate, view: h.control.View, query: conn.query}
--- a/hostd/roundtrip.go
+++ b/hostd/roundtrip.go
@@ -141,6 +141,7 @@
 	if e.refusal != nil && e.refusal.Run == wire.NotRun {
 		g.sent.remove(tk.f.Attempt)
 	}
+	t.bytes.End(tk.f.bodyBytes, err == nil)
 	gray := t.filter.Probability(now)
 	t.queue.Complete(now.Sub(tk.started), tk.f.Nested)
 	g.grantSlots(t, now)
@@ -171,6 +172,7 @@
 		t.broken = append(t.broken, tk.f.Fingerprint)
 		if !t.probing {
 			t.probing = true
+			t.heldAtBreak = t.bytes.InFlight()
 			go g.probeForDeath(t)
 		}
 	}
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gooseberryshed/gooseberryshed/admission"
+	"github.com/gooseberryshed/gooseberryshed/bytelimit"
 	"github.com/gooseberryshed/gooseberryshed/gray"
 	"github.com/gooseberryshed/gooseberryshed/placing"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
@@ -35,6 +36,10 @@
 	queue      *admission.Queue
 	filter     *gray.Filter
 	startLimit *slowstart.Limiter
+	// bytes bounds the bodies in flight if the target has died of them, and heldAtBreak
+	// are the bytes in flight when the first of the broken connections broke.
+	bytes       *bytelimit.Limiter
+	heldAtBreak int64
 	// grantsScheduled is set while a timer is due to grant slots.
 	grantsScheduled bool
 	// grayProbedAt is when a request was last sent to the target although it
@@ -83,6 +88,7 @@
 		address:    h.Address,
 		queue:      admission.NewQueue(h.Slots),
 		startLimit: &slowstart.Limiter{},
+		bytes:      &bytelimit.Limiter{},
 		filter:     gray.NewFilter(gray.Options{}),
 	}
 }
--- a/memory/account.go
+++ b/memory/account.go
@@ -11,14 +11,15 @@
 var ErrShort = errors.New("the requests in progress use the memory set aside for them; try again later")
 
 const (
-	// SmallBytes is the size up to which a claim may use the whole account.
-	SmallBytes = 32 << 10
-	// ConnectionBytes is counted for a connection besides its read buffer: the write buffer
-	// of 4 KiB, the stacks of its goroutines and its descriptors in this process.
-	ConnectionBytes = 16 << 10
-	// RequestBytes is counted for a request besides its header and body: its stack and the
-	// state of its attempts.
-	RequestBytes = 8 << 10
+	// SmallBytes is the size up to which a claim may use the whole account: that of a
+	// request with a body of 32 KiB.
+	SmallBytes = 64 << 10
+	// ConnectionBytes is counted for a connection besides its buffers, which an idle one has
+	// none of: the stack of its goroutine and its state.
+	ConnectionBytes = 12 << 10
+	// RequestBytes is counted for a request besides its header and body: the buffers of its
+	// connection to a target or gate, 20 KiB, and the stacks of its attempt.
+	RequestBytes = 24 << 10
 )
 
 // Shares of a process's memory and descriptors.
@@ -26,8 +27,9 @@
 	// accountShare leaves room for garbage below the runtime's soft limit of 0.7, and for
 	// what is not counted: the program itself and the tables.
 	accountShare = 0.5
-	// largeShare is the part of the account for claims above SmallBytes.
-	largeShare = 0.85
+	// largeShare is the part of the account for claims above SmallBytes. On the smallest
+	// host, 184 MB, a single body of 64 MiB in chunks fits.
+	largeShare = 0.88
 	// connectionShare is the part of the account for open connections.
 	connectionShare = 0.35
 	// reservedFds are kept for files and for the daemon's own connections to the store
@@ -48,18 +50,23 @@
 	Connections int
 }
 
-// defaultMemory replaces the memory of a process that has no limit.
-const defaultMemory = 256 << 20
+// defaultMemory and defaultFds replace limits that a process does not have.
+const (
+	defaultMemory = 256 << 20
+	defaultFds    = 4100
+)
 
 // LimitsFor returns the limits for a process with the given memory and descriptors.
-// connection is the size of one connection's read buffer.
-func LimitsFor(memoryBytes int64, fds int, connection int64) Limits {
+func LimitsFor(memoryBytes int64, fds int) Limits {
 	if memoryBytes <= 0 {
 		memoryBytes = defaultMemory
 	}
+	if fds <= 0 {
+		fds = defaultFds
+	}
 	l := Limits{Bytes: int64(accountShare * float64(memoryBytes))}
 	l.LargeBytes = int64(largeShare * float64(l.Bytes))
-	byMemory := int(connectionShare * float64(l.Bytes) / float64(connection+ConnectionBytes))
+	byMemory := int(connectionShare * float64(l.Bytes) / ConnectionBytes)
 	l.Connections = max(min((fds-reservedFds)/fdsPerConnection, byMemory), minConnections)
 	return l
 }
--- a/memory/peer.go
+++ b/memory/peer.go
@@ -50,9 +50,9 @@
 	return p.closedHeld, p.closedRate
 }
 
-// Connect opens a connection that takes bytes of memory. If it returns an error, the
-// connection must be closed. victims are to be closed in any case.
-func (a *Account) Connect(now time.Time, bytes int64, closeConn func()) (p *Peer, victims []*Peer, err error) {
+// Connect opens a connection. If it returns an error, the connection must be closed.
+// victims are to be closed in any case.
+func (a *Account) Connect(now time.Time, closeConn func()) (p *Peer, victims []*Peer, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(a.peers)-a.closing >= a.limits.Connections {
@@ -60,31 +60,32 @@
 			victims = a.dismiss(now, []*Peer{v})
 		}
 	}
-	if len(a.peers) >= a.limits.Connections {
+	open := len(a.peers)
+	if open-a.closing >= a.limits.Connections || open > a.limits.Connections+a.limits.Connections/leavingShare {
 		a.stats.Unaccepted++
 		return nil, victims, ErrShort
 	}
-	more, err := a.take(now, bytes, bytes, nil)
+	more, err := a.take(now, ConnectionBytes, ConnectionBytes, nil)
 	if err != nil {
 		a.stats.Unaccepted++
 		return nil, append(victims, more...), err
 	}
-	p = &Peer{a: a, Close: closeConn, held: bytes, opened: now}
+	p = &Peer{a: a, Close: closeConn, held: ConnectionBytes, opened: now}
 	a.peers[p] = struct{}{}
 	return p, append(victims, more...), nil
 }
 
 // Disconnect returns the memory of the connection itself. Leases are released apart from
 // it.
-func (p *Peer) Disconnect(bytes int64) {
+func (p *Peer) Disconnect() {
 	p.a.mu.Lock()
 	defer p.a.mu.Unlock()
 	delete(p.a.peers, p)
-	p.a.used -= bytes
-	p.held -= bytes
+	p.a.used -= ConnectionBytes
+	p.held -= ConnectionBytes
 	if p.closing {
 		p.a.closing--
-		p.a.leaving -= bytes
+		p.a.leaving -= ConnectionBytes
 	}
 }
 
