memory, h1: callers leave a quarter of the connections to other daemons

Cause: callers and daemons share the bound on connections, so a crowd of callers would cut a host off from other daemons. Change: callers have at most three quarters of the connections, and a caller's connection never takes the place of a daemon's.

--- a/h1/body_test.go
+++ b/h1/body_test.go
@@ -52,7 +52,7 @@
 	for _, chunked := range []bool{false, true} {
 		t.Run(fmt.Sprintf("chunked %t", chunked), func(t *testing.T) {
 			// What is above memory.SmallBytes finds room for two bodies, and their overhead.
-			account := memory.NewAccount(memory.Limits{Bytes: 2*large + 2<<20, LargeBytes: 2*large + 1<<20, Connections: 100})
+			account := memory.NewAccount(memory.Limits{Bytes: 2*large + 2<<20, LargeBytes: 2*large + 1<<20, Connections: 100, CallerConnections: 100})
 			block := make(chan struct{})
 			s := New(Options{Memory: account, Handler: func(_ context.Context, x *Exchange) {
 				if len(x.Request.Body()) > smallBytes {
@@ -97,7 +97,7 @@
 
 // A body whose sender leaves gives its memory back.
 func TestBodyOfASenderThatLeavesIsReleased(t *testing.T) {
-	account := memory.NewAccount(memory.Limits{Bytes: 1 << 30, LargeBytes: 1 << 30, Connections: 100})
+	account := memory.NewAccount(memory.Limits{Bytes: 1 << 30, LargeBytes: 1 << 30, Connections: 100, CallerConnections: 100})
 	s := New(Options{Memory: account, Handler: func(context.Context, *Exchange) {}})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/h1/conn.go
+++ b/h1/conn.go
@@ -96,7 +96,7 @@
 		acceptedAt: time.Now(),
 		idleSince:  time.Now(),
 	}
-	peer, victims, err := s.opts.Memory.Connect(time.Now(), c.evict)
+	peer, victims, err := s.opts.Memory.Connect(time.Now(), s.opts.Origin, c.evict)
 	memory.CloseAll(victims)
 	if err != nil {
 		return nil
--- a/h1/pace_test.go
+++ b/h1/pace_test.go
@@ -19,7 +19,7 @@
 // Guards against a caller that loses its idle connection, or a request on it, when the
 // buffers of the connection are dropped.
 func TestIdleConnectionWithoutBuffersServesOn(t *testing.T) {
-	account := memory.NewAccount(memory.Limits{Bytes: 1 << 20, LargeBytes: 1 << 20, Connections: 10})
+	account := memory.NewAccount(memory.Limits{Bytes: 1 << 20, LargeBytes: 1 << 20, Connections: 10, CallerConnections: 10})
 	addr := serve(t, Options{Handler: echo, Memory: account})
 	c, br := dial(t, addr)
 	for range 2 {
@@ -61,7 +61,7 @@
 
 // Guards against an answer that stays in memory because its caller does not read it.
 func TestResponseThatIsNotReadEndsTheConnection(t *testing.T) {
-	account := memory.NewAccount(memory.Limits{Bytes: 64 << 20, LargeBytes: 64 << 20, Connections: 10})
+	account := memory.NewAccount(memory.Limits{Bytes: 64 << 20, LargeBytes: 64 << 20, Connections: 10, CallerConnections: 10})
 	addr := serve(t, Options{Memory: account, Limits: func() Limits { return Limits{IdleTimeout: 200 * time.Millisecond, MinRate: 1 << 30} },
 		Handler: func(_ context.Context, x *Exchange) {
 			l := account.Lease()
@@ -85,7 +85,7 @@
 // and what it sent does not reach the handler.
 func TestSlowSenderIsClosedForOthers(t *testing.T) {
 	const body = 600 << 10
-	account := memory.NewAccount(memory.Limits{Bytes: 1 << 20, LargeBytes: 1 << 20, Connections: 10})
+	account := memory.NewAccount(memory.Limits{Bytes: 1 << 20, LargeBytes: 1 << 20, Connections: 10, CallerConnections: 10})
 	var handled, evicted atomic.Int64
 	addr := serve(t, Options{Memory: account, Evicted: func(string, int64, float64) { evicted.Add(1) },
 		Handler: func(_ context.Context, x *Exchange) { handled.Add(1) }})
@@ -110,7 +110,7 @@
 // Guards against connections without number: one beyond the bound is closed at once, and
 // those that are open, also when idle, serve on.
 func TestConnectionsAreBounded(t *testing.T) {
-	account := memory.NewAccount(memory.Limits{Bytes: 1 << 20, LargeBytes: 1 << 20, Connections: 2})
+	account := memory.NewAccount(memory.Limits{Bytes: 1 << 20, LargeBytes: 1 << 20, Connections: 2, CallerConnections: 2})
 	addr := serve(t, Options{Handler: echo, Memory: account})
 	for range 2 {
 		c, br := dial(t, addr)
--- a/h1/server.go
+++ b/h1/server.go
@@ -86,6 +86,8 @@
 	// Memory bounds connections, requests and responses together; servers may share it.
 	// nil means that only Limits bound them.
 	Memory *memory.Account
+	// Origin is where the server's connections come from.
+	Origin memory.Origin
 	// Evicted is called before a connection is closed to make room for others, with the
 	// bytes that it holds and its rate in bytes a second.
 	Evicted func(remote string, held int64, rate float64)
@@ -119,7 +121,7 @@
 		o.Limits = func() Limits { return Limits{} }
 	}
 	if o.Memory == nil {
-		o.Memory = memory.NewAccount(memory.Limits{Bytes: unlimited, LargeBytes: unlimited, Connections: unlimited})
+		o.Memory = memory.NewAccount(memory.Limits{Bytes: unlimited, LargeBytes: unlimited, Connections: unlimited, CallerConnections: unlimited})
 	}
 	if o.Evicted == nil {
 		o.Evicted = func(string, int64, float64) {}
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -16,6 +16,7 @@
 	"github.com/gooseberryshed/gooseberryshed/decisions"
 	"github.com/gooseberryshed/gooseberryshed/h1"
 	"github.com/gooseberryshed/gooseberryshed/internal/pause"
+	"github.com/gooseberryshed/gooseberryshed/memory"
 	"github.com/gooseberryshed/gooseberryshed/metrics"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/storepoll"
@@ -116,7 +117,7 @@
 	s := &h.servers
 	account := h.client.memory
 	s.callers = h1.New(h1.Options{Handler: h.ingress.Handle, ErrorHandler: h.rejectCaller, Limits: h.callerLimits, Stopping: h.stopping, Memory: account, Evicted: h.logEvicted})
-	s.gates = h1.New(h1.Options{Handler: h.handleForward, ErrorHandler: h.rejectForward, Limits: h.gateLimits, Stopping: h.stopping, Memory: account, Evicted: h.logEvicted})
+	s.gates = h1.New(h1.Options{Handler: h.handleForward, ErrorHandler: h.rejectForward, Limits: h.gateLimits, Stopping: h.stopping, Memory: account, Origin: memory.FromDaemon, Evicted: h.logEvicted})
 	s.announcements = h1.New(h1.Options{Handler: h.gate.handleAnnouncement})
 	s.ready = h1.New(h1.Options{Handler: h.handleReady})
 	s.metrics = h1.New(h1.Options{Handler: h.handleMetrics})
--- a/memory/account.go
+++ b/memory/account.go
@@ -37,6 +37,9 @@
 	reservedFds = 200
 	// fdsPerConnection counts a caller's connection and one to a target or gate.
 	fdsPerConnection = 2
+	// callerShare is the part of the connections that callers may have. Without the rest a
+	// crowd of callers would cut the host off from other daemons.
+	callerShare = 0.75
 	// minConnections lets a process serve whatever its settings say.
 	minConnections = 16
 )
@@ -46,8 +49,9 @@
 	// Bytes bounds all claims, and LargeBytes those above SmallBytes together with all
 	// others.
 	Bytes, LargeBytes int64
-	// Connections bounds the number of open connections.
-	Connections int
+	// Connections bounds the number of open connections, and CallerConnections those of
+	// callers among them.
+	Connections, CallerConnections int
 }
 
 // defaultMemory and defaultFds replace limits that a process does not have.
@@ -68,6 +72,7 @@
 	l.LargeBytes = int64(largeShare * float64(l.Bytes))
 	byMemory := int(connectionShare * float64(l.Bytes) / ConnectionBytes)
 	l.Connections = max(min((fds-reservedFds)/fdsPerConnection, byMemory), minConnections)
+	l.CallerConnections = int(callerShare * float64(l.Connections))
 	return l
 }
 
@@ -80,9 +85,18 @@
 	// leaving is the part of used whose connections are being closed.
 	leaving int64
 	peers   map[*Peer]struct{}
-	// closing counts the peers that are being closed.
-	closing int
-	stats   Stats
+	// all and callers count connections.
+	all, callers count
+	stats        Stats
+}
+
+// count is a number of connections, and of those among them that are being closed.
+type count struct{ open, closing int }
+
+// full reports whether a limit is reached by the connections that stay, or exceeded by
+// much with those that are being closed.
+func (c count) full(limit int) bool {
+	return c.open-c.closing >= limit || c.open > limit+limit/leavingShare
 }
 
 // Stats are counters of an account since its start.
@@ -145,12 +159,20 @@
 	a.stats.Peak = max(a.stats.Peak, a.used)
 }
 
+// counted changes the counts of which a peer is part. a.mu must be held.
+func (a *Account) counted(p *Peer, change func(*count)) {
+	change(&a.all)
+	if p.origin == FromCaller {
+		change(&a.callers)
+	}
+}
+
 // dismiss marks peers as being closed. a.mu must be held.
 func (a *Account) dismiss(now time.Time, peers []*Peer) []*Peer {
 	for _, p := range peers {
 		p.closedHeld, p.closedRate = p.held, p.rate(now)
 		p.closing = true
-		a.closing++
+		a.counted(p, func(c *count) { c.closing++ })
 		a.leaving += p.held
 		a.stats.Closed++
 	}
--- a/memory/account_test.go
+++ b/memory/account_test.go
@@ -12,7 +12,7 @@
 
 func connect(t *testing.T, a *Account, now time.Time) *Peer {
 	t.Helper()
-	p, victims, err := a.Connect(now, nil)
+	p, victims, err := a.Connect(now, FromCaller, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, len(victims), 0)
 	return p
@@ -33,7 +33,7 @@
 // that is slower.
 func TestSlowestIsClosedFirst(t *testing.T) {
 	const mib = 1 << 20
-	a := NewAccount(Limits{Bytes: 4 * mib, LargeBytes: 4 * mib, Connections: 10})
+	a := NewAccount(Limits{Bytes: 4 * mib, LargeBytes: 4 * mib, Connections: 10, CallerConnections: 10})
 	slowest, slow, fast, young := connect(t, a, epoch), connect(t, a, epoch), connect(t, a, epoch), connect(t, a, epoch)
 	for _, p := range []*Peer{slowest, slow, fast} {
 		hold(t, p, epoch, mib)
@@ -56,7 +56,7 @@
 
 // Guards against closing connections for a claim that would not fit even then.
 func TestNobodyIsClosedInVain(t *testing.T) {
-	a := NewAccount(Limits{Bytes: 1 << 20, LargeBytes: 1 << 20, Connections: 10})
+	a := NewAccount(Limits{Bytes: 1 << 20, LargeBytes: 1 << 20, Connections: 10, CallerConnections: 10})
 	p := connect(t, a, epoch)
 	hold(t, p, epoch, 100<<10)
 	rest := a.Lease()
@@ -71,13 +71,13 @@
 
 // Guards against closing callers that keep an idle connection, which is inside the limits.
 func TestIdleConnectionsAreNeverClosed(t *testing.T) {
-	a := NewAccount(Limits{Bytes: 1 << 20, LargeBytes: 1 << 20, Connections: 3})
+	a := NewAccount(Limits{Bytes: 1 << 20, LargeBytes: 1 << 20, Connections: 3, CallerConnections: 3})
 	now := epoch
 	for range 3 {
 		connect(t, a, now).Served()
 	}
 	now = now.Add(time.Hour)
-	_, victims, err := a.Connect(now, nil)
+	_, victims, err := a.Connect(now, FromCaller, nil)
 	assert.ErrorIs(t, err, ErrShort)
 	assert.Equal(t, len(victims), 0)
 	victims, err = a.Lease().Grow(now, 1<<20)
@@ -87,13 +87,13 @@
 
 // Guards against connections that never send a request and keep others out.
 func TestSilentConnectionMakesRoomForANewOne(t *testing.T) {
-	a := NewAccount(Limits{Bytes: 1 << 20, LargeBytes: 1 << 20, Connections: 2})
+	a := NewAccount(Limits{Bytes: 1 << 20, LargeBytes: 1 << 20, Connections: 2, CallerConnections: 2})
 	connect(t, a, epoch).Served()
 	silent := connect(t, a, epoch)
-	_, victims, err := a.Connect(epoch.Add(MinAge/2), nil)
+	_, victims, err := a.Connect(epoch.Add(MinAge/2), FromCaller, nil)
 	assert.ErrorIs(t, err, ErrShort)
 	assert.Equal(t, len(victims), 0)
-	_, victims, err = a.Connect(epoch.Add(MinAge), nil)
+	_, victims, err = a.Connect(epoch.Add(MinAge), FromCaller, nil)
 	assert.NilError(t, err)
 	assert.Assert(t, len(victims) == 1 && victims[0] == silent)
 }
@@ -117,7 +117,7 @@
 // order in which connections are closed and leases released.
 func TestAccountAddsUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limits := Limits{Bytes: 1 << 20, LargeBytes: 800 << 10, Connections: 5}
+		limits := Limits{Bytes: 1 << 20, LargeBytes: 800 << 10, Connections: 5, CallerConnections: 5}
 		a := NewAccount(limits)
 		now := epoch
 		type held struct {
@@ -130,7 +130,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
 			switch rapid.IntRange(0, 7).Draw(t, "step") {
 			case 0:
-				if p, _, err := a.Connect(now, nil); err == nil {
+				if p, _, err := a.Connect(now, FromCaller, nil); err == nil {
 					peers = append(peers, p)
 				}
 			case 1:
@@ -190,8 +190,8 @@
 		for _, p := range peers {
 			p.Disconnect()
 		}
-		if a.used != 0 || a.leaving != 0 || a.closing != 0 {
-			t.Fatalf("used %d, leaving %d, closing %d at the end", a.used, a.leaving, a.closing)
+		if a.used != 0 || a.leaving != 0 || a.all != (count{}) || a.callers != (count{}) {
+			t.Fatalf("used %d, leaving %d, closing %d at the end", a.used, a.leaving, a.all.closing)
 		}
 	})
 }
@@ -203,3 +203,21 @@
 	assert.Assert(t, l.LargeBytes >= (64+16)<<20, "%d bytes", l.LargeBytes)
 	assert.Equal(t, l.Connections, (4100-200)/2)
 }
+
+// Guards against a crowd of callers that cuts a host off from other daemons.
+func TestCallersLeaveConnectionsToDaemons(t *testing.T) {
+	a := NewAccount(Limits{Bytes: 1 << 20, LargeBytes: 1 << 20, Connections: 4, CallerConnections: 3})
+	daemon, _, err := a.Connect(epoch, FromDaemon, nil)
+	assert.NilError(t, err)
+	daemon.Begin(epoch) // slower than any caller
+	for range 3 {
+		connect(t, a, epoch).Served()
+	}
+	now := epoch.Add(time.Minute)
+	_, victims, err := a.Connect(now, FromCaller, nil)
+	assert.ErrorIs(t, err, ErrShort)
+	assert.Equal(t, len(victims), 0, "a daemon made room for a caller")
+	_, victims, err = a.Connect(now, FromDaemon, nil)
+	assert.NilError(t, err)
+	assert.Assert(t, len(victims) == 1 && victims[0] == daemon)
+}
--- a/memory/peer.go
+++ b/memory/peer.go
@@ -17,12 +17,21 @@
 	rateWindow = time.Second
 )
 
+// Origin tells where a connection comes from.
+type Origin int
+
+const (
+	FromCaller Origin = iota
+	FromDaemon
+)
+
 // Peer is a connection from a client.
 type Peer struct {
 	// Close closes the connection. It is called by the user of the package.
 	Close func()
 
-	a *Account
+	a      *Account
+	origin Origin
 	// held are the bytes that closing the connection would return.
 	held int64
 	// moving counts the bodies and answers that are being read or written, since is when
@@ -51,17 +60,19 @@
 }
 
 // Connect opens a connection. If it returns an error, the connection must be closed.
-// victims are to be closed in any case.
-func (a *Account) Connect(now time.Time, closeConn func()) (p *Peer, victims []*Peer, err error) {
+// victims are to be closed in any case; for a caller they are callers.
+func (a *Account) Connect(now time.Time, from Origin, closeConn func()) (p *Peer, victims []*Peer, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(a.peers)-a.closing >= a.limits.Connections {
-		if v := a.slowest(now, true); v != nil {
+	full := func() bool {
+		return a.all.full(a.limits.Connections) || from == FromCaller && a.callers.full(a.limits.CallerConnections)
+	}
+	if full() {
+		if v := a.slowest(now, from); v != nil {
 			victims = a.dismiss(now, []*Peer{v})
 		}
 	}
-	open := len(a.peers)
-	if open-a.closing >= a.limits.Connections || open > a.limits.Connections+a.limits.Connections/leavingShare {
+	if full() {
 		a.stats.Unaccepted++
 		return nil, victims, ErrShort
 	}
@@ -70,8 +81,9 @@
 		a.stats.Unaccepted++
 		return nil, append(victims, more...), err
 	}
-	p = &Peer{a: a, Close: closeConn, held: ConnectionBytes, opened: now}
+	p = &Peer{a: a, origin: from, Close: closeConn, held: ConnectionBytes, opened: now}
 	a.peers[p] = struct{}{}
+	a.counted(p, func(c *count) { c.open++ })
 	return p, append(victims, more...), nil
 }
 
@@ -83,8 +95,9 @@
 	delete(p.a.peers, p)
 	p.a.used -= ConnectionBytes
 	p.held -= ConnectionBytes
+	p.a.counted(p, func(c *count) { c.open-- })
 	if p.closing {
-		p.a.closing--
+		p.a.counted(p, func(c *count) { c.closing-- })
 		p.a.leaving -= ConnectionBytes
 	}
 }
@@ -145,15 +158,19 @@
 	return !p.closing && !p.served && p.moving == 0 && now.Sub(p.opened) >= MinAge
 }
 
-// slowest returns the slowest peer that may be closed, or nil. For a connection it may also
-// be the one that has been silent longest. a.mu must be held.
-func (a *Account) slowest(now time.Time, orSilent bool) *Peer {
+// slowest returns the slowest peer that may be closed for a connection, or else the one
+// that has been silent longest, or nil. A caller takes no place of a daemon. a.mu must be
+// held.
+func (a *Account) slowest(now time.Time, from Origin) *Peer {
 	var slowest, silent *Peer
 	for p := range a.peers {
+		if from == FromCaller && p.origin != FromCaller {
+			continue
+		}
 		if p.slow(now) && (slowest == nil || p.rate(now) < slowest.rate(now)) {
 			slowest = p
 		}
-		if orSilent && p.silent(now) && (silent == nil || p.opened.Before(silent.opened)) {
+		if p.silent(now) && (silent == nil || p.opened.Before(silent.opened)) {
 			silent = p
 		}
 	}
