--- a/h1/conn.go
+++ b/h1/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"os"
@@ -12,13 +11,17 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/gooseberryshed/gooseberryshed/bodybuf"
+	"github.com/gooseberryshed/gooseberryshed/memory"
 )
 
 const (
 	// maxPipelined limits the number of active requests on one connection; the
 	// reader blocks at the limit.
 	maxPipelined = 32
-	// writeTimeout limits the time to write one response to a slow peer.
+	// writeTimeout limits the time in which a peer that reads nothing is waited for. What
+	// it reads gives it more time, see Limits.MinRate.
 	writeTimeout = 30 * time.Second
 	// lingerTime and lingerBytes limit the data that is read and discarded after
 	// the last response on a connection, which may also be the rest of a body within
@@ -53,10 +56,17 @@
 	handlers sync.WaitGroup
 
 	acceptedAt time.Time
-	// metered is the exchange whose body is being read in chunks, and meterErr is set
-	// if it has exhausted the budget of bodies.
-	metered  *Exchange
-	meterErr error
+	// peer is the connection in the server's account of memory, and buffers the memory of
+	// br and bw.
+	peer    *memory.Peer
+	buffers *memory.Lease
+	// body is the pace of the body that is being read while bodyMoving is set, and answer
+	// that of the response that is being written, guarded by writeMu.
+	body, answer pace
+	bodyMoving   bool
+	// first is the first byte of a request that arrived while there was no buffer.
+	first    [1]byte
+	hasFirst bool
 
 	mu sync.Mutex
 	// served is set when the first request has been accepted, and reading while a
@@ -64,6 +74,8 @@
 	served, reading bool
 	// pending counts the requests that have been accepted and not yet answered.
 	pending int
+	// unsent counts the requests whose response has not been sent.
+	unsent int
 	// closing is set once a response with "Connection: close" is due or was sent.
 	closing bool
 	// idleSince is the time at which the last request was answered.
@@ -73,21 +85,34 @@
 	bw      *bufio.Writer
 }
 
+// newConn returns a connection, or nil if there is no memory for it.
 func newConn(s *Server, nc net.Conn) *conn {
 	limits := s.opts.Limits().withDefaults()
 	c := &conn{
 		Conn:       nc,
 		s:          s,
 		limits:     limits,
-		bw:         bufio.NewWriterSize(nc, writeBufferBytes),
 		slots:      make(chan struct{}, maxPipelined),
 		acceptedAt: time.Now(),
 		idleSince:  time.Now(),
 	}
-	c.br = bufio.NewReaderSize(meteredReader{c}, limits.HeaderBytes)
+	peer, victims, err := s.opts.Memory.Connect(time.Now(), s.opts.Origin, c.evict)
+	memory.CloseAll(victims)
+	if err != nil {
+		return nil
+	}
+	c.peer = peer
+	c.buffers = peer.Lease()
 	return c
 }
 
+// evict closes the connection to make room for others.
+func (c *conn) evict() {
+	held, rate := c.peer.Closed()
+	c.s.opts.Evicted(c.Conn.RemoteAddr().String(), held, rate)
+	c.Conn.Close()
+}
+
 // unsettled reports whether a request is expected or unanswered, or the peer may
 // not have read the last response yet.
 func (c *conn) unsettled(now time.Time) bool {
@@ -109,6 +134,8 @@
 // serve reads requests until the stream ends and runs each in a goroutine.
 func (c *conn) serve() {
 	ctx, cancel := context.WithCancel(context.Background())
+	defer c.peer.Disconnect()
+	defer c.dropBuffers()
 	defer c.s.remove(c)
 	defer c.Conn.Close()
 	defer c.handlers.Wait()
@@ -116,15 +143,15 @@
 	previous := make(chan struct{})
 	close(previous)
 	for c.awaitRequest() {
-		x := &Exchange{ReceivedAt: time.Now(), conn: c}
+		x := &Exchange{ReceivedAt: time.Now(), conn: c, lease: c.peer.Lease()}
 		c.setReading(true)
 		status, err := c.read(x)
 		if err != nil && status == 0 {
-			c.releaseBody(x)
+			x.release()
 			return
 		}
 		if !c.begin() {
-			c.releaseBody(x)
+			x.release()
 			time.Sleep(lateRequestDelay)
 			return
 		}
@@ -142,26 +169,49 @@
 }
 
 // awaitRequest waits for the first byte of a request. It returns false if the
-// stream ends or the idle timeout expires.
+// stream ends, the idle timeout expires or there is no memory for a request.
 func (c *conn) awaitRequest() bool {
+	if c.br != nil && c.br.Buffered() > 0 {
+		return true
+	}
 	for {
-		if c.Conn.SetReadDeadline(time.Now().Add(c.limits.IdleTimeout)) != nil {
+		wait := c.limits.IdleTimeout
+		if c.br != nil {
+			wait = min(wait, keepBuffers)
+		}
+		if c.Conn.SetReadDeadline(time.Now().Add(wait)) != nil {
 			return false
 		}
-		_, err := c.br.Peek(1)
+		var err error
+		if c.br != nil {
+			_, err = c.br.Peek(1)
+		} else {
+			err = c.readFirst()
+		}
 		if err == nil {
-			return true
+			return c.br != nil || c.takeBuffers()
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || c.idleExpired() {
 			return false
 		}
+		if c.br != nil && c.idle() {
+			c.dropBuffers()
+		}
 	}
 }
 
+// idle reports whether all responses have been sent and more requests may come.
+func (c *conn) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unsent == 0 && !c.closing
+}
+
 func (c *conn) idleExpired() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closing || c.pending == 0 && time.Since(c.idleSince) >= c.limits.IdleTimeout
+	idle := time.Since(c.idleSince)
+	return c.closing && idle >= lingerTime || c.pending == 0 && idle >= c.limits.IdleTimeout
 }
 
 // awaitPeerClose reads until the stream ends or all requests are answered, so
@@ -182,9 +232,13 @@
 // or 0 if no response can be sent.
 func (c *conn) read(x *Exchange) (status int, err error) {
 	c.limits = c.s.opts.Limits().withDefaults()
+	x.limits = c.limits
 	if err := c.Conn.SetReadDeadline(time.Now().Add(c.limits.HeaderTimeout)); err != nil {
 		return 0, err
 	}
+	if _, err := c.br.Peek(1); err != nil {
+		return statusOf(err), err
+	}
 	if err := checkRequestLine(c.br); err != nil {
 		return statusOf(err), err
 	}
@@ -194,6 +248,10 @@
 	if err := c.Conn.SetReadDeadline(time.Now().Add(c.limits.IdleTimeout)); err != nil {
 		return 0, err
 	}
+	c.peer.Served()
+	if err := c.takeHeader(x); err != nil {
+		return statusOf(err), err
+	}
 	if x.Request.MayContinue() {
 		if err := c.write([]byte(continueResponse)); err != nil {
 			return 0, err
@@ -228,7 +286,7 @@
 		return fasthttp.StatusServiceUnavailable
 	case errors.As(err, &small):
 		return fasthttp.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, bodybuf.ErrTooLarge):
 		return fasthttp.StatusRequestEntityTooLarge
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, os.ErrDeadlineExceeded):
 		return 0
@@ -249,6 +307,7 @@
 		return false
 	}
 	c.pending++
+	c.unsent++
 	c.served, c.reading = true, false
 	c.s.active.Add(1)
 	return true
@@ -260,7 +319,8 @@
 	defer close(answered)
 	defer func() { <-c.slots }()
 	defer c.s.active.Add(-1)
-	defer c.releaseBody(x)
+	defer c.sent()
+	defer x.release()
 	if c.s.opts.Stopping() {
 		// A response must wait for the previous one, which may not be ready
 		// before the server stops. A request that has not been passed to the
@@ -310,38 +370,3 @@
 	}
 	return c.closing
 }
-
-func (c *conn) send(x *Exchange) error {
-	c.writeMu.Lock()
-	defer c.writeMu.Unlock()
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
-	if err := x.Response.Write(c.bw); err != nil {
-		return err
-	}
-	return c.bw.Flush()
-}
-
-func (c *conn) write(p []byte) error {
-	c.writeMu.Lock()
-	defer c.writeMu.Unlock()
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
-	_, err := c.Conn.Write(p)
-	return err
-}
-
-func (c *conn) sendInterim(status int) error {
-	return c.write(fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n\r\n", status, fasthttp.StatusMessage(status)))
-}
-
-// closeWrite shuts down the write side of the connection. The reader continues
-// until the peer closes its side or lingerTime has passed.
-func (c *conn) closeWrite() {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		half.CloseWrite() //nolint:errcheck // the connection is closed in any case
-	}
-	c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) //nolint:errcheck // only a closed connection fails
-}
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -11,6 +11,7 @@
 	"github.com/gooseberryshed/gooseberryshed/decisions"
 	"github.com/gooseberryshed/gooseberryshed/gray"
 	"github.com/gooseberryshed/gooseberryshed/link"
+	"github.com/gooseberryshed/gooseberryshed/memory"
 	"github.com/gooseberryshed/gooseberryshed/metrics"
 	"github.com/gooseberryshed/gooseberryshed/offerlog"
 	"github.com/gooseberryshed/gooseberryshed/placing"
@@ -33,7 +34,7 @@
 	log      *decisions.Log
 	metrics  *metrics.Registry
 	links    *link.Pool
-	answers  *byteBudget
+	memory   *memory.Account
 	// incarnation distinguishes this gate process from earlier ones on the
 	// host.
 	incarnation int64
@@ -82,7 +83,7 @@
 		records:     offerlog.NewGate(incarnation),
 		waiting:     map[string]*admission.Item{},
 		searched:    make(chan struct{}),
-		answers:     newAnswerBudget(int64(settings().MemoryBytes)),
+		memory:      newAccount(settings()),
 		links: link.New(link.Options{
 			DialTimeout:    targetDialTimeout,
 			TCPUserTimeout: targetUserTimeout,
@@ -144,6 +145,7 @@
 // just before the request is sent to the target.
 func (g *Gate) Forward(ctx context.Context, f Forward, req *fasthttp.Request, onSend func()) Reply {
 	arrived := time.Now()
+	f.bodyBytes = int64(len(req.Body()))
 	g.awaitTarget(ctx, time.Duration(f.TimeLeftMs)*time.Millisecond)
 	tk, refusal := g.admit(ctx, f, arrived)
 	if refusal != nil {
@@ -217,6 +219,9 @@
 		return nil, refusal
 	}
 	t := g.target
+	if refusal := g.checkBytes(t, tk.f, now); refusal != nil {
+		return nil, refusal
+	}
 	tk.target = t
 	latency := g.latency(tk.f)
 	it := &admission.Item{
@@ -315,6 +320,7 @@
 	}
 	t.running.Add(tk.f.rank())
 	tk.started, tk.inProgress = now, t.queue.Running()
+	t.bytes.Start(tk.f.bodyBytes)
 	tk.request = t.filter.Start(now, g.latency(tk.f))
 }
 
@@ -378,7 +384,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	if refusal := g.precheck(tk.f, now); refusal != nil {
+	refusal = g.precheck(tk.f, now)
+	if refusal == nil {
+		refusal = g.checkBytes(tk.target, tk.f, now)
+	}
+	if refusal != nil {
 		tk.target.queue.Release()
 		g.grantSlots(tk.target, now)
 		return refusal
--- a/hostd/handlers.go
+++ b/hostd/handlers.go
@@ -40,6 +40,9 @@
 	x.Request.Header.CopyTo(&req.Header)
 	req.SetBodyRaw(x.Request.Body())
 	h.serveRun(ctx, x, h.runs.start(f, func(ctx context.Context, onSend func()) Reply {
+		body := x.Lease() // req shares the body
+		body.Retain()
+		defer body.Release()
 		return h.gate.Forward(ctx, f, req, onSend)
 	}))
 }
@@ -76,6 +79,10 @@
 		}
 	})
 	if ok {
+		if a := reply.Answer; a != nil && a.lease != nil {
+			x.Hold(a.lease)
+			a.lease.Release() // the copy's
+		}
 		writeReply(&x.Response, reply)
 	}
 }
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -109,6 +109,9 @@
 	if old != nil {
 		// What was sent in the last second may have reached this incarnation.
 		g.target.startLimit = old.startLimit
+		if old.service == g.target.service {
+			g.target.bytes = old.bytes
+		}
 	} else {
 		g.target.returningUntil = now.Add(returnTime)
 	}
@@ -303,7 +306,7 @@
 		g.log.Decide("health-failed", "address", g.settings().TargetAddress, "err", err)
 		return karpithaz.Heartbeat{}, false
 	}
-	if _, err := readBody(resp, g.answers); err != nil {
+	if _, err := readWhole(resp, g.memory); err != nil {
 		return karpithaz.Heartbeat{}, false
 	}
 	answer := karpithaz.ParseResponse(&resp.Header)
--- a/hostd/records_test.go
+++ b/hostd/records_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/gooseberryshed/gooseberryshed/placing"
+	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 )
@@ -136,7 +137,7 @@
 		}
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: {\"l\":7,\"r\":0,\"s\":4,\"g\":0}\r\nContent-Length: 2\r\n\r\nok", headerReport) //nolint:errcheck // the client sees the failure
 	})
-	c := newGateClient("127.0.0.1", newAnswerBudget(0))
+	c := newGateClient("127.0.0.1", newAccount(&karpithaz.Settings{}))
 	defer c.links.Close()
 	req := &fasthttp.Request{}
 	standin.Call{Attempt: "a", Method: "POST", Host: testHost, URI: "/order/1", Body: body, Timeout: time.Second}.Write(req)
@@ -159,7 +160,7 @@
 	record := o.begin(Target{ID: "t", Host: "h"}, 1)
 	o.withdrawing(record)
 	a := &attempt{offers: o}
-	c := newGateClient("127.0.0.1", newAnswerBudget(0))
+	c := newGateClient("127.0.0.1", newAccount(&karpithaz.Settings{}))
 	req := &fasthttp.Request{}
 	standin.Call{Attempt: "a", Method: "POST", Host: testHost, URI: "/order/1", Timeout: time.Second}.Write(req)
 	r := c.Forward(context.Background(), Target{Gate: addr, Host: "h"}, Forward{Attempt: "a", TimeLeftMs: 1000}, req,
--- a/hostd/roundtrip.go
+++ b/hostd/roundtrip.go
@@ -58,11 +58,11 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := readBody(resp, g.answers)
+	body, lease, err := readBody(resp, g.memory)
 	if err != nil {
 		return nil, err
 	}
-	a := &Answer{Body: body}
+	a := newAnswer(body, lease)
 	resp.Header.CopyTo(&a.Header)
 	return a, nil
 }
@@ -147,6 +147,7 @@
 	if e.refusal != nil {
 		g.setRunState(tk.f, e.refusal)
 	}
+	t.bytes.End(tk.f.bodyBytes, err == nil)
 	gray := t.filter.Probability(now)
 	t.running.Remove(tk.f.rank())
 	t.queue.Used(now, tk.f.Workspace, now.Sub(tk.started))
@@ -179,6 +180,7 @@
 		t.broken = append(t.broken, tk.f.Fingerprint)
 		if !t.probing {
 			t.probing = true
+			t.heldAtBreak = t.bytes.InFlight()
 			go g.probeForDeath(t)
 		}
 	}
--- a/hostd/runs.go
+++ b/hostd/runs.go
@@ -143,6 +143,9 @@
 	defer rs.mu.Unlock()
 	if r.connections--; r.connections == 0 {
 		r.cancel()
+		if r.finished() && rs.byAttempt[r.Attempt] != r {
+			r.reply.Answer.release() // it is not retained
+		}
 	}
 }
 
@@ -179,6 +182,9 @@
 	}
 	r.reply, r.heldUntil = reply, now.Add(replyRetention)
 	if rs.byAttempt[r.Attempt] != r {
+		if r.connections == 0 {
+			reply.Answer.release() // nobody waits for it any more
+		}
 		return
 	}
 	switch {
@@ -189,6 +195,9 @@
 		if !r.Repeatable {
 			rs.onDropped(r)
 		}
+		if r.connections == 0 {
+			reply.Answer.release()
+		}
 	case r.Repeatable:
 		rs.retain(&rs.reads, r, now)
 	default:
@@ -237,6 +246,7 @@
 // drop drops the reply of a run. rs.mu must be held.
 func (rs *runs) drop(held *retainedRuns, r *attemptRun) {
 	held.bytes -= r.size()
+	r.reply.Answer.release()
 	if rs.byAttempt[r.Attempt] == r {
 		delete(rs.byAttempt, r.Attempt)
 	}
@@ -251,8 +261,9 @@
 	for {
 		select {
 		case <-r.done:
+			reply := rs.copyReply(r)
 			rs.leave(r)
-			return rs.copyReply(r), true
+			return reply, true
 		case <-ctx.Done():
 			time.AfterFunc(reconnectGrace, func() { rs.leave(r) })
 			return Reply{}, false
@@ -264,13 +275,17 @@
 	}
 }
 
-// copyReply returns a copy of a reply, as several connections may wait for it.
+// copyReply returns a copy of a reply, as several connections may wait for it. The copy is
+// a user of the answer's memory.
 func (rs *runs) copyReply(r *attemptRun) Reply {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	reply := r.reply
 	if r.reply.Answer != nil {
-		reply.Answer = &Answer{Body: r.reply.Answer.Body}
+		reply.Answer = &Answer{Body: r.reply.Answer.Body, lease: r.reply.Answer.lease}
+		if reply.Answer.lease != nil {
+			reply.Answer.lease.Retain()
+		}
 		r.reply.Answer.Header.CopyTo(&reply.Answer.Header)
 	}
 	return reply
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gooseberryshed/gooseberryshed/admission"
+	"github.com/gooseberryshed/gooseberryshed/bytelimit"
 	"github.com/gooseberryshed/gooseberryshed/gray"
 	"github.com/gooseberryshed/gooseberryshed/placing"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
@@ -41,6 +42,10 @@
 	load       speed.Load
 	// returningUntil is until when the gate counts as just started.
 	returningUntil time.Time
+	// bytes bounds the bodies in flight if the target has died of them, and heldAtBreak
+	// are the bytes in flight when the first of the broken connections broke.
+	bytes       *bytelimit.Limiter
+	heldAtBreak int64
 	// grantsScheduled is set while a timer is due to grant slots.
 	grantsScheduled bool
 	// grayProbedAt is when a request was last sent to the target although it
@@ -92,6 +97,7 @@
 		queue:      admission.NewQueue(h.Slots),
 		startLimit: &slowstart.Limiter{},
 		speed:      speed.NewEstimator(h.Slots),
+		bytes:      &bytelimit.Limiter{},
 		filter:     gray.NewFilter(gray.Options{}),
 	}
 }
