hostd, retry: charge calls of repeats to the budget of the service called

Cause: calls made by a run that is itself a repeat count as repeats of the service that is called, and nothing charged them to its retry budget. Change: Budget.Charge, Forward.Repeat, the share of repeats that a target runs, chargeCall.

--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -29,6 +29,8 @@
 	offers    *offers
 	hedgeSoon chan<- struct{}
 	hedge     bool
+	// repeat is set if the request may have arrived at a target before.
+	repeat bool
 	// mayHaveArrived is set when a gate has sent the request to its target, or has
 	// been silent for so long that this is not known.
 	mayHaveArrived atomic.Bool
@@ -252,6 +254,7 @@
 		Served:          e.served,
 		Use:             e.recentUse(),
 		Repeatable:      e.route.Kind.Repeatable(),
+		Repeat:          a.repeat,
 		MaxWaitMs:       terms.maxWait.Milliseconds(),
 		MaxGray:         terms.maxGray,
 		Revision:        e.revision(),
--- /dev/null
+++ b/hostd/callcharge.go
@@ -0,0 +1,38 @@
+package hostd
+
+import (
+	"context"
+
+	"github.com/gooseberryshed/gooseberryshed/retry"
+)
+
+// maxCallDebt is by how many retries the calls of repeats may overdraw a host's retry
+// budget for a service: a host that earns one every two seconds repays them within the
+// budget's window of 10 s.
+const maxCallDebt = 5
+
+// repeatShare returns the share of repeats among the requests that the target is running,
+// which is the probability that a call of the target is made by a repeat.
+func (g *Gate) repeatShare() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.target == nil || g.target.queue.Running() <= 0 {
+		return 0
+	}
+	return min(float64(g.target.repeats)/float64(g.target.queue.Running()), 1)
+}
+
+// chargeCall takes the share of a call that is made by a repeat from the retry budget of
+// the service that is called. The call is made in any case. What would overdraw this
+// host's budget is asked of the fleet's reserve.
+func (e *exchange) chargeCall(ctx context.Context, share float64) {
+	if share <= 0 {
+		return
+	}
+	if !e.in.retriesOf(e.service).budget.Charge(share, maxCallDebt) {
+		return
+	}
+	e.in.metrics.Add("calls_over_budget", 1)
+	// The answer makes no difference to the call, so it is not waited for.
+	go e.in.limiter.AllowRetry(context.WithoutCancel(ctx), e.service, retry.HighestValue)
+}
--- a/hostd/execution.go
+++ b/hostd/execution.go
@@ -245,7 +245,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	ex.cancels = append(ex.cancels, cancel)
 	ex.running++
-	a := &attempt{e: ex.e, req: ex.e.newRequest(), exclude: slices.Clone(ex.failedTargets), offers: ex.offers, hedgeSoon: ex.hedgeSoon, hedge: kind == hedgeAttempt}
+	a := &attempt{e: ex.e, req: ex.e.newRequest(), exclude: slices.Clone(ex.failedTargets), offers: ex.offers, hedgeSoon: ex.hedgeSoon, hedge: kind == hedgeAttempt,
+		repeat: kind != firstAttempt && (ex.sent > 0 || ex.running > 1 || len(ex.shedBy) > 0)}
 	if ex.sent+ex.running+countDistinct(ex.shedBy) > ex.e.route.MaxAttempts {
 		a.restrictTo = slices.Clone(ex.shedBy)
 	}
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -51,6 +51,9 @@
 	Priority        int   `json:"p,omitempty"`
 	Nested          bool  `json:"i,omitempty"`
 	Repeatable      bool  `json:"a,omitempty"`
+	// Repeat is set if the request may have arrived at a target before. The retry budgets
+	// of the services that it calls then count its calls.
+	Repeat bool `json:"b,omitempty"`
 	// MaxWaitMs bounds the expected wait in the gate's queue, in milliseconds.
 	// 0 allows no wait.
 	MaxWaitMs int64 `json:"q,omitempty"`
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -319,6 +319,9 @@
 		g.log.Decide("gray-tried", "id", tk.f.Attempt, "target", t.id, "gray", p)
 	}
 	t.running.Add(tk.f.rank())
+	if tk.f.Repeat {
+		t.repeats++
+	}
 	tk.started, tk.inProgress = now, t.queue.Running()
 	t.bytes.Start(tk.f.bodyBytes)
 	tk.request = t.filter.Start(now, g.latency(tk.f))
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -111,6 +111,7 @@
 	h.gate.shortage = h.load.shortage
 	h.ingress.quarantined = h.crashes.quarantined
 	h.ingress.servedRank = h.gate.servedRank
+	h.ingress.repeatShare = h.gate.repeatShare
 	if err := h.open(o); err != nil {
 		h.close()
 		return nil, err
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -68,6 +68,9 @@
 	// servedRank returns the highest rank among the requests that this host's target is
 	// running, or nil if there are none.
 	servedRank func() *retry.Rank
+	// repeatShare returns the share of repeats among the requests that this host's target
+	// is running.
+	repeatShare func() float64
 	// stopBegan is when a planned stop began, or nil.
 	stopBegan atomic.Pointer[time.Time]
 	// refuseUnsent and endRequests are closed shortly before the end of a planned
@@ -106,6 +109,7 @@
 		endRequests:  make(chan struct{}),
 		latencies:    map[string]*gray.DurationModel{},
 		servedRank:   func() *retry.Rank { return nil },
+		repeatShare:  func() float64 { return 0 },
 		retries:      map[string]*serviceRetries{},
 		uses:         map[string]*fairqueue.Usage{},
 	}
@@ -190,6 +194,9 @@
 		e.served = e.in.servedRank()
 	}
 	e.service = pickService(e.route.Services, rand.Float64())
+	if e.nested {
+		e.chargeCall(ctx, e.in.repeatShare())
+	}
 	return nil
 }
 
--- a/hostd/roundtrip.go
+++ b/hostd/roundtrip.go
@@ -150,6 +150,9 @@
 	t.bytes.End(tk.f.bodyBytes, err == nil)
 	gray := t.filter.Probability(now)
 	t.running.Remove(tk.f.rank())
+	if tk.f.Repeat {
+		t.repeats--
+	}
 	t.queue.Used(now, tk.f.Workspace, now.Sub(tk.started))
 	t.queue.Complete(now.Sub(tk.started), tk.f.Nested)
 	g.grantSlots(t, now)
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -59,6 +59,8 @@
 	failedCalls []time.Time
 	// running are the ranks of the requests sent to the target.
 	running retry.Running
+	// repeats is the number of them that are repeats.
+	repeats int
 }
 
 const (
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -45,6 +45,21 @@
 	}
 }
 
+// Charge takes a share of a retry that is made in any case, also if the budget has none. It
+// reports whether the debt has reached the bound; the share is then not taken.
+func (b *Budget) Charge(share float64, maxDebt int) (overdrawn bool) {
+	units := int64(share * tokenScale)
+	for {
+		old := b.tokens.Load()
+		if old-units < -int64(maxDebt)*tokenScale {
+			return true
+		}
+		if b.tokens.CompareAndSwap(old, old-units) {
+			return false
+		}
+	}
+}
+
 // Refund returns one retry that was taken and not made.
 func (b *Budget) Refund() {
 	for {
