--- a/hostd/runs.go
+++ b/hostd/runs.go
@@ -217,6 +217,13 @@
 	}
 }
 
+// heldBytes returns the bytes of all replies that are held.
+func (rs *runs) heldBytes() int64 {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	return int64(rs.reads.bytes + rs.once.bytes)
+}
+
 // retain holds the reply of a run. The oldest replies are dropped if all are too large
 // together. rs.mu must be held.
 func (rs *runs) retain(held *retainedRuns, r *attemptRun, now time.Time) {
--- a/hostd/runs_test.go
+++ b/hostd/runs_test.go
@@ -49,7 +49,7 @@
 	assert.Assert(t, !held(rs, "not run"), "the attempt can be made again")
 	rs.sweep(time.Now().Add(replyRetention + time.Second))
 	assert.Equal(t, len(rs.byAttempt), 0)
-	assert.Equal(t, rs.once.bytes+rs.reads.bytes, 0)
+	assert.Equal(t, rs.heldBytes(), int64(0))
 	assert.Equal(t, len(rs.once.runs)+len(rs.reads.runs), 0)
 }
 
