--- a/hostd/execution_test.go
+++ b/hostd/execution_test.go
@@ -88,6 +88,7 @@
 		targets[h] = Target{ID: "i-" + h, Service: "svc", Host: h, DataCentre: "dc", Slots: 4}
 	}
 	c.view.Store(newView(cfg, nil, targets, true, time.Now()))
+	close(c.ready)
 	return NewIngress(func() *karpithaz.Settings { return set }, c, g, &unlimitedRates{retries: 5}, func() {}, log, metrics.New())
 }
 
