h1: what the kernel holds of responses is counted and bounded

Cause: a response counted until it was written, but the kernel may hold megabytes of it for a caller that does not read, and these count against the process in production. VmHWM does not show them. A connection that was closed to make room kept them. Change: callers' sockets have buffers of 64 KiB. What a peer has not acknowledged of a response over 4 KiB stays in the account, and its connection stays one that may be closed as slow. Such a connection is reset, which frees the kernel's memory at once.

--- a/h1/conn.go
+++ b/h1/conn.go
@@ -60,6 +60,7 @@
 	// br and bw.
 	peer    *memory.Peer
 	buffers *memory.Lease
+	unread  unread
 	// body is the pace of the body that is being read while bodyMoving is set, and answer
 	// that of the response that is being written, guarded by writeMu.
 	body, answer pace
@@ -101,6 +102,9 @@
 	if err != nil {
 		return nil
 	}
+	if s.opts.Origin == memory.FromCaller {
+		boundSocket(nc)
+	}
 	c.peer = peer
 	c.buffers = peer.Lease()
 	return c
@@ -110,7 +114,7 @@
 func (c *conn) evict() {
 	held, rate := c.peer.Closed()
 	c.s.opts.Evicted(c.Conn.RemoteAddr().String(), held, rate)
-	c.Conn.Close()
+	reset(c.Conn)
 }
 
 // unsettled reports whether a request is expected or unanswered, or the peer may
@@ -135,6 +139,7 @@
 func (c *conn) serve() {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer c.peer.Disconnect()
+	defer c.unread.end(c)
 	defer c.dropBuffers()
 	defer c.s.remove(c)
 	defer c.Conn.Close()
@@ -194,7 +199,7 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) || c.idleExpired() {
 			return false
 		}
-		if c.br != nil && c.idle() {
+		if c.br != nil && c.unread.settled(c) && c.idle() {
 			c.dropBuffers()
 		}
 	}
@@ -346,7 +351,7 @@
 		x.Response.SkipBody = true
 	}
 	if c.send(x) != nil {
-		c.Conn.Close()
+		reset(c.Conn)
 		return
 	}
 	if closing {
--- a/h1/pace_test.go
+++ b/h1/pace_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"sync/atomic"
 	"testing"
@@ -128,3 +129,38 @@
 	assert.ErrorIs(t, err, io.EOF)
 	assert.Equal(t, account.Stats().Unaccepted, int64(1))
 }
+
+// Guards against answers that the kernel holds for callers who do not read them: they count,
+// and such a caller is closed when memory is short.
+func TestAnswerInTheKernelCounts(t *testing.T) {
+	const answer = 100 << 10 // the peer's kernel takes a part of it
+	account := memory.NewAccount(memory.Limits{Bytes: 300 << 10, LargeBytes: 300 << 10, Connections: 10, CallerConnections: 10})
+	l, err := Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	s := New(Options{Memory: account, Handler: func(_ context.Context, x *Exchange) { x.Response.SetBodyRaw(make([]byte, answer)) }})
+	go s.Serve(l) //nolint:errcheck // ends with the listener
+	defer s.Close()
+	defer l.Close()
+	c, br := dial(t, l.Addr().String())
+	assert.NilError(t, c.(*net.TCPConn).SetReadBuffer(4<<10))
+	_, err = io.WriteString(c, get("/"))
+	assert.NilError(t, err)
+	const connection = memory.ConnectionBytes + DefaultHeaderBytes + writeBufferBytes
+	for end := time.Now().Add(5 * time.Second); s.ActiveRequests() > 0 || account.Stats().Used < connection+20<<10; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "%d bytes, %d requests", account.Stats().Used, s.ActiveRequests())
+	}
+	other := account.Lease()
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+		victims, err := other.Grow(time.Now(), 240<<10)
+		memory.CloseAll(victims)
+		if err == nil {
+			break
+		}
+		assert.Assert(t, time.Now().Before(end), "the caller is not closed")
+	}
+	_, err = io.Copy(io.Discard, br)
+	assert.Assert(t, err != nil, "the answer was whole")
+	for end := time.Now().Add(5 * time.Second); account.Stats().Used != 240<<10; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "%d bytes", account.Stats().Used)
+	}
+}
--- a/h1/send.go
+++ b/h1/send.go
@@ -18,13 +18,20 @@
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
 	now := time.Now()
+	c.unread.restart(c)
 	c.peer.Begin(now)
 	defer c.peer.End()
 	c.answer = pace{begun: now, grace: min(x.limits.IdleTimeout, writeTimeout), rate: x.limits.MinRate}
 	if err := x.Response.Write(c.bw); err != nil {
 		return err
 	}
-	return c.bw.Flush()
+	if err := c.bw.Flush(); err != nil {
+		return err
+	}
+	if c.answer.moved > writeBufferBytes {
+		c.unread.record(c)
+	}
+	return nil
 }
 
 func (c *conn) write(p []byte) error {
