speed, placing: larger samples in the plays, corrected figures

Change: speed plays 300 and 200 runs instead of 30 and 20, TestMeanLoad 16 instead of 8. One more case in TestLearnsLimit. No bound of a test has changed.

The tests have not been run on arm64, where floating-point results are rounded differently and the plays are others; such a bound may fail there.

--- a/placing/play_test.go
+++ b/placing/play_test.go
@@ -31,8 +31,9 @@
 	return s
 }
 
-// meanResult plays a fleet on several seeds. Shares of late answers vary by some 3% of
-// their value between two means of 8 runs.
+// meanResult plays a fleet on several seeds. Two means of 8 runs differ by chance by some 3%
+// of the share of late answers, and more rarely by 10%, and another processor architecture rounds
+// differently and plays other runs.
 func meanResult(t *testing.T, what string, runs int, s fleetSpec) result {
 	var sum result
 	for seed := range runs {
@@ -138,9 +139,9 @@
 		share float64 // of the excess over the mean that may remain
 	}{{"even", evenFleet(1), 0.5}, {"uneven", unevenFleet(1), 0.85}, {"five data centres", unevenFleet(5), 1.05}} {
 		c.s.learn, c.s.spill = true, true
-		before := meanResult(t, c.what+", before", 8, c.s)
+		before := meanResult(t, c.what+", before", 16, c.s)
 		c.s.meanLoad = true
-		after := meanResult(t, c.what+", after", 8, c.s)
+		after := meanResult(t, c.what+", after", 16, c.s)
 		assert.Assert(t, after.busiest-1 <= c.share*(before.busiest-1))
 		assert.Assert(t, after.lateShare <= 1.1*before.lateShare)
 		assert.Assert(t, after.refused <= before.refused+0.0005)
--- a/speed/estimator.go
+++ b/speed/estimator.go
@@ -23,7 +23,7 @@
 	priorVarianceWeight = 8.0
 	// minLimitEvidence is the log-likelihood ratio at which a limit is believed:
 	// 55 to 1, because up to seven limits are compared all the time. In the plays it lowered
-	// the limit of an even target for less than 2% of the requests.
+	// the limit of an even target for less than 1% of the requests.
 	minLimitEvidence = 4.0
 	// minLimitRequests is the number of requests beyond a limit, and up to it, that
 	// are needed to believe it.
--- a/speed/estimator_test.go
+++ b/speed/estimator_test.go
@@ -65,7 +65,7 @@
 
 // mean plays a minute on several seeds and returns the mean shares and the limits.
 func (p playTarget) mean() (limited, uneven, limit, slowness float64) {
-	const runs = 30
+	const runs = 300
 	for seed := range uint64(runs) {
 		e := speed.NewEstimator(p.slots)
 		l, u := p.play(e, rand.New(rand.NewPCG(seed, 2)), 0, time.Minute)
@@ -100,6 +100,7 @@
 	}{
 		{playTarget{slots: 6, knee: 3, slowness: 1, sigma: 0.4, rate: 10}, 0.8, 4.2, 1.1},
 		{playTarget{slots: 6, knee: 3, slowness: 1, sigma: 0.6, rate: 10}, 0.6, 4.2, 1.1},
+		{playTarget{slots: 6, knee: 3, slowness: 1, sigma: 0.6, rate: 5}, 0.3, 5.2, 1.1},
 		{playTarget{slots: 8, knee: 4, slowness: 1, sigma: 0.6, rate: 20}, 0.6, 5.5, 1.2},
 		{playTarget{slots: 8, knee: 4, slowness: 1, sigma: 0.8, rate: 10}, 0.4, 6.2, 1.2},
 	} {
@@ -154,7 +155,7 @@
 func TestRecoversByTrial(t *testing.T) {
 	for _, sigma := range []float64{0.4, 0.6} {
 		slow, fast := 0.0, 0.0
-		const runs = 20
+		const runs = 200
 		for seed := range uint64(runs) {
 			rnd := rand.New(rand.NewPCG(seed, 3))
 			e := speed.NewEstimator(6)
