--- a/hostd/callcharge_test.go
+++ b/hostd/callcharge_test.go
@@ -45,7 +45,7 @@
 	assert.NilError(t, err)
 	defer target.Close()
 	h := newHeartbeat("a", 1, 1, false)
-	h.Address = target.Addr()
+	h.Address, h.Slots = target.Addr(), 4
 	g.applyHeartbeat(h, time.Now())
 	assert.Equal(t, g.repeatShare(), 0.0)
 	done := make(chan struct{})
