rollout: controller, judge and gates of a roll-out, as a pure package

Cause: orders to move a service to another version were ignored, and targets of any version that announced themselves received requests.

--- /dev/null
+++ b/rollout/advance.go
@@ -0,0 +1,166 @@
+package rollout
+
+import (
+	"strconv"
+	"time"
+)
+
+const (
+	// finishShare is the part of the time to the deadline after which a good version
+	// is completed. The rest is for outages near the deadline.
+	finishShare = 0.75
+	// rampSteps is the number of steps of the ramp. Each lasts rampStepShare of the
+	// whole time, and at least minRampStep: the hosts learn a step from the reports of
+	// gates within about that time.
+	rampSteps     = 4
+	rampStepShare = 0.025
+	minRampStep   = 300 * time.Millisecond
+	// drainExtra is what the withdrawal takes beyond the time of the longest usual
+	// request: a round of reports. drainShare bounds the whole.
+	drainExtra = 600 * time.Millisecond
+	drainShare = 0.25
+	// minCanary is the shortest time between the first report of a new target and the
+	// ramp, as a share of the whole time. Targets may appear late.
+	minCanaryShare = 0.1
+	// minCapacityShare is the number of reachable new targets that replace the old
+	// ones, as a share of their number.
+	minCapacityShare = 0.6
+	// rollbackReserveShare is the time before the deadline at which a roll-out that is
+	// not completed is rolled back, so that this is written in time.
+	rollbackReserveShare = 0.04
+	minRollbackReserve   = 400 * time.Millisecond
+	// canaryOfferFactor is the ratio of the requests offered to a canary first to the
+	// exposure share. The gate refuses what exceeds its slots and its allowance.
+	canaryOfferFactor = 2
+	maxCanaryPercent  = 50
+	percent           = 100
+	// usualQuantile is the part of the requests whose time is usual.
+	usualQuantile = 0.95
+)
+
+func formatOrder(order uint64) string { return strconv.FormatUint(order, 10) }
+
+func (c *Controller) share(part float64) time.Duration {
+	return time.Duration(part * float64(c.order.Duration))
+}
+
+func (c *Controller) rampStep() time.Duration { return max(c.share(rampStepShare), minRampStep) }
+
+// drainTime returns how long the withdrawal of the old targets takes.
+func (c *Controller) drainTime() time.Duration {
+	longest := time.Duration(0)
+	for _, t := range c.state.Old {
+		longest = max(longest, t.Latency.quantile(usualQuantile))
+	}
+	return min(longest+drainExtra, c.share(drainShare))
+}
+
+// rampAt returns when the ramp starts if nothing speaks against the version.
+func (c *Controller) rampAt() time.Duration {
+	at := c.share(finishShare) - rampSteps*c.rampStep() - c.drainTime()
+	return max(at, c.firstAt+c.share(minCanaryShare))
+}
+
+// sharePercent returns the share of the requests that is offered to the new version
+// first.
+func (c *Controller) sharePercent(now time.Duration) int {
+	switch c.durable.Phase {
+	case Canary:
+		return CanaryPercent(c.limits)
+	case Ramp:
+		steps := int((now-time.Duration(c.durable.RampMs)*time.Millisecond)/c.rampStep()) + 1
+		return max(min(steps, rampSteps)*percent/rampSteps, 1)
+	case Withdraw, Completed:
+		return percent
+	}
+	return 0
+}
+
+// CanaryPercent returns the share of the requests that is offered to a canary first.
+func CanaryPercent(l Limits) int {
+	return min(max(int(canaryOfferFactor*l.Share*percent), 1), maxCanaryPercent)
+}
+
+// Advance decides on the phase. members are the targets of the service that have not
+// left.
+func (c *Controller) Advance(now time.Duration, members []Member) {
+	c.members = members
+	s := c.state
+	if s.Phase.Final() || c.durable == nil {
+		return
+	}
+	present := map[string]bool{}
+	for _, m := range members {
+		present[m.Host] = true
+	}
+	for host := range c.gates {
+		if !present[host] {
+			delete(c.gates, host)
+		}
+	}
+	if why := s.verdict(); why != "" {
+		c.rollBack(why)
+		return
+	}
+	if now >= c.order.Duration-max(c.share(rollbackReserveShare), minRollbackReserve) {
+		c.rollBack("not completed in time, in phase " + s.Phase.String())
+		return
+	}
+	if c.durable.Phase != s.Phase {
+		return // the next phase follows only when this one is written
+	}
+	switch s.Phase {
+	case Canary:
+		c.addCanary(now)
+		if c.firstAt >= 0 && now >= c.rampAt() && c.hasCapacity(now) {
+			s.Phase, s.RampMs = Ramp, now.Milliseconds()
+		}
+	case Ramp:
+		if now-time.Duration(s.RampMs)*time.Millisecond >= rampSteps*c.rampStep() && c.hasCapacity(now) {
+			s.Phase, s.WithdrawMs = Withdraw, now.Milliseconds()
+		}
+	case Withdraw:
+		if c.withdrawn() {
+			s.Phase = Completed
+		}
+	}
+}
+
+func (c *Controller) rollBack(why string) {
+	c.state.Phase, c.state.Reason = RolledBack, why
+}
+
+// addCanary lets another target serve if the present ones do not use their allowances.
+func (c *Controller) addCanary(now time.Duration) {
+	if c.firstAt >= 0 && now-c.usedAt >= idleCanary && c.canaries < maxCanaries {
+		c.canaries++
+		c.usedAt = now
+	}
+}
+
+// hasCapacity reports whether enough new targets are reachable.
+func (c *Controller) hasCapacity(now time.Duration) bool {
+	fresh, old := 0, 0
+	for _, m := range c.members {
+		if m.Version != c.state.Target {
+			old++
+		} else if g := c.gates[m.Host]; g != nil && now-g.seenAt < freshFor {
+			fresh++
+		}
+	}
+	return fresh > 0 && float64(fresh) >= minCapacityShare*float64(old)
+}
+
+// withdrawn reports whether every target of another version refuses and holds nothing.
+// A gate that has confirmed that finds it in the row after a restart.
+func (c *Controller) withdrawn() bool {
+	for _, m := range c.members {
+		if m.Version == c.state.Target {
+			continue
+		}
+		if g := c.gates[m.Host]; g == nil || !g.confirmed {
+			return false
+		}
+	}
+	return true
+}
