--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -82,6 +82,9 @@
 func (a *attempt) run(ctx context.Context) attemptResult {
 	s := &gateSearch{a: a}
 	found := a.search(ctx, s)
+	for round := 0; !found && s.versionRefused && round < versionRounds; round++ {
+		found = a.search(ctx, s) // the roll-out has moved on
+	}
 	if !found && len(a.silent) > 0 {
 		found = a.search(ctx, s) // among the hosts that answer
 	}
@@ -97,7 +100,16 @@
 // search offers the request to the candidates of least cost, for a free slot or a short
 // wait. It reports whether the attempt has a result.
 func (a *attempt) search(ctx context.Context, s *gateSearch) bool {
-	cands := a.candidates()
+	s.versionRefused = false
+	for _, cands := range a.byVersion(a.candidates()) {
+		if a.searchAmong(ctx, s, cands) {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *attempt) searchAmong(ctx context.Context, s *gateSearch, cands []placing.Candidate) bool {
 	placing.SortByCost(time.Now(), cands, a.placementRequest(), random{})
 	if a.placementRequest().Repeatable {
 		moveStaleFirst(cands, time.Now())
@@ -347,6 +359,7 @@
 // recordReply updates the state of the target and its gate from a reply.
 func (a *attempt) recordReply(t Target, r Reply) {
 	a.e.in.states.set(t.ID, r.Report)
+	a.e.in.rollouts.learn(t.Service, r.Rollout)
 	a.e.in.states.setIncarnation(t.Host, r.Report.Incarnation)
 	if r.Refusal != nil && r.Report.ReceivedAt.IsZero() && r.Refusal.Reason == wire.ReasonUnreachable {
 		a.e.in.states.recordFailure(t.Host, time.Now())
@@ -358,7 +371,9 @@
 	}
 	switch r.Refusal.Reason {
 	case wire.ReasonNoTarget, wire.ReasonLeaving, wire.ReasonDataCentreOut, wire.ReasonWrongTarget:
-		a.e.in.states.setUnavailable(t.ID, time.Now())
+		a.e.in.states.setUnavailable(t.ID, time.Now(), unavailableFor)
+	case wire.ReasonVersionWithdrawn:
+		a.e.in.states.setUnavailable(t.ID, time.Now(), versionUnavailableFor)
 	}
 }
 
--- a/hostd/control.go
+++ b/hostd/control.go
@@ -12,6 +12,7 @@
 	"github.com/gooseberryshed/gooseberryshed/decisions"
 	"github.com/gooseberryshed/gooseberryshed/metrics"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
+	"github.com/gooseberryshed/gooseberryshed/rollout"
 	"github.com/gooseberryshed/gooseberryshed/routes"
 )
 
@@ -71,6 +72,9 @@
 	// hostVersions the versions of each host row's latest change.
 	operatorRows map[string]karpithaz.Row
 	hostVersions map[string]uint64
+	// orders are the operators' roll-out orders by service. The map is replaced on
+	// each change.
+	orders map[string]rollout.Order
 	// historyStart and operatorHistoryStart are the versions before which
 	// removals are not recorded.
 	historyStart, operatorHistoryStart uint64
@@ -232,6 +236,7 @@
 	for _, row := range c.operatorRows {
 		v.operatorVersion = max(v.operatorVersion, row.Version)
 	}
+	v.orders = c.orders
 	v.operatorRows, v.operatorHistoryStart = maps.Clone(c.operatorRows), c.operatorHistoryStart
 	v.hostVersions, v.historyStart = maps.Clone(c.hostVersions), c.historyStart
 	v.hostsVersion = maxVersion(c.hostVersions)
@@ -250,6 +255,7 @@
 	if n.full && n.version >= c.configAt.Load() {
 		c.evacuated = map[string]bool{}
 		clear(c.operatorRows)
+		c.orders = nil
 		c.operatorHistoryStart = n.version
 	}
 	for _, row := range n.rows {
@@ -261,6 +267,10 @@
 			c.applyConfig(row, n.from)
 			continue
 		}
+		if service, ok := karpithaz.RolloutService(row.Key); ok {
+			c.applyOrder(service, row)
+			continue
+		}
 		dc, ok := karpithaz.EvacuatedDataCentre(row.Key)
 		if !ok {
 			continue
--- a/hostd/datagrams.go
+++ b/hostd/datagrams.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberryshed/gooseberryshed/metrics"
+	"github.com/gooseberryshed/gooseberryshed/rollout"
 )
 
 // datagram is a query from one daemon to another or the answer to it. Datagrams
@@ -51,6 +52,9 @@
 	// that a host knows, or of which it gives notice.
 	ConfigVersion uint64 `json:"c,omitempty"`
 	HostsVersion  uint64 `json:"t,omitempty"`
+	// Counts is a gate's report on a roll-out and Allowance the answer to it.
+	Counts    *rollout.Report `json:"r,omitempty"`
+	Allowance *rollout.Answer `json:"u,omitempty"`
 }
 
 // queryAlive asks a host whether it is alive.
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -10,6 +10,7 @@
 	"github.com/gooseberryshed/gooseberryshed/link"
 	"github.com/gooseberryshed/gooseberryshed/placing"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
+	"github.com/gooseberryshed/gooseberryshed/rollout"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 )
 
@@ -18,6 +19,7 @@
 	headerForward = "Gooseberryshed-Forward"
 	headerReport  = "Gooseberryshed-Report"
 	headerRefusal = "Gooseberryshed-Refusal"
+	headerRollout = "Gooseberryshed-Rollout"
 	// headerAgain replaces headerForward where an attempt is offered again. Daemons
 	// of versions that cannot tell such an offer from a first one do not know it.
 	headerAgain = "Gooseberryshed-Forward-Again"
@@ -62,6 +64,8 @@
 	Answer  *Answer
 	Refusal *wire.Refusal
 	Report  placing.Report
+	// Rollout is what the gate knows of the roll-out of its service, or nil.
+	Rollout *rollout.Directive
 }
 
 // Answer is a complete answer of a target.
@@ -138,6 +142,10 @@
 		resp.SetBodyRaw(r.Answer.Body)
 	}
 	writeReport(&resp.Header, r.Report)
+	resp.Header.Del(headerRollout)
+	if r.Rollout != nil {
+		resp.Header.Set(headerRollout, encodeHeader(r.Rollout))
+	}
 }
 
 // Time and size limits of exchanges between daemons.
@@ -211,12 +219,13 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	reply := Reply{Report: readReport(&resp.Header, time.Now())}
+	reply := Reply{Report: readReport(&resp.Header, time.Now()), Rollout: readDirective(&resp.Header)}
 	if raw := resp.Header.Peek(headerRefusal); raw != nil {
 		reply.Refusal = readRefusal(raw)
 		return reply, nil
 	}
 	resp.Header.Del(headerReport)
+	resp.Header.Del(headerRollout)
 	reply.Answer = &Answer{Body: body}
 	resp.Header.CopyTo(&reply.Answer.Header)
 	return reply, nil
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -43,6 +43,7 @@
 	sent, withdrawn attemptTimes
 	waiting         map[string]*admission.Item
 	stopping        bool
+	versions        versionGate
 }
 
 // targetIdle is how long a connection to the target may be idle before it is
@@ -73,6 +74,7 @@
 		sent:        attemptTimes{},
 		withdrawn:   attemptTimes{},
 		waiting:     map[string]*admission.Item{},
+		versions:    newVersionGate(),
 		answers:     newAnswerBudget(int64(settings().MemoryBytes)),
 		links: link.New(link.Options{
 			DialTimeout:    targetDialTimeout,
@@ -134,13 +136,13 @@
 		g.log.Decide("gate-refused", "id", f.Attempt, "target", f.Target, "reason", refusal.Reason, "run", refusal.Run,
 			"detail", refusal.Detail, "max_wait_ms", f.MaxWaitMs, "max_gray", f.MaxGray, "waited_ms", time.Since(arrived).Milliseconds(), "revision", f.Revision)
 		g.metrics.Add("gate_refused_"+string(refusal.Reason), 1)
-		return Reply{Refusal: refusal, Report: g.report()}
+		return Reply{Refusal: refusal, Report: g.report(), Rollout: g.directive()}
 	}
 	if onSend != nil {
 		onSend()
 	}
 	reply := g.exchange(ctx, tk, req)
-	reply.Report = g.report()
+	reply.Report, reply.Rollout = g.report(), g.directive()
 	return reply
 }
 
@@ -249,6 +251,9 @@
 	case !f.Repeatable && g.sent.has(f.Attempt):
 		return wire.RefuseUnknown(wire.ReasonDuplicateAttempt, "the attempt was already sent to the target")
 	}
+	if why := g.versionRefusal(t); why != "" {
+		return wire.Refuse(wire.ReasonVersionWithdrawn, "target %s of version %s: %s", t.id, g.versionOf(t), why)
+	}
 	if p := t.filter.Probability(now); p > f.MaxGray && !(f.Repeatable && t.grayProbeDue(now)) {
 		return wire.Refuse(wire.ReasonTargetGray, "target %s is gray-failing with probability %.2f", t.id, p)
 	}
@@ -271,6 +276,7 @@
 func (g *Gate) dispatch(tk *ticket, now time.Time) {
 	t := tk.target
 	g.sent.add(tk.f.Attempt, now)
+	g.countSent(t)
 	if p := t.filter.Probability(now); tk.f.Repeatable && p > tk.f.MaxGray {
 		t.grayProbedAt = now
 		g.log.Decide("gray-tried", "id", tk.f.Attempt, "target", t.id, "gray", p)
--- a/hostd/gatestate.go
+++ b/hostd/gatestate.go
@@ -122,10 +122,10 @@
 const unavailableFor = 1500 * time.Millisecond
 
 // setUnavailable records that a gate refuses to serve its target.
-func (s *gateStates) setUnavailable(target string, now time.Time) {
+func (s *gateStates) setUnavailable(target string, now time.Time, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.unavailable[target] = now.Add(unavailableFor)
+	s.unavailable[target] = now.Add(d)
 }
 
 // isUnavailable reports whether a gate recently refused to serve its target.
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -83,12 +83,15 @@
 	default:
 		left := t.leaving
 		cold := t.cold(now)
+		version := g.versionOf(t)
 		if g.view().Evacuated(g.settings().DataCentre) {
 			t.startLimit.Restarted(now)
 		}
 		t.update(h, now)
 		if t.leaving && !left {
 			g.publishDeparture(t, "announced")
+		} else if g.settings().Rollouts && g.versionOf(t) != version {
+			g.publish(g.hostRow(t))
 		}
 		if t.cold(now) != cold {
 			g.log.Decide("target-cold", "target", t.id, "cold", !cold, "for_ms", h.ColdRemaining.Milliseconds(), "sequence", h.Sequence)
@@ -139,6 +142,7 @@
 		Slots:      t.queue.Slots(),
 		Departed:   t.leaving,
 		Born:       born,
+		Version:    g.versionOf(t),
 	}
 }
 
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -57,6 +57,7 @@
 	crashes *crashTracker
 	// withdrawals withdraws attempts at the gates of all hosts.
 	withdrawals *withdrawals
+	rollouts    *rollouts
 	datagrams   *datagramConn
 	servers     servers
 	stopCh      chan struct{}
@@ -97,6 +98,7 @@
 	h.control.firstReadDelay = storepoll.FirstReadDelay(o.Settings.FleetStart, rand.Float64())
 	h.gate = NewGate(h.current.Load, h.control.View, h.control.PublishTarget, h.log, h.metrics)
 	h.gate.answers = h.client.answers
+	h.rollouts = newRollouts(o.Settings.Host, h.current.Load, h.control.View, h.store, h.gate, conn.query, h.log, h.metrics)
 	h.runs = newRuns(func(attempt string) { h.gate.Withdraw(attempt, h.gate.incarnation) })
 	h.limiter = newFleetLimiter(o.Settings.Host, h.bounds, h.control.View, conn.query, h.control.Isolated, h.log, h.metrics)
 	h.withdrawals = &withdrawals{host: o.Settings.Host, gate: h.gate, view: h.control.View, query: conn.query}
@@ -190,6 +192,8 @@
 		{Name: "datagrams", Run: h.datagrams.run},
 		{Name: "sweep", Run: h.runSweep},
 		{Name: "own-row-watch", Run: h.runOwnRowWatch},
+		{Name: "rollouts", Run: h.rollouts.run},
+		{Name: "rollout-reports", Run: h.rollouts.runReports},
 	}, h.servers.children...)
 	failed := make(chan error, 1)
 	go func() { failed <- supervise.New(supervise.Options{Logger: h.log.Logger()}, children...).Run(treeCtx) }()
@@ -305,6 +309,8 @@
 		return h.control.recordNotice(q)
 	case queryCrash, queryQuarantine:
 		return h.crashes.answer(ctx, q)
+	case queryRollout:
+		return h.rollouts.answer(q)
 	case queryWithdraw:
 		return h.withdrawals.answer(ctx, q)
 	}
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -56,6 +56,8 @@
 	log      *decisions.Log
 	metrics  *metrics.Registry
 	states   *gateStates
+	// rollouts is what is known of the roll-outs of the services.
+	rollouts directives
 
 	// quarantined reports whether a request is refused because it crashes
 	// targets.
@@ -297,7 +299,7 @@
 // hopByHop are the headers that apply to a single connection.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Upgrade", "Expect", headerForward, headerReport, headerRefusal, headerAgain,
+	"Te", "Trailer", "Upgrade", "Expect", headerForward, headerReport, headerRefusal, headerRollout, headerAgain,
 }
 
 func stripHopByHop(h *fasthttp.RequestHeader) {
--- /dev/null
+++ b/hostd/rollout_test.go
@@ -0,0 +1,202 @@
+package hostd
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
+	"github.com/gooseberryshed/gooseberryshed/platform/standin"
+	"github.com/gooseberryshed/gooseberryshed/rollout"
+)
+
+const rolloutHosts = 4
+
+// rolloutFleet is a fleet whose platform orders roll-outs, under load.
+type rolloutFleet struct {
+	*testFleet
+	stop     atomic.Bool
+	load     sync.WaitGroup
+	requests atomic.Int64
+	failed   atomic.Int64
+	// refused counts the answers of the fleet itself.
+	refused   atomic.Int64
+	orderedAt time.Time
+}
+
+func newRolloutFleet(t *testing.T) *rolloutFleet {
+	t.Helper()
+	store, err := standin.Start()
+	assert.NilError(t, err)
+	f := &testFleet{t: t, subnet: 1 + fleetsStarted.Add(1)%maxSubnets, store: store, routes: defaultRoutes(), workspaces: []standin.Workspace{{Name: testWorkspace, Key: testKey}}}
+	f.closeStoreAfterHosts()
+	f.configure(1)
+	r := &rolloutFleet{testFleet: f}
+	for n := range rolloutHosts {
+		r.addVersion(n+1, "v1")
+	}
+	f.await("all hosts know each other", func() bool {
+		for _, h := range f.hosts {
+			if v := h.control.View(); !v.Ready() || !h.control.proven() || len(v.Targets("svc")) != rolloutHosts || v.inUse["svc"] != "v1" {
+				return false
+			}
+		}
+		return true
+	})
+	t.Cleanup(r.stopLoad)
+	return r
+}
+
+func (r *rolloutFleet) addVersion(n int, version string) *testHostd {
+	set := r.settings(n)
+	set.Rollouts = true
+	set.Bounds.ExposureShare, set.Bounds.ExposureSlack, set.Bounds.RollbackDeadline = 0.1, 50, 5*time.Second
+	target, err := standin.StartTarget(fmt.Sprintf("i-%d", n), "svc", set.TargetAddress, 4, 20*time.Millisecond)
+	assert.NilError(r.t, err)
+	target.Version = version
+	r.t.Cleanup(target.Close)
+	h := r.start(set, target)
+	r.hosts = append(r.hosts, h)
+	return h
+}
+
+// order writes an order and starts as many targets of the new version as there are old
+// ones.
+func (r *rolloutFleet) order(durationS int, prepare func(*standin.Target)) {
+	r.t.Helper()
+	r.orderedAt = time.Now()
+	r.writeOrder("v2", durationS)
+	time.Sleep(time.Second)
+	for n := range rolloutHosts {
+		h := r.addVersion(rolloutHosts+n+1, "v2")
+		if prepare != nil {
+			prepare(h.target)
+		}
+	}
+}
+
+func (r *rolloutFleet) writeOrder(target string, durationS int) {
+	r.store.Put(karpithaz.OperatorTable, karpithaz.RolloutKey("svc"), fmt.Appendf(nil, `{"service":"svc","target":%q,"durationS":%d}`, target, durationS))
+}
+
+// startLoad sends about 100 requests a second through the ingresses of some hosts.
+func (r *rolloutFleet) startLoad(through ...*testHostd) {
+	for i := range 8 {
+		r.load.Go(func() {
+			for n := 0; !r.stop.Load(); n++ {
+				uri, method := "/read/x", "GET"
+				if n%3 == 0 {
+					uri, method = "/order/x", "POST"
+				}
+				res, err := through[(i+n)%len(through)].call(standin.Call{Attempt: fmt.Sprintf("a-%d-%d", i, n), Method: method, URI: uri, Key: testKey})
+				r.requests.Add(1)
+				if err != nil || res.Status != 200 {
+					r.failed.Add(1)
+				}
+				if err == nil && !res.Signed {
+					r.refused.Add(1)
+					r.t.Logf("%.2f s: refused: %d %s", time.Since(r.orderedAt).Seconds(), res.Status, res.Body)
+				}
+				time.Sleep(60 * time.Millisecond)
+			}
+		})
+	}
+}
+
+func (r *rolloutFleet) stopLoad() {
+	r.stop.Store(true)
+	r.load.Wait()
+}
+
+// status returns the state that operators read.
+func (r *rolloutFleet) status() string {
+	row, ok := r.store.Row(karpithaz.StatusTable, karpithaz.RolloutKey("svc"))
+	if !ok {
+		return ""
+	}
+	var s struct{ State, Target string }
+	assert.NilError(r.t, json.Unmarshal(row.Value, &s))
+	return s.State
+}
+
+func (r *rolloutFleet) state() *rollout.State {
+	row, ok := r.store.Row(rolloutsTable, "svc")
+	if !ok {
+		return nil
+	}
+	s, err := rollout.DecodeState(row.Value)
+	assert.NilError(r.t, err)
+	return s
+}
+
+// awaitStatus waits for a state and returns the time since the order.
+func (r *rolloutFleet) awaitStatus(state string, limit time.Duration) time.Duration {
+	r.t.Helper()
+	for r.status() != state {
+		if time.Since(r.orderedAt) > limit {
+			r.t.Fatalf("status %q instead of %q after %s; row %+v", r.status(), state, limit, r.state())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	after := time.Since(r.orderedAt)
+	r.t.Logf("%s after %s: %s; %d requests, %d failed, %d refused; exposed %d", state, after, r.state().Reason, r.requests.Load(), r.failed.Load(), r.refused.Load(), r.exposed())
+	return after
+}
+
+// runsOf returns the number of requests that targets of a version ran.
+func (r *rolloutFleet) runsOfVersion(version string) (n int) {
+	for _, h := range r.hosts {
+		if h.target.Version == version {
+			n += len(h.target.Runs())
+		}
+	}
+	return n
+}
+
+func (r *rolloutFleet) exposed() int { return r.runsOfVersion("v2") }
+
+// TestGoodVersionIsCompleted guards against roll-outs that are not completed in time,
+// callers refused while the versions change, and old targets that get requests after
+// the completion, when the platform stops them at once.
+func TestGoodVersionIsCompleted(t *testing.T) {
+	t.Parallel()
+	r := newRolloutFleet(t)
+	r.startLoad(r.hosts...)
+	r.order(8, nil)
+	after := r.awaitStatus(karpithaz.RolloutCompleted, 8*time.Second)
+	assert.Assert(t, after < 7*time.Second, "%s", after)
+	old := r.runsOfVersion("v1")
+	time.Sleep(time.Second)
+	r.stopLoad()
+	assert.Equal(t, r.runsOfVersion("v1"), old, "requests at old targets after the completion")
+	assert.Equal(t, r.refused.Load(), int64(0))
+}
+
+// TestBadVersionIsRolledBackByHosts guards against bad versions that stay in use.
+func TestBadVersionIsRolledBackByHosts(t *testing.T) {
+	for name, prepare := range map[string]func(*standin.Target){
+		"failing": func(s *standin.Target) { s.SetFailing(true) },
+		"slow":    func(s *standin.Target) { s.SetWork(150 * time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRolloutFleet(t)
+			r.startLoad(r.hosts...)
+			r.order(8, prepare)
+			r.awaitStatus(karpithaz.RolloutRolledBack, 8*time.Second)
+			exposed := r.exposed()
+			assert.Assert(t, exposed > 0 && float64(exposed) <= 0.1*float64(r.requests.Load())+50, "%d exposed", exposed)
+			time.Sleep(1500 * time.Millisecond)
+			exposed = r.exposed()
+			time.Sleep(time.Second)
+			r.stopLoad()
+			assert.Equal(t, r.exposed(), exposed, "requests at the bad version after the roll-back")
+			assert.Equal(t, r.refused.Load(), int64(0))
+		})
+	}
+}
--- a/hostd/roundtrip.go
+++ b/hostd/roundtrip.go
@@ -142,6 +142,7 @@
 		g.sent.remove(tk.f.Attempt)
 	}
 	gray := t.filter.Probability(now)
+	g.countResult(tk, e, err, now)
 	t.queue.Complete(now.Sub(tk.started), tk.f.Nested)
 	g.grantSlots(t, now)
 	g.mu.Unlock()
--- a/hostd/search.go
+++ b/hostd/search.go
@@ -23,6 +23,8 @@
 	refused []refusedOffer
 	last    *wire.Refusal
 	result  attemptResult
+	// versionRefused is set if a gate refused the request for its target's version.
+	versionRefused bool
 }
 
 // tryAll offers the request to candidates on the same terms. It reports whether
@@ -79,6 +81,7 @@
 		s.result = s.a.result(reply, target)
 		return true
 	}
+	s.versionRefused = s.versionRefused || reply.Refusal.Reason == wire.ReasonVersionWithdrawn
 	s.recordRefusal(c, reply.Refusal)
 	return false
 }
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -1,6 +1,7 @@
 package hostd
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/gooseberryshed/gooseberryshed/admission"
@@ -19,6 +20,8 @@
 	address string
 	// born and sequence order the target's heartbeats.
 	born, sequence int64
+	// version is the version that the target runs, or empty if that is not known yet.
+	version string
 	// firstSeen is when this incarnation was first seen.
 	firstSeen time.Time
 	// leaving is set when the target must not receive further requests.
@@ -113,6 +116,7 @@
 // update applies the values that may change within an incarnation.
 func (t *localTarget) update(h karpithaz.Heartbeat, now time.Time) {
 	t.born, t.sequence = h.StartedAtMillis, h.Sequence
+	t.version = cmp.Or(h.Version, t.version)
 	t.queue.SetSlots(h.Slots)
 	t.leaving = t.leaving || h.Leaving
 	t.coldUntil = now.Add(h.ColdRemaining)
--- a/hostd/view.go
+++ b/hostd/view.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
+	"github.com/gooseberryshed/gooseberryshed/rollout"
 	"github.com/gooseberryshed/gooseberryshed/routes"
 )
 
@@ -31,6 +32,9 @@
 	// in Unix milliseconds, or 0 if that is not known.
 	Departed bool  `json:"departed,omitempty"`
 	Born     int64 `json:"born,omitempty"`
+	// Version is the version of the service that the target runs, or empty if its
+	// daemon does not know it.
+	Version string `json:"version,omitempty"`
 }
 
 // includes reports whether a departed target is the one with an id that started
@@ -40,10 +44,14 @@
 	return t.Departed && t.ID == id && (born == 0 || t.Born == 0 || born <= t.Born)
 }
 
-// sameRow reports whether two rows say the same apart from when the target
-// started.
+// sameRow reports whether a row says the same as another one to write in its place,
+// apart from when the target started. A daemon that does not know the target's version
+// yet leaves the one in its row.
 func (t Target) sameRow(other Target) bool {
 	t.Born = other.Born
+	if other.Version == "" {
+		other.Version = t.Version
+	}
 	return t == other
 }
 
@@ -96,6 +104,10 @@
 	// operatorHistoryStart.
 	operatorRows         map[string]karpithaz.Row
 	operatorHistoryStart uint64
+	// orders are the operators' roll-out orders by service.
+	orders map[string]rollout.Order
+	// inUse are the versions of most targets of the services.
+	inUse map[string]string
 	// hostsChangedAt is when the set of hosts last changed.
 	hostsChangedAt time.Time
 }
@@ -171,6 +183,7 @@
 		evacuated:      evacuated,
 		byService:      map[string][]Target{},
 		byHost:         hosts,
+		inUse:          map[string]string{},
 		departed:       departed,
 		names:          slices.Sorted(maps.Keys(hosts)),
 		hostsChangedAt: hostsChangedAt,
@@ -187,6 +200,9 @@
 	for _, list := range v.byService {
 		slices.SortFunc(list, func(a, b Target) int { return strings.Compare(a.Host, b.Host) })
 	}
+	for service := range v.byService {
+		v.inUse[service] = v.versionInUse(service, "")
+	}
 	return v
 }
 
--- a/rollout/advance.go
+++ b/rollout/advance.go
@@ -112,7 +112,10 @@
 	switch s.Phase {
 	case Canary:
 		c.addCanary(now)
-		if c.firstAt >= 0 && now >= c.rampAt() && c.hasCapacity(now) {
+		if s.From == s.Target { // the version is in use
+			s.Phase, s.WithdrawMs = Withdraw, now.Milliseconds()
+		}
+		if s.Phase == Canary && c.firstAt >= 0 && now >= c.rampAt() && c.hasCapacity(now) {
 			s.Phase, s.RampMs = Ramp, now.Milliseconds()
 		}
 	case Ramp:
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/gooseberryshed/gooseberryshed/quota"
@@ -220,3 +221,23 @@
 func HolderOrder(order uint64, hosts []string) []string {
 	return quota.RankOwners("rollout "+formatOrder(order), hosts)
 }
+
+// OrderedAt records the time of the order on the store's clock, in milliseconds.
+func (c *Controller) OrderedAt(ms int64) {
+	if c.state.OrderedAtMs == 0 {
+		c.state.OrderedAtMs = ms
+	}
+}
+
+// Summary describes the evidence, for the log.
+func (c *Controller) Summary() string {
+	var old, next Tally
+	for _, t := range c.state.Old {
+		old.add(t)
+	}
+	for _, t := range c.state.New {
+		next.add(t)
+	}
+	return fmt.Sprintf("old version: %d answers, %d failed, median %s; new version: %d answers, %d failed, median %s",
+		old.Answers, old.Failed, old.Latency.quantile(0.5), next.Answers, next.Failed, next.Latency.quantile(0.5))
+}
--- a/rollout/gate.go
+++ b/rollout/gate.go
@@ -70,8 +70,14 @@
 // AllowanceTTL is how long an allowance is valid. It allows for two lost reports.
 const AllowanceTTL = 1500 * time.Millisecond
 
-// maxBatchRoutes bounds the routes of one report, so that it fits into a datagram.
-const maxBatchRoutes = 4
+const (
+	// maxBatchBytes bounds the counts of one report, so that it fits into a datagram of
+	// 1,200 bytes with its other fields. tallyBytes and bucketBytes are the sizes of a
+	// tally and a bucket in JSON, apart from the route's name.
+	maxBatchBytes = 800
+	tallyBytes    = 40
+	bucketBytes   = 9
+)
 
 // Gate holds what the gate of a target knows of a roll-out of its service. Time is
 // that since the boot of the host.
@@ -185,9 +191,12 @@
 	if g.batch == nil {
 		g.seq++
 		g.batch, g.batchSent, g.pendingSent = Tallies{}, g.pendingSent, 0
+		size := 0
 		for _, route := range slices.Sorted(maps.Keys(g.pending)) {
-			if len(g.batch) == maxBatchRoutes {
-				break
+			added := tallyBytes + len(route) + bucketBytes*len(g.pending[route].Latency)
+			if size += added; size > maxBatchBytes && len(g.batch) > 0 {
+				size -= added
+				continue // in a later batch
 			}
 			g.batch[route] = g.pending[route]
 			delete(g.pending, route)
--- a/wire/reason.go
+++ b/wire/reason.go
@@ -35,6 +35,7 @@
 	ReasonTargetDied:            {502, "find out whether the request took effect before repeating it"},
 	ReasonDuplicateAttempt:      {409, "use a new attempt id"},
 	ReasonTargetGray:            {503, "try again shortly"},
+	ReasonVersionWithdrawn:      {503, "try again shortly; operators: see the roll-out of the service"},
 	ReasonTargetShed:            {503, "try again shortly"},
 	ReasonWrongTarget:           {503, "try again shortly"},
 }
--- a/wire/refusal.go
+++ b/wire/refusal.go
@@ -56,6 +56,9 @@
 	// ReasonTargetGray means that the target probably fails a large share of its
 	// requests.
 	ReasonTargetGray Reason = "target-gray"
+	// ReasonVersionWithdrawn means that the target's version is not the one in use and
+	// has no allowance to receive requests.
+	ReasonVersionWithdrawn Reason = "version-withdrawn"
 	// ReasonTargetShed means that the target stated that it did not run the request.
 	ReasonTargetShed Reason = "target-shed"
 	// ReasonWrongTarget means that another target was at the address and refused
