--- a/hostd/rolloutlease.go
+++ b/hostd/rolloutlease.go
@@ -181,7 +181,7 @@
 		return
 	}
 	now := bootNow()
-	before := l.controller.State().Phase
+	before, suspects := l.controller.State().Phase, len(l.controller.State().Suspects)
 	l.controller.Advance(l.elapsed(now), r.view().memberTargets(r.order.Service))
 	s := l.controller.State()
 	if s.Phase != before {
@@ -189,6 +189,11 @@
 		r.log.Decide("rollout-phase", "service", s.Service, "to", s.Target, "phase", s.Phase.String(), "reason", s.Reason, "term", s.Term,
 			"elapsed_ms", l.elapsed(now).Milliseconds(), "total", s.Total, "charged", s.Charged, "summary", l.controller.Summary())
 	}
+	if len(s.Suspects) > suspects {
+		r.metrics.Add("rollout_suspects", 1)
+		r.log.Decide("rollout-suspect", "service", s.Service, "to", s.Target, "host", s.Suspects[suspects], "reason", s.SuspectReason, "term", s.Term,
+			"elapsed_ms", l.elapsed(now).Milliseconds(), "summary", l.controller.Summary())
+	}
 	due := l.controller.Pending() || now-l.writtenAt >= leaseRenewal
 	failed := l.writtenAt < l.triedAt
 	r.mu.Unlock()
--- a/hostd/rolloutsearch.go
+++ b/hostd/rolloutsearch.go
@@ -81,7 +81,7 @@
 		if !first {
 			return [][]placing.Candidate{present}
 		}
-		return [][]placing.Candidate{{canaryOf(order, view, next)}, present}
+		return [][]placing.Candidate{{canaryOf(d, next)}, present}
 	case rollout.Ramp:
 		if first {
 			return [][]placing.Candidate{next, present}
@@ -94,18 +94,20 @@
 	return [][]placing.Candidate{present, next}
 }
 
-// canaryOf returns the candidate that receives allowances first.
-func canaryOf(o rollout.Order, view *View, next []placing.Candidate) placing.Candidate {
-	var hosts []string
-	for _, t := range view.Targets(o.Service) {
-		if t.Version == o.Target {
-			hosts = append(hosts, t.Host)
-		}
+// canaryOf returns the candidate that receives allowances.
+func canaryOf(d rollout.Directive, next []placing.Candidate) placing.Candidate {
+	byHost := func(host string) int {
+		return slices.IndexFunc(next, func(c placing.Candidate) bool { return c.Host == host })
 	}
-	for _, host := range rollout.CanaryOrder(o.Version, hosts) {
-		if i := slices.IndexFunc(next, func(c placing.Candidate) bool { return c.Host == host }); i >= 0 && !next[i].PathFailed {
+	named := d.Canaries()
+	for _, n := range rand.Perm(len(named)) {
+		if i := byHost(named[n]); i >= 0 {
 			return next[i]
 		}
 	}
-	return next[0]
+	var hosts []string
+	for _, c := range next {
+		hosts = append(hosts, c.Host)
+	}
+	return next[max(byHost(rollout.CanaryOrder(d.Order, hosts)[0]), 0)]
 }
--- a/rollout/advance.go
+++ b/rollout/advance.go
@@ -9,6 +9,10 @@
 	// finishShare is the part of the time to the deadline after which a good version
 	// is completed. The rest is for outages near the deadline.
 	finishShare = 0.75
+	// doubtScore is the score at which something speaks against a version. The ramp then
+	// waits for more answers, for at most doubtShare of the whole time.
+	doubtScore = 2.5
+	doubtShare = 0.1
 	// rampSteps is the number of steps of the ramp. Each lasts rampStepShare of the
 	// whole time, and at least minRampStep: the hosts learn a step from the reports of
 	// gates within about that time.
@@ -22,6 +26,8 @@
 	// minCanary is the shortest time between the first report of a new target and the
 	// ramp, as a share of the whole time. Targets may appear late.
 	minCanaryShare = 0.1
+	// afterSuspectShare is how long the target that follows a suspect is observed.
+	afterSuspectShare = 0.2
 	// minCapacityShare is the number of reachable new targets that replace the old
 	// ones, as a share of their number.
 	minCapacityShare = 0.6
@@ -58,6 +64,9 @@
 // rampAt returns when the ramp starts if nothing speaks against the version.
 func (c *Controller) rampAt() time.Duration {
 	at := c.share(finishShare) - rampSteps*c.rampStep() - c.drainTime()
+	if c.suspendedAt > 0 {
+		at = max(at, c.suspendedAt+c.share(afterSuspectShare))
+	}
 	return max(at, c.firstAt+c.share(minCanaryShare))
 }
 
@@ -99,8 +108,10 @@
 		}
 	}
 	if why := s.verdict(); why != "" {
-		c.rollBack(why)
-		return
+		if !c.suspend(now, why) {
+			c.rollBack(why)
+			return
+		}
 	}
 	if now >= c.order.Duration-max(c.share(rollbackReserveShare), minRollbackReserve) {
 		c.rollBack("not completed in time, in phase " + s.Phase.String())
@@ -115,7 +126,8 @@
 		if s.From == s.Target { // the version is in use
 			s.Phase, s.WithdrawMs = Withdraw, now.Milliseconds()
 		}
-		if s.Phase == Canary && c.firstAt >= 0 && now >= c.rampAt() && c.hasCapacity(now) {
+		if s.Phase == Canary && c.firstAt >= 0 && now >= c.rampAt() && c.hasCapacity(now) &&
+			(s.doubt() < doubtScore || now >= c.rampAt()+c.share(doubtShare)) {
 			s.Phase, s.RampMs = Ramp, now.Milliseconds()
 		}
 	case Ramp:
@@ -129,6 +141,21 @@
 	}
 }
 
+// suspend sets aside the target that alone accounts for the bad answers, so that another
+// one shows whether it is the target or the version that is bad. It returns false if the
+// version is: with the second such target, or if there is no other one.
+func (c *Controller) suspend(now time.Duration, why string) bool {
+	s := c.state
+	host := s.soleSuspect()
+	if host == "" || len(s.Suspects) > 0 || len(c.newHosts()) < 2 || s.Phase == Withdraw {
+		return false
+	}
+	s.Suspects, s.BadBy, s.Scores = append(s.Suspects, host), nil, Scores{}
+	s.SuspectReason = why
+	c.suspendedAt, c.usedAt = now, now
+	return true
+}
+
 func (c *Controller) rollBack(why string) {
 	c.state.Phase, c.state.Reason = RolledBack, why
 }
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/gooseberryshed/gooseberryshed/quota"
@@ -24,6 +26,10 @@
 	// idleCanary is how long a canary may leave its allowance unused before the next
 	// target also receives one: it may be out of reach of most callers.
 	idleCanary = 1500 * time.Millisecond
+	// firstCanaries is the number of targets that receive allowances at first. Two tell a
+	// bad version from a bad target, and show twice as many answers as one. At full
+	// slots they stay within the budget of a service with ten times as many targets.
+	firstCanaries = 2
 	// maxCanaries bounds the targets that receive allowances.
 	maxCanaries = 4
 )
@@ -45,6 +51,10 @@
 	canaries int
 	usedAt   time.Duration
 	firstAt  time.Duration
+	// told is the directive with the present step.
+	told Directive
+	// suspendedAt is when a target was set aside.
+	suspendedAt time.Duration
 }
 
 // gateState is what the controller knows of a gate.
@@ -88,7 +98,7 @@
 	if s.New == nil {
 		s.New = Tallies{}
 	}
-	return &Controller{order: o, limits: l, state: s, gates: map[string]*gateState{}, canaries: 1, firstAt: -1}
+	return &Controller{order: o, limits: l, state: s, gates: map[string]*gateState{}, canaries: firstCanaries, firstAt: -1}
 }
 
 // State returns the present state. The caller must not modify it.
@@ -115,6 +125,14 @@
 	}
 	d := c.durable.Directive()
 	d.SharePercent = c.sharePercent(now)
+	if d.Phase == Canary {
+		d.CanaryHosts = strings.Join(c.canaryHosts(now), " ")
+	}
+	if d.SharePercent != c.told.SharePercent || d.CanaryHosts != c.told.CanaryHosts {
+		d.Step = c.told.Step + 1
+		c.told = d
+	}
+	d.Step = c.told.Step
 	return d, true
 }
 
@@ -154,8 +172,8 @@
 	a := Answer{Directive: d, Seq: r.Seq, Limit: g.limit}
 	switch {
 	case d.Phase == Ramp:
-		a.Open = true
-	case d.Phase == Canary && c.isCanary(r.Host):
+		a.Open = !slices.Contains(c.state.Suspects, r.Host)
+	case d.Phase == Canary && c.isCanary(r.Host, now):
 		want := min(g.used+grantWindow-g.limit, c.durable.Charged-c.granted)
 		if want > 0 {
 			g.limit += want
@@ -180,25 +198,28 @@
 	for route, t := range r.Counts {
 		route = tallies.fold(route)
 		tallies.add(route, t)
-		if r.Version == c.state.Target {
-			c.state.judge(route, t)
+		if r.Version == c.state.Target && !slices.Contains(c.state.Suspects, r.Host) {
+			c.state.judge(r.Host, route, t)
 		}
 	}
 }
 
-// isCanary reports whether a host's target receives allowances: it is among the first of
-// the reachable targets of the new version.
-func (c *Controller) isCanary(host string) bool {
-	rank := 0
-	for _, h := range CanaryOrder(c.state.Order, c.newHosts()) {
-		if h == host {
-			return rank < c.canaries
-		}
-		if g := c.gates[h]; g != nil && c.gates[host].seenAt-g.seenAt < freshFor {
-			rank++
+// isCanary reports whether a host's target receives allowances.
+func (c *Controller) isCanary(host string, now time.Duration) bool {
+	return slices.Contains(c.canaryHosts(now), host)
+}
+
+// canaryHosts returns the hosts whose targets receive allowances: the first of the
+// reachable targets of the new version that are not suspects.
+func (c *Controller) canaryHosts(now time.Duration) []string {
+	var out []string
+	for _, host := range CanaryOrder(c.state.Order, c.newHosts()) {
+		g := c.gates[host]
+		if g != nil && now-g.seenAt < freshFor && !slices.Contains(c.state.Suspects, host) && len(out) < c.canaries {
+			out = append(out, host)
 		}
 	}
-	return false
+	return out
 }
 
 func (c *Controller) newHosts() []string {
--- a/rollout/doc.go
+++ b/rollout/doc.go
@@ -10,8 +10,8 @@
 // store, and hosts that are all killed at once.
 //
 // Algorithm: a Controller on one host moves through the phases Canary, Ramp and
-// Withdraw to Completed or RolledBack. In Canary one target of the new version
-// serves as many requests as it has slots for, within an exposure budget that grows
+// Withdraw to Completed or RolledBack. In Canary two targets of the new version
+// serve as many requests as they have slots for, within an exposure budget that grows
 // with the requests of the service. Most of the time is spent there, because some
 // versions turn bad late. In Ramp the share of the requests offered to the new
 // version first rises in steps while all targets still serve. In Withdraw the old
--- a/rollout/gate.go
+++ b/rollout/gate.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -16,8 +17,16 @@
 	// SharePercent is the share of the requests that is offered to the new version
 	// first.
 	SharePercent int `json:"s,omitempty"`
+	// CanaryHosts are the hosts of the new targets that the share is offered to in phase
+	// Canary, separated by spaces. It is empty if there are none yet.
+	CanaryHosts string `json:"c,omitempty"`
+	// Step orders the directives of a term.
+	Step int `json:"n,omitempty"`
 }
 
+// Canaries returns the hosts of the new targets that serve in phase Canary.
+func (d Directive) Canaries() []string { return strings.Fields(d.CanaryHosts) }
+
 // Supersedes reports whether d is newer than other. A final phase is durable before
 // it is told, so it holds against any term.
 func (d Directive) Supersedes(other Directive) bool {
@@ -31,7 +40,7 @@
 	case d.Phase != other.Phase:
 		return d.Phase > other.Phase
 	}
-	return d.SharePercent > other.SharePercent
+	return d.Step > other.Step
 }
 
 // Report is what a gate tells the controller.
--- a/rollout/state.go
+++ b/rollout/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -85,6 +87,12 @@
 	Old     Tallies `json:"old,omitempty"`
 	New     Tallies `json:"new,omitempty"`
 	Scores  Scores  `json:"scores"`
+	// Suspects are the hosts whose targets have been found bad on their own, and BadBy
+	// holds the bad answers since then by host.
+	Suspects []string       `json:"suspects,omitempty"`
+	BadBy    map[string]int `json:"bad_by,omitempty"`
+	// SuspectReason says what was found of the suspect.
+	SuspectReason string `json:"suspect_reason,omitempty"`
 	// Reason says why the roll-out was rolled back.
 	Reason string `json:"reason,omitempty"`
 }
@@ -135,6 +143,7 @@
 func (s *State) clone() *State {
 	c := *s
 	c.Old, c.New = s.Old.clone(), s.New.clone()
+	c.Suspects, c.BadBy = slices.Clone(s.Suspects), maps.Clone(s.BadBy)
 	c.Scores = Scores{Failed: map[string]Score{}, Slow: map[string]Score{}}
 	for route, score := range s.Scores.Failed {
 		c.Scores.Failed[route] = score
