--- a/hostd/fleet_test.go
+++ b/hostd/fleet_test.go
@@ -177,6 +177,7 @@
 		return answer(ctx, q)
 	}
 	host.control.peers = cutPeers{host.control.peers, unreachable}
+	host.rollouts.query = cutPeers{host.control.peers, unreachable}.query
 	h := &testHostd{Host: host, unreachable: unreachable, target: target, cancel: cancel, done: make(chan error, 1), logs: logs}
 	runningHosts.Add(1)
 	f.running.Add(1)
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -100,6 +100,7 @@
 	h.gate.answers = h.client.answers
 	h.rollouts = newRollouts(o.Settings.Host, h.current.Load, h.control.View, h.store, h.gate, conn.query, h.log, h.metrics)
 	h.runs = newRuns(func(attempt string) { h.gate.Withdraw(attempt, h.gate.incarnation) })
+	h.rollouts.replying = func() int { return h.servers.gates.ActiveRequests() }
 	h.limiter = newFleetLimiter(o.Settings.Host, h.bounds, h.control.View, conn.query, h.control.Isolated, h.log, h.metrics)
 	h.withdrawals = &withdrawals{host: o.Settings.Host, gate: h.gate, view: h.control.View, query: conn.query}
 	h.ingress = NewIngress(h.current.Load, h.control, h, h.limiter, h.gate.RecordCallFailure, h.log, h.metrics)
--- a/hostd/rollout.go
+++ b/hostd/rollout.go
@@ -27,6 +27,8 @@
 	rolloutTick = 100 * time.Millisecond
 	// rolloutReportInterval is the interval between the reports of a gate.
 	rolloutReportInterval = 500 * time.Millisecond
+	// rolloutReportRetry is the interval after a report that no holder has answered.
+	rolloutReportRetry = 250 * time.Millisecond
 	// orderNoticeDelay is the usual time between an order and its arrival at a host.
 	orderNoticeDelay = 300 * time.Millisecond
 )
@@ -40,6 +42,9 @@
 	store    store
 	gate     *Gate
 	query    func(ctx context.Context, addr string, q datagram) (datagram, error)
+	// replying returns the number of other hosts' requests at the gate that are not
+	// answered yet. A target that is stopped takes its host along.
+	replying func() int
 	log      *decisions.Log
 	metrics  *metrics.Registry
 
@@ -64,7 +69,7 @@
 
 func newRollouts(host string, settings func() *karpithaz.Settings, view func() *View, s store, g *Gate,
 	query func(context.Context, string, datagram) (datagram, error), l *decisions.Log, m *metrics.Registry) *rollouts {
-	return &rollouts{host: host, settings: settings, view: view, store: s, gate: g, query: query, log: l, metrics: m}
+	return &rollouts{host: host, settings: settings, view: view, store: s, gate: g, query: query, replying: func() int { return 0 }, log: l, metrics: m}
 }
 
 func rolloutLimits(b karpithaz.Bounds) rollout.Limits {
@@ -130,9 +135,11 @@
 
 // runReports reports to the holder until ctx ends.
 func (r *rollouts) runReports(ctx context.Context) error {
-	for pause.For(ctx, rolloutReportInterval*9/10+rand.N(rolloutReportInterval/5)) {
-		if order, ok := r.currentOrder(); ok && r.settings().Rollouts {
-			r.report(ctx, order)
+	interval := rolloutReportInterval
+	for pause.For(ctx, interval*9/10+rand.N(interval/5)) {
+		interval = rolloutReportInterval
+		if order, ok := r.currentOrder(); ok && r.settings().Rollouts && !r.report(ctx, order) {
+			interval = rolloutReportRetry
 		}
 	}
 	return nil
@@ -142,21 +149,26 @@
 // know it.
 const holdersAsked = 3
 
-// report sends one report.
-func (r *rollouts) report(ctx context.Context, order rollout.Order) {
+// maxHoldersAsked bounds the hosts asked for one report, including those that the others
+// name.
+const maxHoldersAsked = 6
+
+// report sends one report. It returns false if no holder has answered.
+func (r *rollouts) report(ctx context.Context, order rollout.Order) bool {
 	if d, known := r.gateDirective(); known && d.Order == order.Version && d.Phase.Final() {
-		return
+		return true
 	}
 	rep, ok := r.gate.rolloutReport(order.Version)
 	if !ok {
-		return
+		return true
 	}
+	rep.Held += r.replying()
 	r.mu.Lock()
 	asked := []string{r.holder}
 	r.mu.Unlock()
 	ranked := r.ranked(order)
 	asked = append(asked, ranked[:min(len(ranked), holdersAsked)]...)
-	for i := 0; i < len(asked) && i <= holdersAsked+1; i++ {
+	for i := 0; i < len(asked) && i < maxHoldersAsked; i++ {
 		if asked[i] == "" || slices.Contains(asked[:i], asked[i]) {
 			continue
 		}
@@ -169,19 +181,20 @@
 			r.holder, r.contactAt = asked[i], bootNow()
 			r.mu.Unlock()
 			r.gate.applyAllowance(*a.Allowance, askedAt)
-			if rep.Order != order.Version && a.Allowance.Directive.Order == order.Version {
-				r.report(ctx, order) // the gate has just learnt of the roll-out, and its counts are wanted
+			if d, _ := r.gateDirective(); rep.Order != order.Version && d.Order == order.Version {
+				return r.report(ctx, order) // the gate has just learnt of the roll-out, and its counts are wanted
 			}
-			return
+			return true
 		}
 		if a.Allowance != nil {
 			r.gate.learnDirective(a.Allowance.Directive)
 		}
-		if a.Owner != "" {
+		if a.Owner != "" && !slices.Contains(asked, a.Owner) {
 			asked = append(asked, a.Owner)
 		}
 	}
 	r.metrics.Add("rollout_reports_unanswered", 1)
+	return false
 }
 
 // ranked returns the hosts of the service in the order in which they become holder.
@@ -222,7 +235,7 @@
 		if a, ok := r.lease.report(rep, bootNow()); ok {
 			return datagram{Result: true, Allowance: &a}
 		}
-		return datagram{Owner: r.host}
+		return datagram{} // the lease is not written yet or has expired
 	}
 	a := datagram{Owner: r.holder}
 	if d, known := r.gateDirective(); known && d.Order == r.order.Version {
--- a/hostd/rollout_test.go
+++ b/hostd/rollout_test.go
@@ -15,12 +15,16 @@
 	"github.com/gooseberryshed/gooseberryshed/rollout"
 )
 
-const rolloutHosts = 4
+const (
+	rolloutHosts      = 4
+	maxRefusalsLogged = 5
+)
 
 // rolloutFleet is a fleet whose platform orders roll-outs, under load.
 type rolloutFleet struct {
 	*testFleet
 	stop     atomic.Bool
+	loads    atomic.Int64
 	load     sync.WaitGroup
 	requests atomic.Int64
 	failed   atomic.Int64
@@ -86,6 +90,7 @@
 
 // startLoad sends about 100 requests a second through the ingresses of some hosts.
 func (r *rolloutFleet) startLoad(through ...*testHostd) {
+	load := r.loads.Add(1)
 	for i := range 8 {
 		r.load.Go(func() {
 			for n := 0; !r.stop.Load(); n++ {
@@ -93,13 +98,12 @@
 				if n%3 == 0 {
 					uri, method = "/order/x", "POST"
 				}
-				res, err := through[(i+n)%len(through)].call(standin.Call{Attempt: fmt.Sprintf("a-%d-%d", i, n), Method: method, URI: uri, Key: testKey})
+				res, err := through[(i+n)%len(through)].call(standin.Call{Attempt: fmt.Sprintf("a-%d-%d-%d", load, i, n), Method: method, URI: uri, Key: testKey})
 				r.requests.Add(1)
 				if err != nil || res.Status != 200 {
 					r.failed.Add(1)
 				}
-				if err == nil && !res.Signed {
-					r.refused.Add(1)
+				if err == nil && !res.Signed && r.refused.Add(1) <= maxRefusalsLogged {
 					r.t.Logf("%.2f s: refused: %d %s", time.Since(r.orderedAt).Seconds(), res.Status, res.Body)
 				}
 				time.Sleep(60 * time.Millisecond)
@@ -200,3 +204,71 @@
 		})
 	}
 }
+
+// TestVersionWithoutAnOrderGetsNothing guards against a version that no roll-out has named
+// and that receives requests while its service runs another one.
+func TestVersionWithoutAnOrderGetsNothing(t *testing.T) {
+	t.Parallel()
+	r := newRolloutFleet(t)
+	stray := r.addVersion(rolloutHosts+1, "v9")
+	r.await("the stray target is known", func() bool { return len(r.hosts[0].control.View().Targets("svc")) == rolloutHosts+1 })
+	r.startLoad(r.hosts...)
+	time.Sleep(2 * time.Second)
+	r.stopLoad()
+	assert.Equal(t, len(stray.target.Runs()), 0)
+	assert.Equal(t, r.refused.Load(), int64(0))
+	assert.Assert(t, r.state() == nil, "a row without an order")
+}
+
+// TestRepeatedOrderEndsTheRunningRollout guards against two roll-outs of a service, and
+// against one that an operator cannot replace.
+func TestRepeatedOrderEndsTheRunningRollout(t *testing.T) {
+	t.Parallel()
+	r := newRolloutFleet(t)
+	r.startLoad(r.hosts...)
+	r.order(60, nil)
+	r.awaitExposure()
+	first := r.state()
+	r.orderedAt = time.Now()
+	r.writeOrder("v2", 8)
+	r.checkCompleted(8 * time.Second)
+	s := r.state()
+	assert.Assert(t, s.Order > first.Order && s.Term > first.Term && s.From == "v1", "%+v", s)
+	r.orderedAt = time.Now()
+	r.writeOrder("v2", 10)
+	r.await("the version in use is completed again", func() bool { return r.state().Order > s.Order && r.status() == karpithaz.RolloutCompleted })
+	assert.Equal(t, r.refused.Load(), int64(0))
+}
+
+// TestOrderWithoutTargetsIsRolledBack guards against an order without an end.
+func TestOrderWithoutTargetsIsRolledBack(t *testing.T) {
+	t.Parallel()
+	r := newRolloutFleet(t)
+	r.startLoad(r.hosts...)
+	r.orderedAt = time.Now()
+	r.writeOrder("v2", 4)
+	r.awaitStatus(karpithaz.RolloutRunning, 2*time.Second)
+	after := r.awaitStatus(karpithaz.RolloutRolledBack, 4*time.Second)
+	assert.Assert(t, after > 3*time.Second, "%s", after)
+	assert.Equal(t, r.refused.Load(), int64(0))
+}
+
+// TestOrderWithoutTheContractChangesNothing guards against effects on deployments that do
+// not order roll-outs.
+func TestOrderWithoutTheContractChangesNothing(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2)
+	f.hosts[1].target.Version = "v2"
+	_, err := f.hosts[1].target.Announce(f.hosts[1].settings.AnnounceListen, "dc-a", "ready")
+	assert.NilError(t, err)
+	f.store.Put(karpithaz.OperatorTable, karpithaz.RolloutKey("svc"), []byte(`{"service":"svc","target":"v2","durationS":5}`))
+	f.await("the order is known", func() bool { return len(f.hosts[1].control.View().orders) == 1 })
+	for i := range 60 {
+		res, err := f.hosts[0].call(standin.Call{Attempt: fmt.Sprintf("c-%d", i), URI: "/read/x", Key: testKey})
+		assert.NilError(t, err)
+		assert.Equal(t, res.Status, 200)
+	}
+	assert.Assert(t, len(f.hosts[0].target.Runs()) > 0 && len(f.hosts[1].target.Runs()) > 0)
+	_, written := f.store.Row(rolloutsTable, "svc")
+	assert.Assert(t, !written)
+}
--- a/hostd/rolloutgate.go
+++ b/hostd/rolloutgate.go
@@ -111,17 +111,13 @@
 	if !g.settings().Rollouts {
 		return
 	}
-	took := now.Sub(tk.started)
-	r := rollout.Result{Took: took, Warm: !tk.target.cold(tk.started)}
+	r := rollout.Result{Took: now.Sub(tk.started), Warm: !tk.target.cold(tk.started)}
 	switch e.signal {
 	case signalFailed:
 		r.Failed = err == nil
 		r.Broken = err != nil && link.AsError(err) != nil
 	case signalAbandoned:
-		// How long the answer would have taken is not known, only that it is longer.
-		if took < time.Duration(tk.f.ObjectiveMs)*time.Millisecond {
-			return
-		}
+		r.Abandoned = true
 	case signalNotRun, signalShed:
 		return
 	}
@@ -204,6 +200,7 @@
 		return rollout.Report{}, false
 	}
 	r := g.versions.state.Report(g.versionOf(t), t.queue.Running()+t.queue.Waiting(), bootNow())
+	r.Cold = t.cold(time.Now())
 	if d, known := g.versions.state.Directive(); !known || d.Order != order {
 		r.Withdrawn = false // in an earlier roll-out, or not known
 	}
--- a/hostd/rolloutlease.go
+++ b/hostd/rolloutlease.go
@@ -165,7 +165,7 @@
 		r.mu.Unlock()
 		return
 	}
-	r.lease = l
+	r.lease, r.holder = l, r.host
 	r.mu.Unlock()
 	r.log.Decide("rollout-held", "service", s.Service, "to", s.Target, "from", s.From, "order", s.Order, "term", s.Term, "phase", s.Phase.String(),
 		"elapsed_ms", l.elapsed(bootNow()).Milliseconds(), "charged", s.Charged, "total", s.Total)
--- a/hostd/rolloutsearch.go
+++ b/hostd/rolloutsearch.go
@@ -78,10 +78,10 @@
 	first := rand.IntN(percent) < d.SharePercent
 	switch d.Phase {
 	case rollout.Canary:
-		if !first {
-			return [][]placing.Candidate{present}
+		if c := canaryOf(d, next); first && !c.PathFailed {
+			return [][]placing.Candidate{{c}, present}
 		}
-		return [][]placing.Candidate{{canaryOf(d, next)}, present}
+		return [][]placing.Candidate{present}
 	case rollout.Ramp:
 		if first {
 			return [][]placing.Candidate{next, present}
--- a/rollout/advance.go
+++ b/rollout/advance.go
@@ -17,8 +17,8 @@
 	// whole time, and at least minRampStep: the hosts learn a step from the reports of
 	// gates within about that time.
 	rampSteps     = 4
-	rampStepShare = 0.025
-	minRampStep   = 300 * time.Millisecond
+	rampStepShare = 0.02
+	minRampStep   = 250 * time.Millisecond
 	// drainExtra is what the withdrawal takes beyond the time of the longest usual
 	// request: a round of reports. drainShare bounds the whole.
 	drainExtra = 600 * time.Millisecond
@@ -37,7 +37,7 @@
 	minRollbackReserve   = 400 * time.Millisecond
 	// canaryOfferFactor is the ratio of the requests offered to a canary first to the
 	// exposure share. The gate refuses what exceeds its slots and its allowance.
-	canaryOfferFactor = 2
+	canaryOfferFactor = 3
 	maxCanaryPercent  = 50
 	percent           = 100
 	// usualQuantile is the part of the requests whose time is usual.
@@ -50,7 +50,15 @@
 	return time.Duration(part * float64(c.order.Duration))
 }
 
-func (c *Controller) rampStep() time.Duration { return max(c.share(rampStepShare), minRampStep) }
+// rampStep returns the duration of a step. The ramp of a roll-out that is late, after an
+// outage, is as short as the reports of the gates allow.
+func (c *Controller) rampStep() time.Duration {
+	usual := max(c.share(rampStepShare), minRampStep)
+	if s := c.state; s.RampMs != 0 && time.Duration(s.RampMs)*time.Millisecond+rampSteps*usual > c.share(finishShare) {
+		return minRampStep
+	}
+	return usual
+}
 
 // drainTime returns how long the withdrawal of the old targets takes.
 func (c *Controller) drainTime() time.Duration {
@@ -61,13 +69,18 @@
 	return min(longest+drainExtra, c.share(drainShare))
 }
 
+// first returns when a gate of the new version first reported.
+func (c *Controller) first() time.Duration {
+	return time.Duration(c.state.FirstMs) * time.Millisecond
+}
+
 // rampAt returns when the ramp starts if nothing speaks against the version.
 func (c *Controller) rampAt() time.Duration {
 	at := c.share(finishShare) - rampSteps*c.rampStep() - c.drainTime()
 	if c.suspendedAt > 0 {
 		at = max(at, c.suspendedAt+c.share(afterSuspectShare))
 	}
-	return max(at, c.firstAt+c.share(minCanaryShare))
+	return max(at, c.first()+c.share(minCanaryShare))
 }
 
 // sharePercent returns the share of the requests that is offered to the new version
@@ -107,7 +120,7 @@
 			delete(c.gates, host)
 		}
 	}
-	if why := s.verdict(); why != "" {
+	if why := s.verdict(c.order.Duration); why != "" {
 		if !c.suspend(now, why) {
 			c.rollBack(why)
 			return
@@ -126,7 +139,7 @@
 		if s.From == s.Target { // the version is in use
 			s.Phase, s.WithdrawMs = Withdraw, now.Milliseconds()
 		}
-		if s.Phase == Canary && c.firstAt >= 0 && now >= c.rampAt() && c.hasCapacity(now) &&
+		if s.Phase == Canary && c.state.FirstMs > 0 && now >= c.rampAt() && c.hasCapacity(now) &&
 			(s.doubt() < doubtScore || now >= c.rampAt()+c.share(doubtShare)) {
 			s.Phase, s.RampMs = Ramp, now.Milliseconds()
 		}
@@ -162,19 +175,20 @@
 
 // addCanary lets another target serve if the present ones do not use their allowances.
 func (c *Controller) addCanary(now time.Duration) {
-	if c.firstAt >= 0 && now-c.usedAt >= idleCanary && c.canaries < maxCanaries {
+	if c.usedAt > 0 && now-c.usedAt >= idleCanary && c.canaries < maxCanaries {
 		c.canaries++
 		c.usedAt = now
 	}
 }
 
-// hasCapacity reports whether enough new targets are reachable.
+// hasCapacity reports whether enough new targets are reachable. Cold ones bear too few
+// requests; they are waited for, for at most doubtShare of the whole time.
 func (c *Controller) hasCapacity(now time.Duration) bool {
 	fresh, old := 0, 0
 	for _, m := range c.members {
 		if m.Version != c.state.Target {
 			old++
-		} else if g := c.gates[m.Host]; g != nil && now-g.seenAt < freshFor {
+		} else if g := c.gates[m.Host]; g != nil && now-g.seenAt < freshFor && (!g.cold || now >= c.rampAt()+c.share(doubtShare)) {
 			fresh++
 		}
 	}
--- a/rollout/allowance_test.go
+++ b/rollout/allowance_test.go
@@ -1,7 +1,9 @@
 package rollout
 
 import (
+	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -138,3 +140,30 @@
 	assert.Equal(t, g.Check("v2", 0), RefuseVersion)
 	assert.Equal(t, g.Check("", 0), RefuseUnknown)
 }
+
+// TestReportFitsIntoADatagram guards against reports that are cut, after a time without a
+// holder.
+func TestReportFitsIntoADatagram(t *testing.T) {
+	g := NewGate(1 << 60)
+	g.Learn(Directive{Order: 1 << 40, Term: 1000, Phase: Canary, Target: "v2", From: "v1"})
+	rnd := rand.New(rand.NewPCG(1, 2))
+	results := 0
+	for range 20000 {
+		route := fmt.Sprintf("a-route-with-a-name-%d", rnd.IntN(20))
+		g.Sent("v2")
+		g.Observe(route, Result{Warm: true, Took: time.Duration(rnd.Int64N(int64(time.Minute)))}, time.Hour)
+		g.Observe(route, Result{Warm: true, Took: time.Duration(rnd.Int64N(int64(time.Second)))}, time.Hour)
+	}
+	for range 100 {
+		r := g.Report("v2", 4, time.Hour)
+		data, err := json.Marshal(r)
+		assert.NilError(t, err)
+		assert.Assert(t, len(data) < 1050, "%d bytes", len(data)) // 1,200 with the datagram's other fields
+		for _, tally := range r.Counts {
+			results += tally.Answers
+		}
+		d, _ := g.Directive()
+		g.Apply(Answer{Directive: d, Seq: r.Seq}, time.Hour)
+	}
+	assert.Equal(t, results, 40000)
+}
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -45,12 +45,10 @@
 	resumed bool
 	gates   map[string]*gateState
 	members []Member
-	// canaries is the number of targets that receive allowances, grownAt when it last
-	// grew or a canary used its allowance, and firstAt when the first new target
-	// reported.
+	// canaries is the number of targets that receive allowances, and usedAt when it last
+	// grew or a canary used its allowance.
 	canaries int
 	usedAt   time.Duration
-	firstAt  time.Duration
 	// told is the directive with the present step.
 	told Directive
 	// suspendedAt is when a target was set aside.
@@ -64,6 +62,7 @@
 	seq         uint64
 	used, limit int
 	seenAt      time.Duration
+	cold        bool
 	// confirmed is set if the gate refuses new requests and holds none.
 	confirmed bool
 }
@@ -98,7 +97,7 @@
 	if s.New == nil {
 		s.New = Tallies{}
 	}
-	return &Controller{order: o, limits: l, state: s, gates: map[string]*gateState{}, canaries: firstCanaries, firstAt: -1}
+	return &Controller{order: o, limits: l, state: s, gates: map[string]*gateState{}, canaries: firstCanaries}
 }
 
 // State returns the present state. The caller must not modify it.
@@ -163,11 +162,16 @@
 	}
 	g.used, g.limit = max(g.used, r.Used), max(g.limit, r.Limit)
 	if r.Version != c.state.Target {
-		g.confirmed = r.Withdrawn && r.Held == 0
+		// Nothing is sent to the target after that, also not after a restart.
+		g.confirmed = g.confirmed || d.Phase == Withdraw && r.Withdrawn && r.Held == 0
 		return Answer{Directive: d, Seq: r.Seq}, true
 	}
-	if c.firstAt < 0 {
-		c.firstAt, c.usedAt = now, now
+	g.cold = r.Cold
+	if c.state.FirstMs == 0 {
+		c.state.FirstMs = max(now.Milliseconds(), 1)
+	}
+	if c.usedAt == 0 {
+		c.usedAt = now
 	}
 	a := Answer{Directive: d, Seq: r.Seq, Limit: g.limit}
 	switch {
--- a/rollout/counts.go
+++ b/rollout/counts.go
@@ -14,6 +14,11 @@
 // maxBucket is the last bucket; it holds all answers above about a minute.
 const maxBucket = 50
 
+// abandonedBucket holds requests that were given up before their answer. Ingresses repeat
+// slow reads elsewhere and give up the slower attempt, so that the latencies of answers
+// alone do not show a slow version.
+const abandonedBucket = maxBucket + 1
+
 // Histogram holds the number of latencies by bucket. Empty buckets are absent.
 type Histogram map[int]int
 
--- a/rollout/gate.go
+++ b/rollout/gate.go
@@ -62,6 +62,8 @@
 	Withdrawn bool   `json:"w,omitempty"`
 	Term      uint64 `json:"t,omitempty"`
 	Held      int    `json:"h,omitempty"`
+	// Cold is set if the target is cold, so that it bears few requests.
+	Cold bool `json:"k,omitempty"`
 }
 
 // Answer is the controller's answer to a report.
@@ -173,6 +175,8 @@
 	Failed bool
 	// Broken is set if the connection broke before the answer.
 	Broken bool
+	// Abandoned is set if the request was given up before its answer.
+	Abandoned bool
 	// Warm is set if the target was not cold, so that its latency can be compared.
 	Warm bool
 	Took time.Duration
@@ -189,6 +193,8 @@
 	}
 	if r.Failed || r.Broken {
 		t.Failed = 1
+	} else if r.Warm && r.Abandoned {
+		t.Latency = Histogram{abandonedBucket: 1}
 	} else if r.Warm {
 		t.Latency = Histogram{bucketOf(r.Took): 1}
 	}
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -4,14 +4,19 @@
 	"fmt"
 	"math"
 	"slices"
+	"time"
 )
 
 const (
 	// rejectScore is the CUSUM score at which a version is found bad. With it a good
 	// version is rejected about once in exp(rejectScore) = 8,000 answers and test, and
-	// a version that fails every answer after three of them. With 8, one of 600 played
-	// roll-outs of a good version was rolled back.
+	// a version that fails every answer after three of them. With 9 and no regard to
+	// the duration, one of 600 played roll-outs of a good version was rolled back, one
+	// of 60 s.
 	rejectScore = 9.0
+	// rejectDuration is the duration of a roll-out beyond which the score rises with
+	// its logarithm, so that more answers do not lead to more false verdicts.
+	rejectDuration = 15 * time.Second
 	// confirmScore replaces rejectScore once one target has been found bad: that another
 	// one is bad by chance as well is less likely than that the version is.
 	confirmScore = 5.0
@@ -92,7 +97,7 @@
 	if n < minReference {
 		return
 	}
-	limit := old.Latency.median() + int(math.Round(math.Log(slowFactor)/math.Log(histogramBase)))
+	limit := min(old.Latency.median()+int(math.Round(math.Log(slowFactor)/math.Log(histogramBase))), maxBucket)
 	expected := expectedShare(n, old.Latency.above(limit))
 	s.addBad(host, batch.Latency.above(limit))
 	update(s.Scores.Slow, route, batch.Latency.total(), batch.Latency.above(limit), expected)
@@ -151,8 +156,8 @@
 }
 
 // verdict returns why the new version is bad, or "" if nothing speaks against it.
-func (s *State) verdict() string {
-	limit := rejectScore
+func (s *State) verdict(duration time.Duration) string {
+	limit := rejectScore + math.Log(max(1, float64(duration)/float64(rejectDuration)))
 	if len(s.Suspects) > 0 {
 		limit = confirmScore
 	}
--- a/rollout/play_test.go
+++ b/rollout/play_test.go
@@ -160,7 +160,7 @@
 	if p.rnd.Float64() < 0.3 {
 		route = "order"
 	}
-	share := 20
+	share := CanaryPercent(p.limits)
 	if d := p.directive; p.known {
 		share = d.SharePercent
 	}
--- a/rollout/state.go
+++ b/rollout/state.go
@@ -73,9 +73,11 @@
 	Holder string `json:"holder"`
 	Term   uint64 `json:"term"`
 	Phase  Phase  `json:"phase"`
-	// ElapsedMs is the time since the order when the state was written. RampMs and
-	// WithdrawMs are when the phases began.
+	// ElapsedMs is the time since the order when the state was written. FirstMs is when
+	// a gate of the new version first reported, or 0, and RampMs and WithdrawMs are when
+	// the phases began.
 	ElapsedMs  int64 `json:"elapsed_ms"`
+	FirstMs    int64 `json:"first_ms,omitempty"`
 	RampMs     int64 `json:"ramp_ms,omitempty"`
 	WithdrawMs int64 `json:"withdraw_ms,omitempty"`
 	// OrderedAtMs is the time of the order on the store's clock, or 0 if not known.
