hostd: rows carry versions only with the contract; fewer reads of a roll-out's row

Cause: the first host in rank read the row every 0.7 s although another host held the roll-out. With versions in all rows, a host whose target was found by a health check would have written its row a second time also where no roll-outs are ordered. Change: a host waits for the silence of a known holder; the version is in the row only with the contract; cold new targets do not delay the ramp if the old ones are cold as well. A target without a known version serves as long as there is no order.

--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -132,6 +132,10 @@
 	if born == 0 && t.leaving {
 		born = t.signedOffAt.UnixMilli() // it started earlier, and a later incarnation is another one
 	}
+	version := ""
+	if g.settings().Rollouts {
+		version = g.versionOf(t)
+	}
 	return Target{
 		ID:         t.id,
 		Service:    t.service,
@@ -142,7 +146,7 @@
 		Slots:      t.queue.Slots(),
 		Departed:   t.leaving,
 		Born:       born,
-		Version:    g.versionOf(t),
+		Version:    version,
 	}
 }
 
--- a/hostd/rolloutgate.go
+++ b/hostd/rolloutgate.go
@@ -35,10 +35,11 @@
 func bootNow() time.Duration { return time.Duration(boottime.Now()) }
 
 // versionOf returns the version of a target, or "" if it is not known. A target found by
-// a health check has the version in its row. g.mu must be held.
+// a health check has the version in the host's row until its first heartbeat: targets of
+// another version run on hosts of their own. g.mu must be held.
 func (g *Gate) versionOf(t *localTarget) string {
 	if t.version == "" {
-		if row, listed := g.view().TargetOf(g.settings().Host); listed && row.ID == t.id {
+		if row, listed := g.view().TargetOf(g.settings().Host); listed && row.Service == t.service {
 			return row.Version
 		}
 	}
@@ -60,7 +61,8 @@
 	case known: // a new order has ended this one, or operators have removed it
 		return v.state.Check(version, 0)
 	case !ordered:
-		if inUse := view.inUse[t.service]; version != inUse && inUse != "" {
+		// A target that has just been found by a health check has no version yet.
+		if inUse := view.inUse[t.service]; version != "" && version != inUse && inUse != "" {
 			return rollout.RefuseVersion
 		}
 	case !v.resolved || version == "":
--- a/hostd/rolloutlease.go
+++ b/hostd/rolloutlease.go
@@ -73,10 +73,10 @@
 	now := bootNow()
 	rank := min(max(slices.Index(r.ranked(order), r.host), 0), maxHolderRank)
 	r.mu.Lock()
-	silence := now - r.contactAt
+	silence, holder := now-r.contactAt, r.holder
 	r.mu.Unlock()
 	wait, interval := time.Duration(rank)*holderStagger, rowReadInterval
-	if rank > 0 {
+	if rank > 0 || holder != "" && holder != r.host {
 		wait += holderSilence
 	}
 	if !r.resolved(order) {
--- a/rollout/advance.go
+++ b/rollout/advance.go
@@ -182,17 +182,29 @@
 }
 
 // hasCapacity reports whether enough new targets are reachable. Cold ones bear too few
-// requests; they are waited for, for at most doubtShare of the whole time.
+// requests; they are waited for, for at most doubtShare of the whole time and unless most
+// old ones are cold as well, as after a restart of all.
 func (c *Controller) hasCapacity(now time.Duration) bool {
-	fresh, old := 0, 0
+	warm, cold, old, oldCold := 0, 0, 0, 0
 	for _, m := range c.members {
-		if m.Version != c.state.Target {
+		g := c.gates[m.Host]
+		fresh := g != nil && now-g.seenAt < freshFor
+		switch {
+		case m.Version != c.state.Target:
 			old++
-		} else if g := c.gates[m.Host]; g != nil && now-g.seenAt < freshFor && (!g.cold || now >= c.rampAt()+c.share(doubtShare)) {
-			fresh++
+			if fresh && g.cold {
+				oldCold++
+			}
+		case fresh && g.cold:
+			cold++
+		case fresh:
+			warm++
 		}
 	}
-	return fresh > 0 && float64(fresh) >= minCapacityShare*float64(old)
+	if 2*oldCold > old || now >= c.rampAt()+c.share(doubtShare) {
+		warm += cold
+	}
+	return warm > 0 && float64(warm) >= minCapacityShare*float64(old)
 }
 
 // withdrawn reports whether every target of another version refuses and holds nothing.
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -152,7 +152,7 @@
 		g = &gateState{incarnation: r.Incarnation}
 		c.gates[r.Host] = g
 	}
-	g.version, g.seenAt = r.Version, now
+	g.version, g.seenAt, g.cold = r.Version, now, r.Cold
 	if r.Seq > g.seq {
 		g.seq = r.Seq
 		c.count(r, takenOver)
@@ -166,7 +166,6 @@
 		g.confirmed = g.confirmed || d.Phase == Withdraw && r.Withdrawn && r.Held == 0
 		return Answer{Directive: d, Seq: r.Seq}, true
 	}
-	g.cold = r.Cold
 	if c.state.FirstMs == 0 {
 		c.state.FirstMs = max(now.Milliseconds(), 1)
 	}
