hostd: tests of a partly failing version and of one gray target in a roll-out

Failures guarded against: evidence lost because gates send little to a target that seems gray, and a good version that is rolled back for one of its targets. The stand-in target can fail a share of its requests.

--- a/hostd/rollout_test.go
+++ b/hostd/rollout_test.go
@@ -272,3 +272,36 @@
 	_, written := f.store.Row(rolloutsTable, "svc")
 	assert.Assert(t, !written)
 }
+
+// TestPartlyFailingVersionIsRolledBack guards against evidence that is lost because gates
+// send little to a target that seems gray.
+func TestPartlyFailingVersionIsRolledBack(t *testing.T) {
+	t.Parallel()
+	r := newRolloutFleet(t)
+	r.startLoad(r.hosts...)
+	r.order(10, func(s *standin.Target) { s.SetFailPercent(35) })
+	r.awaitStatus(karpithaz.RolloutRolledBack, 10*time.Second)
+	exposed := r.exposed()
+	assert.Assert(t, float64(exposed) <= 0.1*float64(r.requests.Load())+50, "%d exposed", exposed)
+	assert.Equal(t, r.refused.Load(), int64(0))
+}
+
+// TestGrayTargetDoesNotEndARollout guards against a good version that is rolled back for
+// one of its targets.
+func TestGrayTargetDoesNotEndARollout(t *testing.T) {
+	t.Parallel()
+	r := newRolloutFleet(t)
+	r.startLoad(r.hosts...)
+	r.order(12, nil)
+	r.await("a canary", func() bool {
+		for _, h := range r.hosts[rolloutHosts:] {
+			if len(h.target.Runs()) > 0 {
+				h.target.SetFailPercent(80)
+				return true
+			}
+		}
+		return false
+	})
+	r.awaitStatus(karpithaz.RolloutCompleted, 12*time.Second)
+	assert.Equal(t, len(r.state().Suspects), 1)
+}
