soak: a roll-out whose holder is suspended and whose next holder is killed

Failures guarded against: a holder that grants after a pause longer than its lease, a roll-out that ends with its holder's process, orders that run twice while the versions change, and requests at old targets after the completion, with the production binary. Random faults during a roll-out are not part of the soak yet.

--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -33,7 +33,9 @@
 	links *fabric.Fabric
 	// useFabric tells whether connections between daemons go through links as well.
 	useFabric bool
-	mu        sync.Mutex
+	// rollouts is set if operators order roll-outs of versions.
+	rollouts bool
+	mu       sync.Mutex
 	// cutPaths holds the paths, by the IP addresses of sender and receiver, on
 	// which datagrams are dropped.
 	cutPaths map[[2]string]bool
@@ -80,6 +82,8 @@
 	fleet    *fleet
 	set      *karpithaz.Settings
 	settings string
+	// version is that of the host's targets.
+	version string
 	// gate and datagrams are the addresses on which the daemon listens. Other
 	// daemons connect to the addresses in set.
 	gate, datagrams string
@@ -121,7 +125,7 @@
 // daemons exhausted the limit of 20,000.
 const maxFabricHosts = 40
 
-func newFleet(t *testing.T, seed uint64, hosts int) *fleet {
+func newFleet(t *testing.T, seed uint64, hosts int, options ...func(*fleet)) *fleet {
 	t.Helper()
 	store, err := standin.Start()
 	assert.NilError(t, err)
@@ -130,8 +134,11 @@
 	t.Cleanup(f.links.Close)
 	f.configure(1, firstKey)
 	f.useFabric = hosts <= maxFabricHosts
+	for _, set := range options {
+		set(f)
+	}
 	for i := range hosts {
-		f.hosts = append(f.hosts, f.newHost(i+1))
+		f.hosts = append(f.hosts, f.newHost(i+1, "v1"))
 	}
 	return f
 }
@@ -175,7 +182,7 @@
 	return l.Addr().String()
 }
 
-func (f *fleet) newHost(n int) *host {
+func (f *fleet) newHost(n int, version string) *host {
 	ip := fmt.Sprintf("%s.%d", f.ipPrefix, n)
 	addr := func() string {
 		free, err := freeport.On(ip)
@@ -187,10 +194,10 @@
 	set := &karpithaz.Settings{
 		Host: name, DataCentre: fmt.Sprintf("dc-%d", n%2), Region: "r", IP: ip,
 		CallerListen: addr(), GateListen: addr(), ReadinessListen: addr(), AnnounceListen: addr(), DatagramListen: addr(), TargetAddress: addr(),
-		Service: "svc", StoreAddress: f.advertise(storeHost, name, ip), MemoryBytes: 128 << 20,
+		Service: "svc", StoreAddress: f.advertise(storeHost, name, ip), MemoryBytes: 128 << 20, Rollouts: f.rollouts,
 		Bounds: karpithaz.Bounds{RevocationDeadline: revokeWithin, ShutdownGracePeriod: stopWithin, RateWindow: rateWindow, RateOverage: rateOverage, RateSlack: rateSlack},
 	}
-	h := &host{fleet: f, set: set, settings: filepath.Join(f.dir, set.Host+".conf"), gate: set.GateListen, datagrams: set.DatagramListen}
+	h := &host{fleet: f, set: set, version: version, settings: filepath.Join(f.dir, set.Host+".conf"), gate: set.GateListen, datagrams: set.DatagramListen}
 	f.links.SetUpstream(storeHost, name, f.serveStore(ip))
 	if f.useFabric {
 		h.gate, h.datagrams = addr(), addr()
@@ -231,6 +238,7 @@
 		h.fleet.t.Errorf("start target: %v", err)
 		return
 	}
+	target.Version = h.version
 	h.target, h.left = target, false
 	h.targets = append(h.targets, target)
 }
--- a/internal/soak/operators_test.go
+++ b/internal/soak/operators_test.go
@@ -34,6 +34,7 @@
 	repeatSeed
 	lostSeed
 	endlessSeed
+	rolloutSeed
 )
 
 // scenario starts a fleet whose targets are announced until the end of the test.
