hostd: the test of a lost final reply loses that reply

Cause: TestLostReplyOfTheFinalWrite lost the replies of all calls from the phase withdraw on. It failed once, beside the other tests of roll-outs: status running instead of completed after 10 s, since a renewal of the lease came before the final write and could not be read back, so that the holder rightly answered nothing while all replies were lost.

--- a/hostd/fleet_test.go
+++ b/hostd/fleet_test.go
@@ -36,6 +36,8 @@
 	workspaces []standin.Workspace
 	// gateBinds are the addresses at which hosts listen behind a relay, by host.
 	gateBinds map[string]string
+	// rolloutStore, if set, wraps the store of the hosts' roll-outs.
+	rolloutStore func(store) store
 }
 
 type testHostd struct {
@@ -177,6 +179,9 @@
 		return answer(ctx, q)
 	}
 	host.control.peers = cutPeers{host.control.peers, unreachable}
+	if f.rolloutStore != nil {
+		host.rollouts.store = f.rolloutStore(host.rollouts.store)
+	}
 	host.rollouts.query = cutPeers{host.control.peers, unreachable}.query
 	h := &testHostd{Host: host, unreachable: unreachable, target: target, cancel: cancel, done: make(chan error, 1), logs: logs}
 	runningHosts.Add(1)
