--- a/hostd/datagrams.go
+++ b/hostd/datagrams.go
@@ -14,6 +14,7 @@
 
 	"github.com/gooseberryshed/gooseberryshed/metrics"
 	"github.com/gooseberryshed/gooseberryshed/retry"
+	"github.com/gooseberryshed/gooseberryshed/rollout"
 )
 
 // datagram is a query from one daemon to another or the answer to it. Datagrams
@@ -56,7 +57,10 @@
 	ConfigVersion uint64 `json:"c,omitempty"`
 	HostsVersion  uint64 `json:"t,omitempty"`
 	// Revision is that of the configuration in force.
-	Revision uint64 `json:"r,omitempty"`
+	Revision uint64 `json:"z,omitempty"`
+	// Counts is a gate's report on a roll-out and Allowance the answer to it.
+	Counts    *rollout.Report `json:"r,omitempty"`
+	Allowance *rollout.Answer `json:"u,omitempty"`
 }
 
 // queryAlive asks a host whether it is alive.
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -47,6 +47,7 @@
 	records  *offerlog.Gate
 	waiting  map[string]*admission.Item
 	stopping bool
+	versions versionGate
 
 	// searched is closed when the search for the target at the start has ended.
 	searched      chan struct{}
@@ -82,6 +83,7 @@
 		latencies:   map[string]*gray.DurationModel{},
 		records:     offerlog.NewGate(incarnation),
 		waiting:     map[string]*admission.Item{},
+		versions:    newVersionGate(),
 		searched:    make(chan struct{}),
 		memory:      newAccount(settings()),
 		links: link.New(link.Options{
@@ -155,13 +157,13 @@
 		g.log.Decide("gate-refused", "id", f.Attempt, "target", f.Target, "reason", refusal.Reason, "run", refusal.Run,
 			"detail", refusal.Detail, "max_wait_ms", f.MaxWaitMs, "max_gray", f.MaxGray, "waited_ms", time.Since(arrived).Milliseconds(), "revision", f.Revision)
 		g.metrics.Add("gate_refused_"+string(refusal.Reason), 1)
-		return Reply{Refusal: refusal, Report: g.report()}
+		return Reply{Refusal: refusal, Report: g.report(), Rollout: g.directive()}
 	}
 	if onSend != nil {
 		onSend()
 	}
 	reply := g.exchange(ctx, tk, req)
-	reply.Report = g.report()
+	reply.Report, reply.Rollout = g.report(), g.directive()
 	reply.Report.Typical = g.typical(f)
 	return reply
 }
@@ -292,6 +294,9 @@
 	case now.Before(t.downUntil):
 		return wire.Refuse(wire.ReasonUnreachable, "target %s recently refused a connection", t.id)
 	}
+	if why := g.versionRefusal(t); why != "" {
+		return wire.Refuse(wire.ReasonVersionWithdrawn, "target %s of version %s: %s", t.id, g.versionOf(t), why)
+	}
 	if p := t.filter.Probability(now); p > f.MaxGray && !(f.Repeatable && t.grayProbeDue(now)) {
 		return wire.Refuse(wire.ReasonTargetGray, "target %s is gray-failing with probability %.2f", t.id, p)
 	}
@@ -314,6 +319,7 @@
 func (g *Gate) dispatch(tk *ticket, now time.Time) {
 	t := tk.target
 	g.records.Send(tk.f.Attempt, now, tk.deadline)
+	g.countSent(t)
 	if p := t.filter.Probability(now); tk.f.Repeatable && p > tk.f.MaxGray {
 		t.grayProbedAt = now
 		g.log.Decide("gray-tried", "id", tk.f.Attempt, "target", t.id, "gray", p)
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -83,12 +83,15 @@
 	default:
 		left := t.leaving
 		cold := t.cold(now)
+		version := g.versionOf(t)
 		if g.view().Evacuated(g.settings().DataCentre) {
 			t.startLimit.Restarted(now)
 		}
 		t.update(h, now)
 		if t.leaving && !left {
 			g.publishDeparture(t, "announced")
+		} else if g.settings().Rollouts && g.versionOf(t) != version {
+			g.publish(g.hostRow(t))
 		}
 		if t.cold(now) != cold {
 			g.log.Decide("target-cold", "target", t.id, "cold", !cold, "for_ms", h.ColdRemaining.Milliseconds(), "sequence", h.Sequence)
@@ -140,6 +143,10 @@
 	if born == 0 && t.leaving {
 		born = t.signedOffAt.UnixMilli() // it started earlier, and a later incarnation is another one
 	}
+	version := ""
+	if g.settings().Rollouts {
+		version = g.versionOf(t)
+	}
 	return Target{
 		ID:         t.id,
 		Service:    t.service,
@@ -150,6 +157,7 @@
 		Slots:      t.queue.Slots(),
 		Departed:   t.leaving,
 		Born:       born,
+		Version:    version,
 	}
 }
 
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -59,6 +59,7 @@
 	load    *hostLoad
 	// withdrawals withdraws attempts at the gates of all hosts.
 	withdrawals *withdrawals
+	rollouts    *rollouts
 	datagrams   *datagramConn
 	servers     servers
 	stopCh      chan struct{}
@@ -100,6 +101,8 @@
 	h.gate = NewGate(h.current.Load, h.control.View, h.control.PublishTarget, h.log, h.metrics)
 	h.gate.memory = h.client.memory
 	h.showMemory()
+	h.rollouts = newRollouts(o.Settings.Host, h.current.Load, h.control.View, h.store, h.gate, conn.query, h.log, h.metrics)
+	h.rollouts.replying = func() int { return h.servers.gates.ActiveRequests() }
 	h.runs = newRuns(func(attempt string) bool { return h.gate.Withdraw(attempt, h.gate.incarnation) })
 	h.runs.onDropped = h.recordDroppedReply
 	h.metrics.Gauge("replies_held_bytes", h.runs.heldBytes)
@@ -200,6 +203,8 @@
 		{Name: "sweep", Run: h.runSweep},
 		{Name: "host-load", Run: h.load.run},
 		{Name: "own-row-watch", Run: h.runOwnRowWatch},
+		{Name: "rollouts", Run: h.rollouts.run},
+		{Name: "rollout-reports", Run: h.rollouts.runReports},
 	}, h.servers.children...)
 	failed := make(chan error, 1)
 	go func() { failed <- supervise.New(supervise.Options{Logger: h.log.Logger()}, children...).Run(treeCtx) }()
@@ -318,6 +323,8 @@
 		return h.control.recordNotice(q)
 	case queryCrash, queryQuarantine:
 		return h.crashes.answer(ctx, q)
+	case queryRollout:
+		return h.rollouts.answer(q)
 	case queryWithdraw:
 		return h.withdrawals.answer(ctx, q)
 	}
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -59,6 +59,8 @@
 	states   *gateStates
 	usual    *usualDurations
 	balances *balances
+	// rollouts is what is known of the roll-outs of the services.
+	rollouts directives
 
 	// quarantined reports whether a request is refused because it crashes
 	// targets.
@@ -321,7 +323,7 @@
 // hopByHop are the headers that apply to a single connection.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Upgrade", "Expect", headerForward, headerReport, headerRefusal, headerAgain, headerQuestion,
+	"Te", "Trailer", "Upgrade", "Expect", headerForward, headerReport, headerRefusal, headerRollout, headerAgain, headerQuestion,
 }
 
 func stripHopByHop(h *fasthttp.RequestHeader) {
--- a/hostd/roundtrip.go
+++ b/hostd/roundtrip.go
@@ -149,6 +149,7 @@
 	}
 	t.bytes.End(tk.f.bodyBytes, err == nil)
 	gray := t.filter.Probability(now)
+	g.countResult(tk, e, err, now)
 	t.running.Remove(tk.f.rank())
 	if tk.f.Repeat {
 		t.repeats--
