--- a/bytelimit/bytelimit.go
+++ b/bytelimit/bytelimit.go
@@ -6,7 +6,7 @@
 // much.
 //
 // Algorithm: a target that has not died is not bounded. When it dies, the bytes that it
-// held tell something only if it had not borne as much before; then it gets at most
+// held tell something only if it had not sustained as much before; then it gets at most
 // boundShare of them at once for retention, also in its next incarnation. A request that
 // comes alone is always admitted, since no other target would bear it better.
 //
@@ -24,7 +24,7 @@
 	// boundShare of the bytes held at a death may be in flight afterwards. The target's
 	// memory is below what it held, by up to one body.
 	boundShare = 0.75
-	// survivalShare is the part of the largest amount borne so far that a target must have
+	// survivalShare is the part of the largest amount sustained so far that a target must have
 	// held when it died, for its death to be blamed on bytes.
 	survivalShare = 0.9
 	// retention is how long a bound holds. The next version of a target may bear more.
@@ -34,10 +34,10 @@
 // Limiter is the state of one target. It is not safe for concurrent use.
 type Limiter struct {
 	inFlight int64
-	// borne is the largest amount in flight when a request ended well.
-	borne int64
-	bound int64
-	until time.Time
+	// sustained is the largest amount in flight when a request ended well.
+	sustained int64
+	bound     int64
+	until     time.Time
 }
 
 // Admit reports whether a request of n bytes may be sent.
@@ -63,7 +63,7 @@
 // End counts a request of n bytes that has ended. answered is set if the target answered.
 func (l *Limiter) End(n int64, answered bool) {
 	if answered {
-		l.borne = max(l.borne, l.inFlight)
+		l.sustained = max(l.sustained, l.inFlight)
 	}
 	l.inFlight -= n
 }
@@ -71,11 +71,11 @@
 // Died records the death of the target when it held some bytes. It reports whether that
 // bounds it from now on.
 func (l *Limiter) Died(now time.Time, held int64) bool {
-	if held < MinEvidence || float64(held) < survivalShare*float64(l.borne) {
+	if held < MinEvidence || float64(held) < survivalShare*float64(l.sustained) {
 		return false
 	}
 	l.bound = max(int64(boundShare*float64(held)), MinEvidence)
 	l.until = now.Add(retention)
-	l.borne = min(l.borne, l.bound)
+	l.sustained = min(l.sustained, l.bound)
 	return true
 }
--- a/bytelimit/bytelimit_test.go
+++ b/bytelimit/bytelimit_test.go
@@ -49,7 +49,7 @@
 	l.Start(1 << 20)
 	l.End(1<<20, true)
 	l.End(1<<20, true)
-	assert.Assert(t, !l.Died(epoch, 1<<20), "it has borne twice as much")
+	assert.Assert(t, !l.Died(epoch, 1<<20), "it has sustained twice as much")
 	assert.Equal(t, l.Bound(epoch), int64(0))
 }
 
--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -394,8 +393,3 @@
 		a.e.in.states.setUnavailable(t.ID, time.Now(), versionUnavailableFor)
 	}
 }
-
-// random implements placing.Rand with the global source.
-type random struct{}
-
-func (random) Float64() float64 { return rand.Float64() }
--- a/hostd/callcharge.go
+++ b/hostd/callcharge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/gooseberryshed/gooseberryshed/retry"
 )
@@ -36,3 +37,15 @@
 	// The answer makes no difference to the call, so it is not waited for.
 	go e.in.limiter.AllowRetry(context.WithoutCancel(ctx), e.service, retry.HighestValue)
 }
+
+// RecordCallFailure records that a call made by the target failed.
+func (g *Gate) RecordCallFailure() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.target != nil && len(g.target.failedCalls) < maxFailedCalls {
+		g.target.failedCalls = append(g.target.failedCalls, time.Now())
+	}
+}
+
+// maxFailedCalls bounds the number of failures kept.
+const maxFailedCalls = 64
--- a/hostd/control.go
+++ b/hostd/control.go
@@ -231,17 +231,6 @@
 	c.signalReady()
 }
 
-// signalReady closes ready once the host has its tables and a freshness proof.
-func (c *Control) signalReady() {
-	select {
-	case <-c.ready:
-	default:
-		if c.View().Ready() && c.proven() {
-			close(c.ready)
-		}
-	}
-}
-
 func raise(v *atomic.Uint64, to uint64) {
 	if to > v.Load() {
 		v.Store(to)
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -105,18 +105,6 @@
 	}
 }
 
-// RecordCallFailure records that a call made by the target failed.
-func (g *Gate) RecordCallFailure() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.target != nil && len(g.target.failedCalls) < maxFailedCalls {
-		g.target.failedCalls = append(g.target.failedCalls, time.Now())
-	}
-}
-
-// maxFailedCalls bounds the number of failures kept.
-const maxFailedCalls = 64
-
 // Withdraw ensures that an attempt will not be sent to the target, unless it
 // already has been. It reports whether the attempt was sent or may have been,
 // as the attempts of an earlier incarnation are not known.
--- a/hostd/rolloutfaults_test.go
+++ b/hostd/rolloutfaults_test.go
@@ -180,7 +180,7 @@
 }
 
 // TestGateCutFromTheHolderRefuses guards against exposure that the holder cannot end:
-// the allowance of a gate that hears nothing expires.
+// the allowance of a gate without an answer expires.
 func TestGateCutFromTheHolderRefuses(t *testing.T) {
 	t.Parallel()
 	r := newRolloutFleet(t)
--- a/hostd/spill.go
+++ b/hostd/spill.go
@@ -1,6 +1,7 @@
 package hostd
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -80,3 +81,8 @@
 		"load_here", choice.here, "load_there", choice.there, "body_bytes", len(a.req.Body()))
 	return out
 }
+
+// random implements placing.Rand with the global source.
+type random struct{}
+
+func (random) Float64() float64 { return rand.Float64() }
--- a/hostd/startwait.go
+++ b/hostd/startwait.go
@@ -41,3 +41,14 @@
 	}
 	e.in.log.Decide("start-awaited", "id", e.caller.Attempt, "ready", e.in.control.View().Ready(), "waited_ms", time.Since(e.started).Milliseconds(), "max_wait_ms", wait.Milliseconds())
 }
+
+// signalReady closes ready once the host has its tables and a freshness proof.
+func (c *Control) signalReady() {
+	select {
+	case <-c.ready:
+	default:
+		if c.View().Ready() && c.proven() {
+			close(c.ready)
+		}
+	}
+}
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -106,7 +106,7 @@
 	// loadFadeTime is the age at which a reported load no longer counts.
 	loadFadeTime = 1500 * time.Millisecond
 	// slownessFadeTime is the age at which a reported slowness or mean load counts for
-	// 1/e. An ingress hears of one target every few seconds.
+	// 1/e. An ingress gets a report of one target every few seconds.
 	slownessFadeTime = 20 * time.Second
 	// shortageFadeTime is the same for a shortage, which lasts for seconds.
 	shortageFadeTime = 3 * time.Second
--- a/placing/play_test.go
+++ b/placing/play_test.go
@@ -130,7 +130,7 @@
 	assert.Assert(t, after.refused <= before.refused+0.0005)
 }
 
-// Guards against targets that become the busiest because an ingress hears of each of them
+// Guards against targets that become the busiest because an ingress gets reports of each of them
 // only every few seconds, by when a report of the load at one moment says nothing.
 func TestMeanLoad(t *testing.T) {
 	for _, c := range []struct {
--- a/rollout/advance.go
+++ b/rollout/advance.go
@@ -9,10 +9,10 @@
 	// finishShare is the part of the time to the deadline after which a good version
 	// is completed. The rest is for outages near the deadline.
 	finishShare = 0.75
-	// doubtScore is the score at which something speaks against a version. The ramp then
-	// waits for more answers, for at most doubtShare of the whole time.
-	doubtScore = 2.5
-	doubtShare = 0.1
+	// suspectScore is the score at which something speaks against a version. The ramp then
+	// waits for more answers, for at most suspectWaitShare of the whole time.
+	suspectScore     = 2.5
+	suspectWaitShare = 0.1
 	// rampSteps is the number of steps of the ramp. Each lasts rampStepShare of the
 	// whole time, and at least minRampStep: the hosts learn a step from the reports of
 	// gates within about that time.
@@ -163,7 +163,7 @@
 			s.Phase, s.WithdrawMs = Withdraw, now.Milliseconds()
 		}
 		if s.Phase == Canary && c.state.FirstMs > 0 && now >= c.rampAt() && c.hasCapacity(now) &&
-			(s.doubt() < doubtScore || now >= c.rampAt()+c.share(doubtShare)) {
+			(s.highestScore() < suspectScore || now >= c.rampAt()+c.share(suspectWaitShare)) {
 			s.Phase, s.RampMs = Ramp, now.Milliseconds()
 		}
 	case Ramp:
@@ -205,7 +205,7 @@
 }
 
 // hasCapacity reports whether enough new targets are reachable. Cold ones bear too few
-// requests; they are waited for, for at most doubtShare of the whole time and unless most
+// requests; they are waited for, for at most suspectWaitShare of the whole time and unless most
 // old ones are cold as well, as after a restart of all.
 func (c *Controller) hasCapacity(now time.Duration) bool {
 	warm, cold, old, oldCold := 0, 0, 0, 0
@@ -224,7 +224,7 @@
 			warm++
 		}
 	}
-	if 2*oldCold > old || now >= c.rampAt()+c.share(doubtShare) {
+	if 2*oldCold > old || now >= c.rampAt()+c.share(suspectWaitShare) {
 		warm += cold
 	}
 	return warm > 0 && float64(warm) >= minCapacityShare*float64(old)
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -204,7 +204,7 @@
 		route = tallies.fold(route)
 		tallies.add(route, t)
 		if r.Version == c.state.Target && !slices.Contains(c.state.Suspects, r.Host) {
-			c.state.judge(r.Host, route, t)
+			c.state.evaluate(r.Host, route, t)
 		}
 	}
 }
--- a/rollout/doc.go
+++ b/rollout/doc.go
@@ -15,7 +15,7 @@
 // with the requests of the service. Most of the time is spent there, because some
 // versions turn bad late. In Ramp the share of the requests offered to the new
 // version first rises in steps while all targets still serve. In Withdraw the old
-// targets refuse new requests and finish those they hold. Answers are judged by
+// targets refuse new requests and finish those they hold. Answers are evaluated by
 // cumulative sums of log-likelihood ratios (CUSUM), for failures and for slow
 // answers, per route and over all routes. The old version over the same time gives
 // the expected shares. An answer is slow if it takes slowFactor times the median of
--- a/rollout/judge.go
+++ b/rollout/evidence.go
@@ -80,9 +80,9 @@
 	return min((float64(bad)+priorAnswers*priorShare)/(float64(answers)+priorAnswers), 0.9)
 }
 
-// judge updates the scores with a batch of answers of a host's target of the new version
+// evaluate updates the scores with a batch of answers of a host's target of the new version
 // on a route.
-func (s *State) judge(host, route string, batch Tally) {
+func (s *State) evaluate(host, route string, batch Tally) {
 	if s.Scores.Failed == nil {
 		s.Scores = Scores{Failed: map[string]Score{}, Slow: map[string]Score{}}
 	}
@@ -143,8 +143,8 @@
 	scores[route] = score
 }
 
-// doubt returns the highest score of all tests.
-func (s *State) doubt() float64 {
+// highestScore returns the highest score of all tests.
+func (s *State) highestScore() float64 {
 	worst := 0.0
 	for _, scores := range []map[string]Score{s.Scores.Failed, s.Scores.Slow} {
 		for _, score := range scores {
--- a/speed/doc.go
+++ b/speed/doc.go
@@ -22,7 +22,7 @@
 // limit is raised by one for a trial now and then; a trial that fails doubles
 // the time until the next.
 //
-// Load is the mean load of the target. An ingress hears of one target every few
+// Load is the mean load of the target. An ingress gets a report of one target every few
 // seconds; after that time the mean still tells a busy target from an idle one.
 //
 // Durations of a target that is cold or probably gray must not be observed:
