--- a/h1/pace_test.go
+++ b/h1/pace_test.go
@@ -93,6 +93,9 @@
 	slow, slowReader := dial(t, addr)
 	_, err := fmt.Fprintf(slow, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", body, bytes.Repeat([]byte("x"), body-1))
 	assert.NilError(t, err)
+	for end := time.Now().Add(10 * time.Second); account.Stats().Used < body; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the slow sender's body is not read")
+	}
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(100 * time.Millisecond) {
 		status, err := upload(addr, body, false)
 		assert.NilError(t, err)
