--- a/hostd/callcharge.go
+++ b/hostd/callcharge.go
@@ -24,13 +24,15 @@
 }
 
 // chargeCall takes the share of a call that is made by a repeat from the retry budget of
-// the service that is called. The call is made in any case. What would overdraw this
-// host's budget is asked of the fleet's reserve.
+// the service that is called: from the part set aside for calls, then from that of this
+// host's retries, and what would overdraw it from the fleet's reserve. The call is made in
+// any case.
 func (e *exchange) chargeCall(ctx context.Context, share float64) {
 	if share <= 0 {
 		return
 	}
-	if !e.in.retriesOf(e.service).budget.Charge(share, maxCallDebt) {
+	r := e.in.retriesOf(e.service)
+	if !r.calls.Charge(share, 0) || !r.budget.Charge(share, maxCallDebt) {
 		return
 	}
 	e.in.metrics.Add("calls_over_budget", 1)
--- a/hostd/callcharge_test.go
+++ b/hostd/callcharge_test.go
@@ -25,7 +25,7 @@
 	assert.Assert(t, budget.Withdraw(), "a call of a first attempt leaves the budget as it is")
 	in.repeatShare = func() float64 { return 0.5 }
 	for range 4 {
-		call("c2", "/inner/1") // each earns 0.16 and costs 0.5 of a retry
+		call("c2", "/inner/1") // each earns 0.2 and costs 0.5 of a retry
 	}
 	in.repeatShare = func() float64 { return 0 }
 	granted := 0
--- a/hostd/retryvalue.go
+++ b/hostd/retryvalue.go
@@ -11,6 +11,8 @@
 // serviceRetries are the retries of this host for one service.
 type serviceRetries struct {
 	budget *retry.Budget
+	// calls is the part of the budget that is set aside for calls made by repeats.
+	calls *retry.Budget
 
 	mu    sync.Mutex
 	queue *retry.Queue
@@ -20,6 +22,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue.Deposit(time.Now())
+	s.calls.Deposit()
 }
 
 func (s *serviceRetries) refund() {
--- a/hostd/stats.go
+++ b/hostd/stats.go
@@ -38,8 +38,11 @@
 	defer in.mu.Unlock()
 	r := in.retries[service]
 	if r == nil {
-		b := retry.NewBudget(retryBudgetShare*in.settings().Bounds.RetryBudgetRatio, hostRetryReserve)
-		r = &serviceRetries{budget: b, queue: retry.NewQueue(b)}
+		ratio := in.settings().Bounds.RetryBudgetRatio
+		b := retry.NewBudget(retryBudgetShare*ratio, hostRetryReserve)
+		calls := retry.NewBudget((1-retryBudgetShare)*ratio, hostRetryReserve)
+		calls.Charge(hostRetryReserve, 0) // begins empty: the hosts' full budgets would add up to a window's
+		r = &serviceRetries{budget: b, queue: retry.NewQueue(b), calls: calls}
 		in.retries[service] = r
 	}
 	return r
