--- a/internal/soak/rollout_test.go
+++ b/internal/soak/rollout_test.go
@@ -51,7 +51,7 @@
 }
 
 // A roll-out is completed although its holder is suspended past its lease and the next
-// one is killed. No order runs twice, and old targets get nothing after the completion.
+// one is killed. No order runs twice, and no request reaches an old target after the completion.
 func TestRolloutOutlivesTwoHolders(t *testing.T) {
 	t.Parallel()
 	r := &run{f: newFleet(t, rolloutSeed, 4, func(f *fleet) { f.rollouts = true }), key: firstKey, startedAt: time.Now()}
--- a/placing/play_test.go
+++ b/placing/play_test.go
@@ -32,7 +32,7 @@
 }
 
 // meanResult plays a fleet on several seeds. Two means of 8 runs differ by chance by some 3%
-// of the share of late answers, and more rarely by 10%, and another processor architecture rounds
+// of the share of late answers, and more rarely by 10%; other processor architectures round
 // differently and plays other runs.
 func meanResult(t *testing.T, what string, runs int, s fleetSpec) result {
 	var sum result
--- a/retry/value_test.go
+++ b/retry/value_test.go
@@ -65,7 +65,7 @@
 }
 
 // Retries are neither lost nor made up: those given and those left never exceed what
-// requests have earned, whoever waits and leaves.
+// requests have earned, in any order of waiting and leaving.
 func TestQueueGivesNoMoreThanTheBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := NewBudget(0.2, 1)
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -139,7 +139,7 @@
 
 // Report applies a gate's report and returns the answer. It returns false if there is
 // none: nothing may be granted before the state is written, and a version found bad
-// gets nothing although that is not written yet.
+// is granted none although that is not written yet.
 func (c *Controller) Report(r Report, now time.Duration) (Answer, bool) {
 	d, ok := c.Directive(now)
 	if !ok || c.state.Phase == RolledBack && c.durable.Phase != RolledBack {
--- a/speed/estimator.go
+++ b/speed/estimator.go
@@ -80,7 +80,7 @@
 	return &Estimator{slots: slots, limit: slots, models: make([]model, slots)}
 }
 
-// SetSlots sets the stated slots. Another number starts the estimate anew.
+// SetSlots sets the stated slots. Another number restarts the estimate.
 func (e *Estimator) SetSlots(slots int) {
 	if max(slots, 1) != e.slots {
 		*e = *NewEstimator(slots)
