--- a/placing/play_test.go
+++ b/placing/play_test.go
@@ -31,9 +31,9 @@
 	return s
 }
 
-// meanResult plays a fleet on several seeds. Two means of 8 runs differ by chance by some 3%
-// of the share of late answers, and more rarely by 10%; other processor architectures round
-// differently and plays other runs.
+// meanResult plays a fleet on several seeds. The late shares of two means of 8 runs differ by
+// some 3% by chance, and more rarely by 10%. Floating-point rounding differs between processor
+// architectures, so that other runs are played there.
 func meanResult(t *testing.T, what string, runs int, s fleetSpec) result {
 	var sum result
 	for seed := range runs {
