Review: an acknowledged departure is forgotten with the process (case 7)

Cause: the acknowledgement of a sign-off waits 0.7 s for the store and is then given in any case. Tried: a machine cut off from the store, the sign-off, a restart of the daemon, and a heartbeat of the worker that arrives late. Change: review/7, the play "signoff" in review/_play2.

--- a/review/_play2/main.go
+++ b/review/_play2/main.go
@@ -18,6 +18,7 @@
 var plays = map[string]func(r *record) int{
 	"poison":  playPoison,
 	"forgets": playPoisonAfterRestarts,
+	"signoff": playSignOff,
 }
 
 func main() {
