Review: a worker whose clock went back is not heard when it drains (case 9)

Cause: heartbeats of the starts of a worker are ordered by born, which is the time of day of its machine; one that seems older is acknowledged and ignored. Tried: two restarts under one id while the clock is 2.4 s ahead and after it is back, and then draining.

--- a/review/_play2/main.go
+++ b/review/_play2/main.go
@@ -19,6 +19,8 @@
 	"poison":  playPoison,
 	"forgets": playPoisonAfterRestarts,
 	"signoff": playSignOff,
+	"caller":  playCaller,
+	"born":    playBorn,
 }
 
 func main() {
