--- a/review/_play2/main.go
+++ b/review/_play2/main.go
@@ -19,7 +19,6 @@
 	"poison":  playPoison,
 	"forgets": playPoisonAfterRestarts,
 	"signoff": playSignOff,
-	"caller":  playCaller,
 	"born":    playBorn,
 }
 
