--- a/review/_play2/main.go
+++ b/review/_play2/main.go
@@ -19,6 +19,7 @@
 	"poison":  playPoison,
 	"forgets": playPoisonAfterRestarts,
 	"signoff": playSignOff,
+	"leavers": playLeavers,
 	"born":    playBorn,
 }
 
--- a/review/_play2/worker.go
+++ b/review/_play2/worker.go
@@ -35,6 +35,8 @@
 	work  time.Duration
 	// crash ends the worker if a request crashes it, and reports that.
 	crash func(a arrival) bool
+	// workOf, if set, returns how long a request takes.
+	workOf func(a arrival) time.Duration
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -182,14 +184,17 @@
 	a.ran = true
 	w.arrivals = append(w.arrivals, a)
 	w.running++
-	crash := w.crash
+	crash, work := w.crash, w.work
+	if w.workOf != nil {
+		work = w.workOf(a)
+	}
 	w.mu.Unlock()
 	w.rec.line("worker %s runs %s %s, caller service %q", w.id, a.attempt, a.uri, a.caller)
 	if crash(a) {
 		w.rec.line("worker %s has crashed", w.id)
 		return false
 	}
-	time.Sleep(w.work)
+	time.Sleep(work)
 	w.mu.Lock()
 	w.running--
 	w.mu.Unlock()
