Status lines are judged from the first byte of an answer on

Cause: the check of the status looked at the first twelve bytes of an answer. If they were no status line it left the answer to the parser, which passes over empty lines and returns 200 for 000. Check and parser looked at different bytes.

Change: package respsyntax judges the status line byte by byte, from the first byte on: protocol, version, a status from 100 to 599, reason, CRLF. An empty line ahead is refused; only servers may skip one, ahead of a request (RFC 9112 section 2.2).

Also refused from now on: HTTP/2 in a status line, a control byte in the reason, LF alone at its end, and no blank after the status, which a sender must write (RFC 9112 section 4). A garbled status line is refused at its first invalid byte; before, an answer that began so and stayed open held its caller until the deadline.

Status 000, 099, 600 and 999 in the first line were refused before; their tests stay (TestStatusOutsideTheRangeIsNoResponse, TestAnswerWithoutAStatusIsNotPassedOn).

--- a/internal/standin/rawanswer/rawanswer.go
+++ b/internal/standin/rawanswer/rawanswer.go
@@ -89,8 +89,33 @@
 	{"field line that ends with LF", "", start + "X-Y: 1\n{framing}\r\n{body}"},
 	{"head that ends with LF", "", start + "{framing}\n{body}"},
 
+	{"status 000", "", status("HTTP/1.1 000 X")},
+	{"status 099", "", status("HTTP/1.1 099 X")},
+	{"status 600", "", status("HTTP/1.1 600 X")},
+	{"status 999", "", status("HTTP/1.1 999 X")},
+	{"status of two digits", "", status("HTTP/1.1 20 X")},
+	{"status of four digits", "", status("HTTP/1.1 2000 X")},
+	{"status 000 after an empty line", "", "\r\n" + status("HTTP/1.1 000 X")},
+	{"status 000 after empty lines", "", "\r\n\r\n\r\n" + status("HTTP/1.1 000 X")},
+	{"status 000 after an empty line with LF", "", "\n" + status("HTTP/1.1 000 X")},
+	{"status 000 after many empty lines", "", strings.Repeat("\r\n", 40) + status("HTTP/1.1 000 X")},
+	{"empty line ahead", "", "\r\n" + sound},
+	{"empty line with LF ahead", "", "\n" + sound},
+	{"two blanks before the status", "", status("HTTP/1.1  200 OK")},
+	{"tab before the status", "", status("HTTP/1.1\t200 OK")},
+	{"no blank after the status", "", status("HTTP/1.1 200")},
+	{"control byte in the reason", "", status("HTTP/1.1 200 O\x01K")},
+	{"status line that ends with LF", "", "HTTP/1.1 200 OK\n" + rest},
+	{"protocol in small letters", "", status("http/1.1 200 OK")},
+	{"another major version", "", status("HTTP/2.0 200 OK")},
+	{"version of two digits", "", status("HTTP/1.11 200 OK")},
+	{"another protocol", "", "SSH-2.0-x\r\n" + rest},
+
 	{"interim head with a blank in a name", "", "HTTP/1.1 102 Processing\r\nX Y: 1\r\n\r\n" + sound},
 	{"interim head with a blank before a colon", "", "HTTP/1.1 102 Processing\r\nX-Y : 1\r\n\r\n" + sound},
+	{"interim status 000", "", "HTTP/1.1 000 X\r\n\r\n" + sound},
+	{"empty line after an interim head", "", "HTTP/1.1 102 Processing\r\n\r\n\r\n" + sound},
+	{"status 000 after an interim head", "", "HTTP/1.1 102 Processing\r\n\r\n\r\n" + status("HTTP/1.1 000 X")},
 }
 
 // Sound are answers of the protocol, in forms that are seldom used.
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -259,9 +259,6 @@
 			return err
 		}
 		c.readTimeout = e.ReadTimeout
-		if err := checkStatus(c.br); err != nil {
-			return err
-		}
 		if err := c.readHead(resp); err != nil {
 			return err
 		}
--- a/link/read.go
+++ b/link/read.go
@@ -31,7 +31,7 @@
 }
 
 // readHead reads the head of an interim or final response. The parser gets only what
-// respsyntax has found valid, and has to use just that.
+// respsyntax has found valid, and what it makes of it must agree.
 func (c *conn) readHead(resp *Response) error {
 	var head respsyntax.Head
 	b, err := c.peekSection(head.Scan)
@@ -40,7 +40,7 @@
 	}
 	buffered := c.br.Buffered()
 	err = resp.Header.Read(c.br)
-	if err != nil || buffered-c.br.Buffered() != len(b) {
+	if err != nil || buffered-c.br.Buffered() != len(b) || resp.Header.StatusCode() != head.Status() {
 		return respsyntax.NewViolation(respsyntax.RuleUnsupported, b, 0, len(b)-1)
 	}
 	return nil
--- a/respsyntax/doc.go
+++ b/respsyntax/doc.go
@@ -9,6 +9,10 @@
 // a proxy that repairs gives its caller an answer that nobody has sent. So this package
 // accepts what the grammar allows a sender to generate, and nothing else:
 //
+//   - RuleStatusLine: HTTP-version SP status-code SP [ reason-phrase ] CRLF, with major
+//     version 1. Nothing precedes the status line; only servers skip empty lines, ahead of
+//     requests. RFC 9112 sections 2.2, 2.3 and 4.
+//   - RuleStatusCode: three digits, from 100 to 599. RFC 9110 section 15.
 //   - RuleFieldName: one or more token characters, directly followed by a colon. RFC 9110
 //     section 5.1, RFC 9112 section 5.1.
 //   - RuleFieldValue: visible characters, obs-text, SP and HTAB. RFC 9110 section 5.5.
--- a/respsyntax/fields.go
+++ b/respsyntax/fields.go
@@ -4,6 +4,7 @@
 const (
 	tokenByte uint8 = 1 << iota // tchar, RFC 9110 section 5.6.2
 	textByte                    // HTAB / SP / VCHAR / obs-text, RFC 9110 section 5.5
+	digitByte
 )
 
 var classes = func() (t [256]uint8) {
@@ -11,6 +12,9 @@
 		if c == '\t' || c >= ' ' && c != 0x7f {
 			t[c] |= textByte
 		}
+		if c >= '0' && c <= '9' {
+			t[c] |= digitByte
+		}
 		if c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' {
 			t[c] |= tokenByte
 		}
--- a/respsyntax/head.go
+++ b/respsyntax/head.go
@@ -1,22 +1,32 @@
 package respsyntax
 
+import "strconv"
+
 // Head examines the head of a response: the status line and the field lines up to the empty
 // line. The zero value is ready.
 type Head struct {
-	lines fieldLines
-	// started is set in the status line, and inLine past it.
-	started, inLine bool
+	lines  fieldLines
+	inLine bool // past the status line
+	status int
 }
 
+// The parts of a status line before its reason: HTTP-name "/" DIGIT "." DIGIT SP 3DIGIT SP.
+const (
+	versionPrefix = "HTTP/1."
+	minorAt       = len(versionPrefix)
+	statusAt      = minorAt + len("1 ")
+	statusEnd     = statusAt + len("200")
+	reasonAt      = statusEnd + len(" ")
+)
+
 // Scan examines b, which holds the bytes received so far, from the first byte of the head in
 // each call. It returns the size of the head, or 0 if more bytes are needed, or a
 // *Violation.
 func (h *Head) Scan(b []byte) (size int, err error) {
 	if !h.inLine {
-		h.skipStatusLine(b)
-	}
-	if !h.inLine {
-		return 0, nil
+		if err := h.scanStatusLine(b); err != nil || !h.inLine {
+			return 0, err
+		}
 	}
 	for {
 		whole, err := h.lines.scan(b)
@@ -31,20 +41,58 @@
 	}
 }
 
-// skipStatusLine passes over the status line, and over empty lines ahead of it, and sets inLine
-// at its end.
-func (h *Head) skipStatusLine(b []byte) {
-	for n := h.lines.n; n < len(b); n++ {
-		switch b[n] {
-		case '\r':
-		case '\n':
-			h.inLine = h.started
-		default:
-			h.started = true
+// scanStatusLine examines the status line and sets inLine at its end.
+func (h *Head) scanStatusLine(b []byte) error {
+	n := h.lines.n
+	for ; n < len(b); n++ {
+		if n >= reasonAt && b[n-1] != '\r' {
+			if n += run(b[n:], textByte); n == len(b) {
+				break
+			}
 		}
-		h.lines.n = n + 1
-		if h.inLine {
-			return
+		if rule := checkStatusByte(b, n); rule != "" {
+			return NewViolation(rule, b, 0, n)
 		}
+		if b[n] == '\n' {
+			h.status, _ = strconv.Atoi(string(b[statusAt:statusEnd])) // three digits
+			h.inLine = true
+			n++
+			break
+		}
+	}
+	h.lines.n = n
+	return nil
+}
+
+// checkStatusByte returns the rule that the byte n of a status line breaks, if any.
+func checkStatusByte(b []byte, n int) Rule {
+	c := b[n]
+	valid, rule := true, RuleStatusLine
+	switch {
+	case n < minorAt:
+		valid = c == versionPrefix[n]
+	case n == minorAt:
+		valid = is(c, digitByte)
+	case n < statusAt:
+		valid = c == ' '
+	case n == statusAt:
+		valid, rule = c >= '1' && c <= '5', RuleStatusCode
+	case n < statusEnd:
+		valid, rule = is(c, digitByte), RuleStatusCode
+	case n < reasonAt:
+		valid = c == ' '
+	case b[n-1] == '\r':
+		valid, rule = c == '\n', RuleLineEnd
+	case c == '\n':
+		valid, rule = false, RuleLineEnd
+	default:
+		valid = c == '\r' || is(c, textByte)
+	}
+	if valid {
+		return ""
 	}
+	return rule
 }
+
+// Status returns the status, 100 to 599. The head must have been examined to its end.
+func (h *Head) Status() int { return h.status }
