The end of an answer is read from its fields as received

What callers saw: an answer with both Content-Length and Transfer-Encoding was passed on by one of the two, and one of HTTP/1.0 with Transfer-Encoding by its length or without one, so that the body was not what the target meant, or the rest of it was left on the connection.

Cause: the framing was taken from the parser, which drops the length beside a coding and ignores a coding in HTTP/1.0 without a word. RFC 9112 section 6.3 has such a message handled as an error, and section 6.1 the framing of the second as faulty.

Change: package respsyntax reads Content-Length and Transfer-Encoding from the line as received: one field with one decimal number, or one field with "chunked", not in HTTP/1.0, and not both. link takes the length of a body from there. Several or listed lengths, signs and other codings were refused by the parser before; now the refusal names rule and bytes, and their tests stay.

Unframed answers of sound targets go on being served where they were (hostd).

--- a/internal/standin/rawanswer/rawanswer.go
+++ b/internal/standin/rawanswer/rawanswer.go
@@ -116,6 +116,21 @@
 	{"interim status 000", "", "HTTP/1.1 000 X\r\n\r\n" + sound},
 	{"empty line after an interim head", "", "HTTP/1.1 102 Processing\r\n\r\n\r\n" + sound},
 	{"status 000 after an interim head", "", "HTTP/1.1 102 Processing\r\n\r\n\r\n" + status("HTTP/1.1 000 X")},
+
+	{"length and chunked", Chunked, framed("Content-Length: 2\r\n{framing}")},
+	{"chunked and length", Chunked, framed("{framing}Content-Length: 2\r\n")},
+	{"chunked in HTTP/1.0", Chunked, status("HTTP/1.0 200 OK")},
+	{"length twice", Length, framed("{framing}{framing}")},
+	{"two lengths", Length, framed("{framing}Content-Length: 3\r\n")},
+	{"list of lengths", Length, framed("Content-Length: 2, 2\r\n")},
+	{"length with a sign", Length, framed("Content-Length: +2\r\n")},
+	{"length in hexadecimal", Length, framed("Content-Length: 0x2\r\n")},
+	{"empty length", Length, framed("Content-Length:\r\n")},
+	{"length of 20 digits", Length, framed("Content-Length: 18446744073709551618\r\n")},
+	{"coding gzip", Chunked, framed("Transfer-Encoding: gzip\r\n")},
+	{"coding gzip, chunked", Chunked, framed("Transfer-Encoding: gzip, chunked\r\n")},
+	{"coding identity", Unframed, framed("Transfer-Encoding: identity\r\n")},
+	{"coding chunked twice", Chunked, framed("{framing}{framing}")},
 }
 
 // Sound are answers of the protocol, in forms that are seldom used.
--- a/link/body.go
+++ b/link/body.go
@@ -8,15 +8,13 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
-)
 
-const (
-	lengthChunked  = -1
-	lengthIdentity = -2
-	// maxTrailerBytes limits the trailer section of a chunked body.
-	maxTrailerBytes = 4 << 10
+	"github.com/gooseberryshed/gooseberryshed/respsyntax"
 )
 
+// maxTrailerBytes limits the trailer section of a chunked body.
+const maxTrailerBytes = 4 << 10
+
 var (
 	errTrailerTooLarge = errors.New("trailer section too large")
 	errClosedBeforeEnd = errors.New("response body closed before its end")
@@ -39,17 +37,16 @@
 	b := &body{exchange: e, reader: e.conn.br}
 	b.reusable = !resp.Header.ConnectionClose() && resp.Header.IsHTTP11() &&
 		(e.KeepConnection == nil || e.KeepConnection(&resp.Header))
-	resp.Length = resp.Header.ContentLength()
 	switch {
 	case req.Header.IsHead():
 		b.finish()
 	case hasNoBody(resp.Header.StatusCode()):
 		resp.Length = 0
 		b.finish()
-	case resp.Length == lengthChunked:
+	case resp.Length == respsyntax.LengthChunked:
 		b.chunked = true
 		b.reader = httputil.NewChunkedReader(e.conn.br)
-	case resp.Length == lengthIdentity:
+	case resp.Length == respsyntax.LengthUntilClose:
 		b.untilClose = true
 		b.reusable = false
 	case resp.Length == 0:
@@ -65,7 +62,7 @@
 func hasVerifiableEnd(req *fasthttp.Request, resp *Response) bool {
 	return req.Header.IsHead() ||
 		hasNoBody(resp.Header.StatusCode()) ||
-		resp.Header.ContentLength() != lengthIdentity
+		resp.Length != respsyntax.LengthUntilClose
 }
 
 func hasNoBody(status int) bool {
@@ -159,7 +156,7 @@
 
 func (b *body) failRead(err error) {
 	cause := CauseProtocol
-	if b.conn.readErr != nil {
+	if !isInvalid(err) && b.conn.readErr != nil {
 		cause = causeOf(b.ctx, b.conn.readErr)
 	}
 	if err == io.EOF {
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -52,8 +52,9 @@
 // Response is a response whose body has not been read yet.
 type Response struct {
 	Header fasthttp.ResponseHeader
-	// Length is the Content-Length, or -1 if the body is chunked. The response to
-	// a HEAD request has the length that GET would return, and an empty body.
+	// Length is the Content-Length, respsyntax.LengthChunked or, with AllowUnframed,
+	// respsyntax.LengthUntilClose. The response to a HEAD request has the length that GET
+	// would return, and an empty body.
 	Length int
 	// Body returns io.EOF only after the full body was received. Closing it
 	// earlier closes the connection.
@@ -201,7 +202,7 @@
 		if err := e.readHeader(resp); err != nil {
 			return err
 		}
-		if !hasVerifiableEnd(req, resp) && (!e.AllowUnframed || resp.Header.ContentLength() != lengthIdentity) {
+		if !e.AllowUnframed && !hasVerifiableEnd(req, resp) {
 			return errUnframed
 		}
 		if e.MatchResponse == nil || e.MatchResponse(&resp.Header, e.conn.reused) {
@@ -216,7 +217,7 @@
 
 // discardBody reads and discards the body of a response to another request.
 func (e *exchange) discardBody(resp *Response) error {
-	n := resp.Header.ContentLength()
+	n := resp.Length
 	if n < 0 || n > maxUnmatchedBytes {
 		return errTooManyUnmatched
 	}
--- a/link/read.go
+++ b/link/read.go
@@ -43,6 +43,7 @@
 	if err != nil || buffered-c.br.Buffered() != len(b) || resp.Header.StatusCode() != head.Status() {
 		return respsyntax.NewViolation(respsyntax.RuleUnsupported, b, 0, len(b)-1)
 	}
+	resp.Length = int(head.Length())
 	return nil
 }
 
--- a/respsyntax/doc.go
+++ b/respsyntax/doc.go
@@ -19,6 +19,12 @@
 //   - RuleLineFolding: no line begins with a blank. RFC 9112 sections 2.2 and 5.2.
 //   - RuleLineEnd: lines end with CRLF, and CR and LF occur nowhere else. RFC 9112 section
 //     2.2.
+//   - RuleContentLength: one field with one decimal number. RFC 9110 section 8.6, RFC 9112
+//     section 6.3.
+//   - RuleTransferEncoding: one field with the coding "chunked", the only one that a client
+//     accepts which sends no TE, and not in HTTP/1.0. RFC 9112 sections 6.1 and 7, RFC 9110
+//     section 10.1.4.
+//   - RuleFraming: not both of these fields. RFC 9112 sections 6.2 and 6.3.
 //   - RuleUnsupported: the message is valid and the parser that follows refuses it, as it does
 //     a Trailer field that names one which must not be a trailer.
 //
--- a/respsyntax/head.go
+++ b/respsyntax/head.go
@@ -1,6 +1,17 @@
 package respsyntax
 
-import "strconv"
+import (
+	"bytes"
+	"strconv"
+)
+
+// Lengths of a body that are no number of bytes.
+const (
+	// LengthChunked is the length of a body in chunks.
+	LengthChunked = -1
+	// LengthUntilClose is the length of a body that ends with its connection.
+	LengthUntilClose = -2
+)
 
 // Head examines the head of a response: the status line and the field lines up to the empty
 // line. The zero value is ready.
@@ -8,6 +19,10 @@
 	lines  fieldLines
 	inLine bool // past the status line
 	status int
+	// http10 is set for HTTP/1.0.
+	http10              bool
+	hasLength, hasCoded bool
+	length              int64
 }
 
 // The parts of a status line before its reason: HTTP-name "/" DIGIT "." DIGIT SP 3DIGIT SP.
@@ -30,6 +45,9 @@
 	}
 	for {
 		whole, err := h.lines.scan(b)
+		if err == nil && whole {
+			err = h.readFraming(b)
+		}
 		switch {
 		case err != nil:
 			return 0, err
@@ -54,6 +72,7 @@
 			return NewViolation(rule, b, 0, n)
 		}
 		if b[n] == '\n' {
+			h.http10 = b[minorAt] == '0'
 			h.status, _ = strconv.Atoi(string(b[statusAt:statusEnd])) // three digits
 			h.inLine = true
 			n++
@@ -94,5 +113,54 @@
 	return rule
 }
 
-// Status returns the status, 100 to 599. The head must have been examined to its end.
+var (
+	nameLength = []byte("Content-Length")
+	nameCoding = []byte("Transfer-Encoding")
+	chunked    = []byte("chunked")
+)
+
+// readFraming reads the field line that has just ended, if it tells how the body ends.
+func (h *Head) readFraming(b []byte) error {
+	l := &h.lines
+	name := b[l.line:l.colon]
+	isLength := len(name) == len(nameLength) && bytes.EqualFold(name, nameLength)
+	isCoding := len(name) == len(nameCoding) && bytes.EqualFold(name, nameCoding)
+	if !isLength && !isCoding {
+		return nil
+	}
+	end := l.n - len("\r\n")
+	value := bytes.Trim(b[l.colon+1:end], " \t")
+	switch {
+	case isLength:
+		var err error
+		if h.length, err = strconv.ParseInt(string(value), 10, 64); err != nil || h.hasLength || !is(value[0], digitByte) {
+			return NewViolation(RuleContentLength, b, l.line, end-1)
+		}
+		h.hasLength = true
+	case isCoding:
+		if h.hasCoded || h.http10 || !bytes.EqualFold(value, chunked) {
+			return NewViolation(RuleTransferEncoding, b, l.line, end-1)
+		}
+		h.hasCoded = true
+	}
+	if h.hasLength && h.hasCoded {
+		return NewViolation(RuleFraming, b, l.line, end-1)
+	}
+	return nil
+}
+
+// Status returns the status, 100 to 599. The head must have been examined to its end, as for
+// Length.
 func (h *Head) Status() int { return h.status }
+
+// Length returns the length of the body in bytes, LengthChunked or LengthUntilClose, by the
+// fields alone: responses to HEAD and with statuses 1xx, 204 and 304 have no body.
+func (h *Head) Length() int64 {
+	switch {
+	case h.hasCoded:
+		return LengthChunked
+	case h.hasLength:
+		return h.length
+	}
+	return LengthUntilClose
+}
