Chunk lines and trailers are judged as received

What callers saw: a chunked answer whose trailers held a name with a blank or a control byte, a line without a colon, or anything else up to an empty line, was passed on as whole; so was one whose chunk lines had a blank after the size or an extension of arbitrary bytes.

Cause: trailers were skipped unread, and the chunked reader of the standard library trims what follows a size and drops extensions without looking at them.

Change: package respsyntax judges the lines of chunks, the CRLF after their data, and the trailers, as they arrive; link's chunkReader decodes by it. Trailers are checked and, as before, not passed on.

--- a/internal/standin/rawanswer/rawanswer.go
+++ b/internal/standin/rawanswer/rawanswer.go
@@ -131,6 +131,27 @@
 	{"coding gzip, chunked", Chunked, framed("Transfer-Encoding: gzip, chunked\r\n")},
 	{"coding identity", Unframed, framed("Transfer-Encoding: identity\r\n")},
 	{"coding chunked twice", Chunked, framed("{framing}{framing}")},
+
+	{"trailer with a blank in a name", Chunked, chunks("2\r\nok\r\n0\r\nX Y: 1\r\n\r\n")},
+	{"trailer with a blank before a colon", Chunked, chunks("2\r\nok\r\n0\r\nX-Y : 1\r\n\r\n")},
+	{"trailer with a control byte in a name", Chunked, chunks("2\r\nok\r\n0\r\nX\x01Y: 1\r\n\r\n")},
+	{"trailer with a control byte in a value", Chunked, chunks("2\r\nok\r\n0\r\nX-Y: \x01\r\n\r\n")},
+	{"trailer without a colon", Chunked, chunks("2\r\nok\r\n0\r\nX-Y\r\n\r\n")},
+	{"trailer that ends with LF", Chunked, chunks("2\r\nok\r\n0\r\nX-Y: 1\n\r\n")},
+	{"trailers that end with LF", Chunked, chunks("2\r\nok\r\n0\r\nX-Y: 1\r\n\n")},
+	{"folded trailer", Chunked, chunks("2\r\nok\r\n0\r\nX-Y: 1\r\n 2\r\n\r\n")},
+	{"byte in place of the last line", Chunked, chunks("2\r\nok\r\n0\r\nX\n")},
+	{"chunk size with a blank", Chunked, chunks("2 \r\nok\r\n0\r\n\r\n")},
+	{"chunk size with a sign", Chunked, chunks("+2\r\nok\r\n0\r\n\r\n")},
+	{"chunk size with 0x", Chunked, chunks("0x2\r\nok\r\n0\r\n\r\n")},
+	{"chunk size that ends with LF", Chunked, chunks("2\nok\r\n0\r\n\r\n")},
+	{"empty chunk size", Chunked, chunks("\r\nok\r\n0\r\n\r\n")},
+	{"chunk size of 17 digits", Chunked, chunks("10000000000000002\r\nok\r\n0\r\n\r\n")},
+	{"chunk extension with a control byte", Chunked, chunks("2;a=\x01\r\nok\r\n0\r\n\r\n")},
+	{"chunk extension without a name", Chunked, chunks("2;\r\nok\r\n0\r\n\r\n")},
+	{"chunk extension with an open quote", Chunked, chunks("2;a=\"b\r\nok\r\n0\r\n\r\n")},
+	{"chunk without its CRLF", Chunked, chunks("2\r\nok0\r\n\r\n")},
+	{"chunk that ends with LF", Chunked, chunks("2\r\nok\n0\r\n\r\n")},
 }
 
 // Sound are answers of the protocol, in forms that are seldom used.
@@ -153,6 +174,7 @@
 	{"names of the framing in small letters", Length, framed("content-length:2\r\n")},
 	{"coding in capitals", Chunked, framed("TRANSFER-ENCODING: Chunked\r\n")},
 	{"length with zeros", Length, framed("Content-Length: 0002\r\n")},
+	{"chunk extensions", Chunked, chunks("1;a\r\no\r\n1 ; b = c;d=\"e\\\" \xff\"\r\nk\r\n0;f\r\n\r\n")},
 	{"chunk size with zeros", Chunked, chunks("0002\r\nok\r\n000\r\n\r\n")},
 	{"trailers", Chunked, chunks("2\r\nok\r\n0\r\nX-Y: 1\r\nx-z:\r\n\r\n")},
 }
--- a/link/body.go
+++ b/link/body.go
@@ -1,9 +1,7 @@
 package link
 
 import (
-	"bufio"
 	"io"
-	"net/http/httputil"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,13 +10,7 @@
 	"github.com/gooseberryshed/gooseberryshed/respsyntax"
 )
 
-// maxTrailerBytes limits the trailer section of a chunked body.
-const maxTrailerBytes = 4 << 10
-
-var (
-	errTrailerTooLarge = errors.New("trailer section too large")
-	errClosedBeforeEnd = errors.New("response body closed before its end")
-)
+var errClosedBeforeEnd = errors.New("response body closed before its end")
 
 // body reads the body of a response and completes the exchange at its end.
 type body struct {
@@ -45,7 +37,7 @@
 		b.finish()
 	case resp.Length == respsyntax.LengthChunked:
 		b.chunked = true
-		b.reader = httputil.NewChunkedReader(e.conn.br)
+		b.reader = newChunkReader(e.conn)
 	case resp.Length == respsyntax.LengthUntilClose:
 		b.untilClose = true
 		b.reusable = false
@@ -108,10 +100,6 @@
 		b.failRead(err)
 		return b.err
 	}
-	if err := skipTrailer(b.conn.br); err != nil {
-		b.failRead(err)
-		return b.err
-	}
 	b.finish()
 	return b.err
 }
@@ -129,25 +117,6 @@
 	return b.err
 }
 
-// skipTrailer reads the trailer section up to the empty line that ends a chunked
-// body.
-func skipTrailer(br *bufio.Reader) error {
-	total := 0
-	for {
-		line, err := br.ReadSlice('\n')
-		if err != nil {
-			return err
-		}
-		if len(line) <= len("\r\n") {
-			return nil
-		}
-		total += len(line)
-		if total > maxTrailerBytes {
-			return errTrailerTooLarge
-		}
-	}
-}
-
 // finish completes the exchange after the full body was read.
 func (b *body) finish() {
 	b.err = io.EOF
--- a/link/doc.go
+++ b/link/doc.go
@@ -19,8 +19,8 @@
 //     Error.Reused tells the caller, which may retry an idempotent request on a
 //     new connection. RequestOptions.NewConnection avoids reuse altogether. This
 //     costs one round trip and suits requests that must not be retried.
-//   - The head of a response is judged by package respsyntax as its bytes arrive, before
-//     fasthttp parses it. If it is none in the protocol, the exchange
+//   - A response is judged by package respsyntax as its bytes arrive, head, chunk lines and
+//     trailers, before fasthttp parses the head. If it is none in the protocol, the exchange
 //     fails with CauseProtocol and StageResponse, and the connection is closed.
 //   - A response whose end cannot be verified (no length and not chunked) is an
 //     error, because closing the connection does not distinguish a complete
--- a/respsyntax/doc.go
+++ b/respsyntax/doc.go
@@ -25,10 +25,14 @@
 //     accepts which sends no TE, and not in HTTP/1.0. RFC 9112 sections 6.1 and 7, RFC 9110
 //     section 10.1.4.
 //   - RuleFraming: not both of these fields. RFC 9112 sections 6.2 and 6.3.
+//   - RuleChunk: chunk-size [ chunk-ext ] CRLF chunk-data CRLF. Blanks around the separators
+//     of an extension are accepted, since a recipient must accept them; those after the size
+//     alone are not. RFC 9112 section 7.1.
 //   - RuleUnsupported: the message is valid and the parser that follows refuses it, as it does
 //     a Trailer field that names one which must not be a trailer.
 //
-// The rules of field lines apply to interim and final heads. Rules about the meaning of fields, such as which may occur in a trailer or
+// The rules of field lines apply to interim and final heads and to trailers (RFC 9112
+// section 7.1.2). Rules about the meaning of fields, such as which may occur in a trailer or
 // more than once, are no matter of this package.
 //
 // Bytes are examined once, as they arrive, so that an invalid response is refused at its
--- a/respsyntax/fields.go
+++ b/respsyntax/fields.go
@@ -5,6 +5,7 @@
 	tokenByte uint8 = 1 << iota // tchar, RFC 9110 section 5.6.2
 	textByte                    // HTAB / SP / VCHAR / obs-text, RFC 9110 section 5.5
 	digitByte
+	hexByte
 )
 
 var classes = func() (t [256]uint8) {
@@ -15,6 +16,9 @@
 		if c >= '0' && c <= '9' {
 			t[c] |= digitByte
 		}
+		if c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F' {
+			t[c] |= hexByte
+		}
 		if c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' {
 			t[c] |= tokenByte
 		}
@@ -122,3 +126,23 @@
 func (f *fieldLines) violation(r Rule, b []byte) *Violation {
 	return NewViolation(r, b, f.line, f.n)
 }
+
+// Trailers examines the trailers of a chunked response up to the empty line that ends it. The
+// zero value is ready.
+type Trailers struct{ lines fieldLines }
+
+// Scan examines b, which holds the bytes received so far, from the same first byte in each
+// call. It returns the size of the trailers with the empty line, or 0 if more bytes are
+// needed, or a *Violation.
+func (t *Trailers) Scan(b []byte) (size int, err error) {
+	for t.lines.state != atEnd {
+		whole, err := t.lines.scan(b)
+		if err != nil {
+			return 0, err
+		}
+		if !whole && t.lines.state != atEnd {
+			return 0, nil
+		}
+	}
+	return t.lines.n, nil
+}
