Admin pages are read as all other answers

What callers saw: operators' commands (status, report, waiting for a change) read a page of a daemon from an answer that is none in the protocol, by fasthttp's own client, which has a reader of its own.

Cause: the same as for targets; this reader did not pass through package link.

Change: the admin client reads through a link.Pool, each page on a new connection that is closed after it, within the same time and size.

--- a/admin/client.go
+++ b/admin/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"slices"
 	"strings"
 	"time"
@@ -12,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gooseberryshed/gooseberryshed/daemon"
+	"github.com/gooseberryshed/gooseberryshed/link"
 	"github.com/gooseberryshed/gooseberryshed/member"
 )
 
@@ -32,30 +34,43 @@
 )
 
 // Client queries daemons at their admin addresses.
-type Client struct{ http *fasthttp.Client }
+type Client struct{ links *link.Pool }
 
-func New() Client {
-	return Client{&fasthttp.Client{MaxResponseBodySize: maxResponseBytes, MaxIdemponentCallAttempts: 1}}
-}
+func New() Client { return Client{link.New(link.Options{})} }
 
 // Get fetches a page and decodes its JSON into out.
 func (c Client) Get(ctx context.Context, admin, page string, out any) error {
+	status, body, err := c.fetch(ctx, admin, page)
+	if err != nil {
+		return errors.Wrapf(err, "no response from %s%s", admin, page)
+	}
+	if status != fasthttp.StatusOK {
+		return errors.Errorf("%s%s returned status %d; check that this is the admin address of a daemon", admin, page, status)
+	}
+	return errors.Wrapf(json.Unmarshal(body, out), "decode the response of %s%s", admin, page)
+}
+
+// fetch returns the status and the body of a page.
+func (c Client) fetch(ctx context.Context, admin, page string) (status int, body []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + admin + page)
-	deadline := time.Now().Add(requestTimeout)
-	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
-		deadline = d
-	}
-	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
-		return errors.Wrapf(err, "no response from %s%s", admin, page)
+	req.Header.SetRequestURI(page)
+	req.Header.SetHost(admin)
+	resp, err := c.links.Do(ctx, admin, req, link.RequestOptions{
+		NewConnection:  true, // queries are rare, and commands short
+		KeepConnection: func(*fasthttp.ResponseHeader) bool { return false },
+	})
+	if err != nil {
+		return 0, nil, err
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return errors.Errorf("%s%s returned status %d; check that this is the admin address of a daemon", admin, page, resp.StatusCode())
+	defer resp.Body.Close()
+	body, err = io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		err = errors.Errorf("the response exceeds %d bytes", maxResponseBytes)
 	}
-	return errors.Wrapf(json.Unmarshal(resp.Body(), out), "decode the response of %s%s", admin, page)
+	return resp.Header.StatusCode(), body, err
 }
 
 // Host is a daemon of the fleet with its status, or the error of the request for it.
