Refused answers are counted and logged with rule and bytes

Cause: an answer that was none in the protocol showed in the logs only as "invalid or unframed response" of one request, and answers of the store and of other daemons not at all.

Change: link.Options.OnInvalid is called for each refused answer. hostd writes the decision `answer-invalid` with sender, address, rule, source, bytes and offset, and counts `answers_invalid_FROM` and `answers_invalid_FROM_RULE`, for targets, hosts and the store. The daemon of other installations counts `invalid_answers` by sender and logs one line a second for each.

--- a/daemon/counters.go
+++ b/daemon/counters.go
@@ -20,6 +20,7 @@
 	RPC      RPCCounts           `json:"rpc"`
 	Suspects int                 `json:"suspects"`
 	Restarts int64               `json:"child_restarts"`
+	Invalid  InvalidCounts       `json:"invalid_answers"`
 }
 
 // RPCCounts are the counters of control messages.
@@ -47,5 +48,6 @@
 		},
 		Suspects: d.registry.Len(),
 		Restarts: d.tree.Restarts(),
+		Invalid:  d.invalid.Counts(),
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -37,6 +37,9 @@
 	Table    platform.Table
 	Objects  platform.Objects
 	Logger   *log.Logger
+	// Invalid records the invalid answers of targets and other daemons. If nil, New makes
+	// one; Table and Objects may record theirs with the same.
+	Invalid *InvalidAnswers
 }
 
 // Daemon is one instance of gooseberryshedd.
@@ -61,6 +64,7 @@
 	suspects  *suspectGossip
 	recorder  *report.Recorder
 	loads     *balance.LoadTracker
+	invalid   *InvalidAnswers
 	tree      *supervise.Tree
 }
 
@@ -83,6 +87,10 @@
 		registry:  suspect.NewRegistry(suspect.Options{}),
 		recorder:  report.NewRecorder(slowResponse),
 		loads:     &balance.LoadTracker{},
+		invalid:   o.Invalid,
+	}
+	if d.invalid == nil {
+		d.invalid = NewInvalidAnswers(o.Logger)
 	}
 	d.outcomes = newOutcomeObserver(d.registry)
 	self := d.selfRecord()
@@ -147,7 +155,7 @@
 		Observer:    d.outcomes,
 		Quarantine:  d.suspects,
 		NewLimiter:  d.outcomes.peerLatencies.newColdStart,
-		Links:       link.Options{LocalAddr: d.set.SourceAddress},
+		Links:       link.Options{LocalAddr: d.set.SourceAddress, OnInvalid: d.invalid.targets.record},
 	})
 }
 
@@ -189,7 +197,7 @@
 			return m.ForwardAddr, ok
 		},
 		Secrets: secrets,
-		Pool:    link.Options{LocalAddr: d.set.SourceAddress},
+		Pool:    link.Options{LocalAddr: d.set.SourceAddress, OnInvalid: d.invalid.hosts.record},
 	})
 	d.forward = forward.NewServer(forward.ServerOptions{Secrets: secrets, Forwarder: d.gate})
 	d.gates = &gateClient{
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -87,7 +87,9 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	client, err := karpithaz.OpenTable(karpithaz.TableOptions{URL: set.Platform, LocalIP: sourceIP(set)})
+	logger := newLogger(set)
+	invalid := NewInvalidAnswers(logger)
+	client, err := karpithaz.OpenTable(karpithaz.TableOptions{URL: set.Platform, LocalIP: sourceIP(set), OnInvalid: invalid.Store})
 	if err != nil {
 		return err
 	}
@@ -96,7 +98,8 @@
 		Settings: set,
 		Table:    client,
 		Objects:  client.Objects(),
-		Logger:   newLogger(set),
+		Logger:   logger,
+		Invalid:  invalid,
 	})
 	if err != nil {
 		return err
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -90,6 +90,7 @@
 			DialTimeout:    targetDialTimeout,
 			TCPUserTimeout: targetUserTimeout,
 			IdleTimeout:    targetIdle,
+			OnInvalid:      recordInvalid(fromTarget, l, m),
 		}),
 	}
 }
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -89,6 +89,8 @@
 		client:   newGateClient(o.Settings.IP, newAccount(o.Settings)),
 		stopCh:   make(chan struct{}),
 	}
+	h.store.SetOnInvalid(recordInvalid(fromStore, h.log, h.metrics))
+	h.client.links.SetOnInvalid(recordInvalid(fromHost, h.log, h.metrics))
 	h.current.Store(o.Settings)
 	conn, err := newDatagramConn(o.Settings.Host, cmp.Or(o.DatagramBind, o.Settings.DatagramListen), h.metrics, h.answerQuery)
 	if err != nil {
--- a/link/body.go
+++ b/link/body.go
@@ -125,7 +125,7 @@
 
 func (b *body) failRead(err error) {
 	cause := CauseProtocol
-	if !isInvalid(err) && b.conn.readErr != nil {
+	if !b.pool.reportInvalid(b.conn.addr, err) && b.conn.readErr != nil {
 		cause = causeOf(b.ctx, b.conn.readErr)
 	}
 	if err == io.EOF {
--- a/link/pool.go
+++ b/link/pool.go
@@ -7,6 +7,10 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gooseberryshed/gooseberryshed/respsyntax"
 )
 
 // Defaults of Options.
@@ -50,6 +54,9 @@
 	// MaxIdlePerAddr is the maximum number of idle connections to one address.
 	// Default 32.
 	MaxIdlePerAddr int
+	// OnInvalid is called for each response from addr that was refused because it is none
+	// in the protocol. It must not block.
+	OnInvalid func(addr string, v *respsyntax.Violation)
 }
 
 func (o Options) withDefaults() Options {
@@ -77,10 +84,11 @@
 	StaleClosed int64 // idle connections that the peer had closed or written to, or that CloseIdleSince closed
 	Expired     int64 // idle connections past MaxAge or IdleTimeout
 	Abandoned   int64 // connections of aborted exchanges
+	Invalid     int64 // responses that are none in the protocol
 }
 
 type counters struct {
-	dials, dialErrors, reuses, stale, expired, abandoned atomic.Int64
+	dials, dialErrors, reuses, stale, expired, abandoned, invalid atomic.Int64
 }
 
 // Pool is a client with a pool of idle connections for each address. It is safe
@@ -136,7 +144,25 @@
 		StaleClosed: p.count.stale.Load(),
 		Expired:     p.count.expired.Load(),
 		Abandoned:   p.count.abandoned.Load(),
+		Invalid:     p.count.invalid.Load(),
+	}
+}
+
+// SetOnInvalid replaces Options.OnInvalid. It must be called before the first exchange.
+func (p *Pool) SetOnInvalid(f func(addr string, v *respsyntax.Violation)) { p.opts.OnInvalid = f }
+
+// reportInvalid counts and reports err if it is a violation of the protocol. It returns whether
+// it is.
+func (p *Pool) reportInvalid(addr string, err error) bool {
+	var v *respsyntax.Violation
+	if !errors.As(err, &v) {
+		return false
+	}
+	p.count.invalid.Add(1)
+	if p.opts.OnInvalid != nil {
+		p.opts.OnInvalid(addr, v)
 	}
+	return true
 }
 
 // Close closes the idle connections. Exchanges in progress complete, after which
--- a/link/read.go
+++ b/link/read.go
@@ -146,9 +146,3 @@
 	}
 	return err
 }
-
-// isInvalid reports whether err is a violation of the protocol.
-func isInvalid(err error) bool {
-	var v *respsyntax.Violation
-	return errors.As(err, &v)
-}
