--- a/gate/brokenanswers_test.go
+++ b/gate/brokenanswers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -142,3 +143,28 @@
 		}
 	}
 }
+
+// TestAnswerPassedOnWasValidAsReceived sends answers with random changes, the same each time.
+func TestAnswerPassedOnWasValidAsReceived(t *testing.T) {
+	t.Parallel()
+	const seed, answers = 40, 2000
+	t.Logf("seed %d", seed)
+	rng := rand.New(rand.NewPCG(seed, seed))
+	for range answers {
+		how := rawSends[rng.IntN(len(rawSends))]
+		how.closes = true
+		var sent []byte
+		body, err, target := answersWithBytes(t, how, &outcomeRecorder{}, func(fields string) string {
+			sent = rawanswer.Mutate(rng, fields)
+			return string(sent)
+		})
+		if err == nil {
+			want, valid := rawanswer.Parse(sent)
+			assert.Assert(t, valid, "passed on, and not valid: %q", sent)
+			assert.Equal(t, body, want.Body, "%q", sent)
+		} else if ref := wire.AsRefusal(err); ref != nil {
+			assert.Equal(t, ref.Run, wire.Unknown, "%v: %q", ref, sent)
+		}
+		target.Close()
+	}
+}
--- a/hostd/brokenanswers_test.go
+++ b/hostd/brokenanswers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -140,3 +141,30 @@
 		}
 	}
 }
+
+// TestAnswerPassedOnWasValidAsReceived sends answers with random changes, the same each time.
+func TestAnswerPassedOnWasValidAsReceived(t *testing.T) {
+	t.Parallel()
+	const seed, answers = 40, 600
+	t.Logf("seed %d", seed)
+	rng := rand.New(rand.NewPCG(seed, seed))
+	for range answers {
+		how := rawSends[rng.IntN(len(rawSends))]
+		how.closes = true
+		var sent []byte
+		r, g, target := answersWithBytes(t, how, func(fields string) string {
+			sent = rawanswer.Mutate(rng, fields)
+			return string(sent)
+		})
+		want, valid := rawanswer.Parse(sent)
+		switch {
+		case r.Answer != nil:
+			assert.Assert(t, valid, "passed on, and not valid: %q", sent)
+			assert.Equal(t, string(r.Answer.Body), want.Body, "%q", sent)
+		case r.Refusal.Run == wire.NotRun:
+			assert.Assert(t, valid && want.Status == fasthttp.StatusMisdirectedRequest, "%v: %q", r.Refusal, sent)
+		}
+		g.Close()
+		target.Close()
+	}
+}
