Test harnesses: ports that are free when they are used

Fleets run at the same time on the same IP addresses, and their outgoing connections take such ports. The port comes from freeport now, below that range.

No check has changed.

--- a/internal/e2e/harness/fleet.go
+++ b/internal/e2e/harness/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/gooseberryshed/gooseberryshed/internal/e2e/fabric"
 	"github.com/gooseberryshed/gooseberryshed/internal/e2e/trace"
+	"github.com/gooseberryshed/gooseberryshed/internal/freeport"
 	"github.com/gooseberryshed/gooseberryshed/internal/standin/record"
 	"github.com/gooseberryshed/gooseberryshed/internal/standin/target"
 	"github.com/valyala/fasthttp"
@@ -138,9 +139,15 @@
 		"--host", h.Name, "--datacentre", h.DataCentre, "--source-address", h.ip,
 		"--platform", f.platformURL, "--cluster-secret", clusterSecret,
 	}
-	for _, port := range []string{"caller", "forward", "rpc", "announce", "admin"} {
+	for _, port := range []string{"caller", "forward", "rpc", "admin"} {
 		h.args = append(h.args, "--"+port+"-listen", h.ip+":0")
 	}
+	// The target keeps announcing to this address while the daemon restarts. Fleets that run
+	// at the same time share IP addresses, and a port of the ephemeral range could go to
+	// another one meanwhile.
+	announce, err := freeport.On(h.ip)
+	f.requireNoError(err)
+	h.args = append(h.args, "--announce-listen", announce)
 	for _, port := range []string{"forward", "rpc"} {
 		addr, err := f.Fabric.Advertise(h.Name, port, h.ip)
 		f.requireNoError(err)
@@ -156,10 +163,6 @@
 func (f *Fleet) StartDaemon(h *Host) {
 	f.t.Helper()
 	args := append([]string{"--peers", f.peers}, h.args...)
-	if h.Daemon != nil {
-		// The running target keeps announcing to this address.
-		args = append(args, "--announce-listen", h.Daemon.Addrs["announce"])
-	}
 	p := startProcess(f.t, h.Name, binaries.daemon, nil, args...)
 	f.mu.Lock()
 	h.Daemon = p
