Soak: targets that break their answers

Cause: the soak's targets write their answers with a library that writes valid ones, so that it could not find broken answers that reach callers.

Change: standin.Target.SetBrokenPercent answers a share of the requests that ran with a broken answer of internal/standin/rawanswer, on a connection that it closes or leaves open.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -39,8 +39,8 @@
 // with the cause of the failure: in 845 the two owners of a rate lose each other, and
 // no third data centre could relay for them; in 914 they are in one data centre, and the
 // second loses the host that should relay too; in 920 the owner freezes and is cut off
-// by turns. 2001 restores the store from older copies.
-var regressionSeeds = []uint64{1, 845, 914, 920, 2001}
+// by turns. 2001 restores the store from older copies, and 10002 breaks answers too.
+var regressionSeeds = []uint64{1, 845, 914, 920, 2001, 10002}
 
 // call is a request with its result.
 type call struct {
@@ -206,6 +206,7 @@
 			r.injected = append(r.injected, n)
 			r.inject(h, n)
 			r.drill(n, &copies)
+			r.breakAnswers(h, n)
 		}
 		time.Sleep(pause)
 	}
@@ -326,6 +327,7 @@
 		h.currentTarget().SetHanging(false)
 		h.currentTarget().SetRepeating(0)
 		h.currentTarget().SetLosing(false)
+		h.currentTarget().SetBrokenPercent(0)
 		if h.hasLeft() {
 			h.restartTarget()
 		}
