Wording of what validates answers, read as a newcomer would

Cause: comments and pages called an invalid response "none in the protocol" and had packages "judge" it, which is not how the field speaks.

Change: comments, doc comments, the text of a violation and the pages say invalid, validate and violate. No behaviour has changed but for that text.

--- a/daemon/invalid.go
+++ b/daemon/invalid.go
@@ -14,8 +14,7 @@
 // of sender.
 const invalidLogInterval = time.Second
 
-// InvalidAnswers counts and logs the answers that were refused because they are none in the
-// protocol.
+// InvalidAnswers counts and logs the answers that were refused as invalid HTTP/1.1.
 type InvalidAnswers struct {
 	targets, hosts, store invalidFrom
 }
--- a/forward/invalid_test.go
+++ b/forward/invalid_test.go
@@ -12,8 +12,7 @@
 	"github.com/gooseberryshed/gooseberryshed/wire"
 )
 
-// Guards against taking the answer of another daemon for a target's if it is none in the
-// protocol. The request may have run. An attempt that is not idempotent may be sent again to the
+// Guards against taking an invalid answer of another daemon for a target's. The request may have run. An attempt that is not idempotent may be sent again to the
 // same daemon, which runs it once, under the same id.
 func TestInvalidAnswerOfADaemonIsRefused(t *testing.T) {
 	for _, c := range rawanswer.Broken {
--- a/hostd/brokenfleet_test.go
+++ b/hostd/brokenfleet_test.go
@@ -34,8 +34,8 @@
 	return attempts
 }
 
-// Guards what callers see if all targets send answers that are none in the protocol: never an
-// answer, and for an order that has run a status that promises nothing, after a single run.
+// Guards what callers see if all targets send invalid answers: never an answer, and for an order
+// that has run a status that promises nothing, after a single run.
 func TestCallersGetNoBrokenAnswer(t *testing.T) {
 	f := newFleet(t, 2)
 	broken := []*atomic.Int64{f.breakTarget(f.hosts[0]), f.breakTarget(f.hosts[1])}
--- a/hostd/invalidanswers.go
+++ b/hostd/invalidanswers.go
@@ -13,7 +13,7 @@
 	fromStore  = "store"
 )
 
-// recordInvalid returns a function that records answers that are none in the protocol.
+// recordInvalid returns a function that counts and logs answers that are invalid HTTP/1.1.
 func recordInvalid(from string, l *decisions.Log, m *metrics.Registry) func(addr string, v *respsyntax.Violation) {
 	return func(addr string, v *respsyntax.Violation) {
 		m.Add("answers_invalid_"+from, 1)
--- a/hostd/invalidanswers_test.go
+++ b/hostd/invalidanswers_test.go
@@ -19,8 +19,8 @@
 	"github.com/gooseberryshed/gooseberryshed/wire"
 )
 
-// Guards against taking the answer of another host for a target's, or for changes of the
-// configuration, if it is none in the protocol.
+// Guards against taking an invalid answer of another host for a target's, or for changes of the
+// configuration.
 func TestInvalidAnswerOfAHostIsRefused(t *testing.T) {
 	t.Parallel()
 	for _, c := range rawanswer.Broken {
--- a/internal/standin/rawanswer/rawanswer.go
+++ b/internal/standin/rawanswer/rawanswer.go
@@ -1,4 +1,4 @@
-// Package rawanswer holds HTTP/1.1 answers as bytes, valid and broken ones, for tests of
+// Package rawanswer holds HTTP/1.1 answers as bytes, valid and invalid ones, for tests of
 // everything that reads answers, and a target that sends them below the HTTP layer.
 package rawanswer
 
@@ -61,7 +61,7 @@
 // chunks returns a chunked answer with a body of its own.
 func chunks(body string) string { return start + "{framing}\r\n" + body }
 
-// Broken are answers that are none in the protocol.
+// Broken are invalid answers.
 var Broken = []Case{
 	{"blank in a name", "", field("X Y: 1")},
 	{"blank in the name of the length", Length, framed("Content Length: 2\r\n")},
@@ -154,7 +154,7 @@
 	{"chunk that ends with LF", Chunked, chunks("2\r\nok\n0\r\n\r\n")},
 }
 
-// Sound are answers of the protocol, in forms that are seldom used.
+// Sound are valid answers, in forms that are seldom used.
 var Sound = []Case{
 	{"plain", "", sound},
 	{"all bytes of a name", "", field("!#$%&'*+-.^_`|~09AZaz: 1")},
--- a/link/doc.go
+++ b/link/doc.go
@@ -19,9 +19,9 @@
 //     Error.Reused tells the caller, which may retry an idempotent request on a
 //     new connection. RequestOptions.NewConnection avoids reuse altogether. This
 //     costs one round trip and suits requests that must not be retried.
-//   - A response is judged by package respsyntax as its bytes arrive, head, chunk lines and
-//     trailers, before fasthttp parses the head. If it is none in the protocol, the exchange
-//     fails with CauseProtocol and StageResponse, and the connection is closed.
+//   - Package respsyntax validates a response as its bytes arrive: the head, before fasthttp
+//     parses it, chunk lines and trailers. If it is invalid, the exchange fails with
+//     CauseProtocol and StageResponse, and the connection is closed.
 //   - A response whose end cannot be verified (no length and not chunked) is an
 //     error, because closing the connection does not distinguish a complete
 //     response from a truncated one. RequestOptions.AllowUnframed lifts this
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -285,7 +285,7 @@
 		le.Stage = StageResponse
 	}
 	switch {
-	case e.pool.reportInvalid(c.addr, err): // whether or not the connection ends thereafter
+	case e.pool.reportInvalid(c.addr, err): // takes precedence over a connection that has ended
 	case c.writeErr != nil:
 		le.Cause = causeOf(e.ctx, c.writeErr)
 	case c.readErr != nil:
--- a/link/pool.go
+++ b/link/pool.go
@@ -54,8 +54,8 @@
 	// MaxIdlePerAddr is the maximum number of idle connections to one address.
 	// Default 32.
 	MaxIdlePerAddr int
-	// OnInvalid is called for each response from addr that was refused because it is none
-	// in the protocol. It must not block.
+	// OnInvalid is called for each response from addr that package respsyntax has refused. It
+	// must not block.
 	OnInvalid func(addr string, v *respsyntax.Violation)
 }
 
@@ -84,7 +84,7 @@
 	StaleClosed int64 // idle connections that the peer had closed or written to, or that CloseIdleSince closed
 	Expired     int64 // idle connections past MaxAge or IdleTimeout
 	Abandoned   int64 // connections of aborted exchanges
-	Invalid     int64 // responses that are none in the protocol
+	Invalid     int64 // responses refused by package respsyntax
 }
 
 type counters struct {
--- a/respsyntax/doc.go
+++ b/respsyntax/doc.go
@@ -1,13 +1,13 @@
-// Package respsyntax decides whether received bytes are a response of HTTP/1.1. It answers
-// faulty targets, whose responses must not reach a caller as somebody's answer. All
-// responses that the daemons and commands read pass through it, by way of package link.
+// Package respsyntax decides whether received bytes are a response of HTTP/1.1. It protects
+// callers from faulty targets, whose invalid responses must not be passed on. All responses
+// that the daemons and commands read are validated by it, through package link.
 //
 // The decision is made on the bytes as received, before a parser sees them. Parsers are
 // lenient by design: they skip empty lines, remove blanks and join folded lines, and what
 // they return no longer shows that the message was invalid, or which body belongs to it.
 // Where RFC 9112 lets a recipient repair a message, it also lets it refuse the message, and
-// a proxy that repairs gives its caller an answer that nobody has sent. So this package
-// accepts what the grammar allows a sender to generate, and nothing else:
+// a proxy that repairs one passes on an answer that nobody has sent. So this package accepts
+// only what the grammar allows a sender to generate:
 //
 //   - RuleStatusLine: HTTP-version SP status-code SP [ reason-phrase ] CRLF, with major
 //     version 1. Nothing precedes the status line; only servers skip empty lines, ahead of
@@ -33,11 +33,12 @@
 //
 // The rules of field lines apply to interim and final heads and to trailers (RFC 9112
 // section 7.1.2). Rules about the meaning of fields, such as which may occur in a trailer or
-// more than once, are no matter of this package.
+// more than once, are out of scope.
 //
 // Bytes are examined once, as they arrive, so that an invalid response is refused at its
-// first invalid byte, also if the peer sends nothing more. Weighed: comparing the parser's
-// result with the received bytes needs a second parser in any case; the header functions of
-// the x/net module judge names and values, but neither lines nor framing. Cost: a third of a
-// microsecond for a head of 236 bytes and no allocation, see BenchmarkHead.
+// first invalid byte, even if the peer sends nothing more. Alternatives considered: comparing
+// the parser's result with the received bytes, which needs a second parser in any case; the
+// header functions of the x/net module, which validate names and values, but neither lines
+// nor framing. Cost: a third of a microsecond for a head of 236 bytes and no allocation, see
+// BenchmarkHead.
 package respsyntax
--- a/respsyntax/violation.go
+++ b/respsyntax/violation.go
@@ -5,7 +5,7 @@
 	"strconv"
 )
 
-// Rule names a rule that a response has broken. The package documentation lists them with
+// Rule names a rule that a response violates. The package documentation lists them with
 // their sources.
 type Rule string
 
@@ -44,7 +44,7 @@
 // maxExcerpt is the size in bytes of the excerpt in a Violation.
 const maxExcerpt = 64
 
-// Violation reports a response that breaks a rule. It implements error.
+// Violation reports a response that violates a rule. It implements error.
 type Violation struct {
 	Rule Rule
 	// Excerpt is the line with the invalid byte up to that byte, or the end of it, as
@@ -67,5 +67,5 @@
 
 // Error implements error.
 func (v *Violation) Error() string {
-	return fmt.Sprintf("invalid response: rule %s (%s) is broken at byte %d, the last one of %s", v.Rule, v.Rule.Source(), v.Offset, v.Quoted())
+	return fmt.Sprintf("invalid response: rule %s (%s) violated at byte %d, the last one of %s", v.Rule, v.Rule.Source(), v.Offset, v.Quoted())
 }
