Tests: valid answers reach the callers of other hosts

Cause: an answer on its way to the caller of another host is written and validated once more, between the hosts, and the tables end at the target's gate.

Change: TestSoundAnswersReachCallersOfOtherHosts sends each valid answer of internal/standin/rawanswer, with each framing, to an order whose caller is at another host. It gets status, body and signature.

--- a/hostd/brokenfleet_test.go
+++ b/hostd/brokenfleet_test.go
@@ -74,3 +74,38 @@
 	}
 	f.await("the refused answer is in the log", func() bool { return f.hosts[0].logs.count("answer-invalid") > 0 })
 }
+
+// Guards against an answer of a target that is valid at its gate and refused between the hosts,
+// which write and validate it once more.
+func TestSoundAnswersReachCallersOfOtherHosts(t *testing.T) {
+	f := newFleet(t, 2)
+	from, to := f.hosts[0], f.hosts[1]
+	_, err := from.target.SignOff(from.settings.AnnounceListen)
+	assert.NilError(t, err)
+	f.await("the caller's host has no target", func() bool { return len(from.control.View().Targets("svc")) == 1 })
+	var answer atomic.Pointer[func(fields string) string]
+	addr := to.target.Addr()
+	to.target.Close()
+	to.gate.links.CloseIdle(addr)
+	target, err := rawanswer.StartAt(addr, func(head *fasthttp.RequestHeader, _ int) (string, int, bool) {
+		fields := strings.TrimPrefix(standin.SignedHead, "HTTP/1.1 200 OK\r\n") + standin.AttemptHeader(standin.AttemptOf(head))
+		return (*answer.Load())(fields), 0, true
+	})
+	assert.NilError(t, err)
+	defer target.Close()
+	for _, c := range rawanswer.Sound {
+		for _, framing := range rawanswer.Framings {
+			if !c.Has(framing) {
+				continue
+			}
+			build := func(fields string) string { return c.Bytes(framing, fields) }
+			answer.Store(&build)
+			id := fmt.Sprintf("%s, %s", c.Name, framing)
+			r, err := from.call(standin.Call{Attempt: strings.ReplaceAll(id, " ", "-"), Method: "POST", URI: "/order/1", Body: "b", Key: testKey})
+			assert.NilError(t, err, id)
+			assert.Equal(t, r.Status, fasthttp.StatusOK, id)
+			assert.Equal(t, r.Body, rawanswer.Body, id)
+			assert.Assert(t, r.Signed, id)
+		}
+	}
+}
