--- a/gate/brokenanswers_test.go
+++ b/gate/brokenanswers_test.go
@@ -47,12 +47,12 @@
 // answersWith runs a gate with a target that answers with the bytes of a case, and returns the
 // body that the gate passes on, or the error in its place. The first request on a reused
 // connection gets a plain answer.
-func answersWith(t *testing.T, c rawanswer.Case, framing rawanswer.Framing, how rawSend, seen gate.Observer) (string, error, *rawanswer.Target) {
+func answersWith(t *testing.T, c rawanswer.Case, framing rawanswer.Framing, how rawSend, seen gate.Observer) (string, *rawanswer.Target, error) {
 	t.Helper()
 	return answersWithBytes(t, how, seen, func(fields string) string { return c.Bytes(framing, fields) })
 }
 
-func answersWithBytes(t *testing.T, how rawSend, seen gate.Observer, answer func(fields string) string) (string, error, *rawanswer.Target) {
+func answersWithBytes(t *testing.T, how rawSend, seen gate.Observer, answer func(fields string) string) (string, *rawanswer.Target, error) {
 	t.Helper()
 	target, err := rawanswer.Start(func(h *fasthttp.RequestHeader, n int) (string, int, bool) {
 		fields := headers.Attempt + ": " + string(h.Peek(headers.Attempt)) + "\r\n"
@@ -80,7 +80,7 @@
 		assert.NilError(t, err, "the earlier request")
 	}
 	body, err := forward()
-	return body, err, target
+	return body, target, err
 }
 
 func TestBrokenAnswerIsNotPassedOn(t *testing.T) {
@@ -94,7 +94,7 @@
 				t.Run(fmt.Sprintf("%s/%s/%s", c.Name, framing, how.name), func(t *testing.T) {
 					t.Parallel()
 					seen := &outcomeRecorder{}
-					body, err, target := answersWith(t, c, framing, how, seen)
+					body, target, err := answersWith(t, c, framing, how, seen)
 					assert.Assert(t, err != nil, "passed on as an answer with the body %q", body)
 					if ref := wire.AsRefusal(err); ref != nil {
 						assertRefused(t, ref, wire.ReasonTargetFailed, wire.Unknown)
@@ -134,7 +134,7 @@
 				t.Run(fmt.Sprintf("%s/%s/%s", c.Name, framing, how.name), func(t *testing.T) {
 					t.Parallel()
 					begun := time.Now()
-					body, err, _ := answersWith(t, c, framing, how, &outcomeRecorder{})
+					body, _, err := answersWith(t, c, framing, how, &outcomeRecorder{})
 					assert.NilError(t, err)
 					assert.Assert(t, time.Since(begun) < rawPatience, "the answer was passed on only at the deadline")
 					assert.Equal(t, body, rawanswer.Body)
@@ -154,7 +154,7 @@
 		how := rawSends[rng.IntN(len(rawSends))]
 		how.closes = true
 		var sent []byte
-		body, err, target := answersWithBytes(t, how, &outcomeRecorder{}, func(fields string) string {
+		body, target, err := answersWithBytes(t, how, &outcomeRecorder{}, func(fields string) string {
 			sent = rawanswer.Mutate(rng, fields)
 			return string(sent)
 		})
--- a/hostd/brokenfleet_test.go
+++ b/hostd/brokenfleet_test.go
@@ -1,6 +1,7 @@
 package hostd
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"sync/atomic"
@@ -27,7 +28,8 @@
 			return "", 0, true // a probe
 		}
 		fields := strings.TrimPrefix(standin.SignedHead, "HTTP/1.1 200 OK\r\n") + standin.AttemptHeader(attempt)
-		return rawanswer.Broken[int(attempts.Add(1))%len(rawanswer.Broken)].Bytes(rawanswer.Length, fields), 0, false
+		c := rawanswer.Broken[int(attempts.Add(1))%len(rawanswer.Broken)]
+		return c.Bytes(cmp.Or(c.Only, rawanswer.Length), fields), 0, false
 	})
 	assert.NilError(f.t, err)
 	f.t.Cleanup(target.Close)
--- a/internal/standin/rawanswer/rawanswer.go
+++ b/internal/standin/rawanswer/rawanswer.go
@@ -34,7 +34,8 @@
 // Has reports whether the case exists with a framing.
 func (c Case) Has(f Framing) bool { return c.Only == "" || c.Only == f }
 
-// Bytes returns the answer. fields are further field lines, each with its CRLF.
+// Bytes returns the answer with a framing that it has. fields are further field lines, each with
+// its CRLF.
 func (c Case) Bytes(f Framing, fields string) string {
 	framing, body := "", Body
 	switch f {
