--- a/suspect/registry.go
+++ b/suspect/registry.go
@@ -39,7 +39,7 @@
 	// 2.
 	DeathThreshold int
 	// MaxEntries bounds the number of entries. The least suspected are evicted
-	// first, and among those the ones with the oldest latest event. Default
+	// first, and among those the ones with the oldest latest death. Default
 	// 4,096.
 	MaxEntries int
 }
@@ -51,8 +51,8 @@
 
 	defaultDeathThreshold = 2
 
-	// clearedRetention is how long a success is remembered, so that a delayed
-	// entry of an earlier death has no effect.
+	// clearedRetention is how long a cleared entry is kept after its last change, so
+	// that a delayed record of a death that has been cleared has no effect.
 	clearedRetention = time.Minute
 )
 
@@ -93,16 +93,29 @@
 	r.evictExcess(now)
 }
 
-// OnSuccess records that a target has served a request with the fingerprint.
-func (r *Registry) OnSuccess(now time.Time, fp uint64) {
+// OnSuccess records that a target has served a request with the fingerprint, which clears it
+// of the deaths known until now. It returns those that were not cleared before.
+func (r *Registry) OnSuccess(now time.Time, fp uint64) []Death {
 	if r.size.Load() == 0 {
-		return
+		return nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t, ok := r.entries[fp]; ok && len(t.Deaths) > 0 {
-		r.join(now, Entry{Fingerprint: fp, ClearedAt: now})
+	t, ok := r.entries[fp]
+	if !ok {
+		return nil
+	}
+	var cleared []Death
+	for _, d := range t.Deaths {
+		if !d.Cleared {
+			d.Cleared = true
+			cleared = append(cleared, d)
+		}
+	}
+	if len(cleared) > 0 {
+		r.join(now, Entry{Fingerprint: fp, Deaths: cleared})
 	}
+	return cleared
 }
 
 // Check returns the verdict on a fingerprint.
@@ -120,11 +133,10 @@
 }
 
 func (r *Registry) verdict(now time.Time, e Entry) Verdict {
-	n := len(e.Deaths)
+	n, last := e.uncleared()
 	if n == 0 {
 		return Verdict{}
 	}
-	last := e.Deaths[0].At
 	if n >= r.opts.DeathThreshold {
 		until := last.Add(r.quarantinePeriod(n))
 		if now.Before(until) {
@@ -152,7 +164,7 @@
 	return 2*r.quarantinePeriod(deaths) + r.opts.SuspicionPeriod
 }
 
-// Export returns the entries updated within maxAge, latest event first and at
+// Export returns the entries updated within maxAge, latest death first and at
 // most limit.
 func (r *Registry) Export(now time.Time, maxAge time.Duration, limit int) []Entry {
 	if r.size.Load() == 0 {
@@ -198,7 +210,7 @@
 		t = &trackedEntry{Entry: Entry{Fingerprint: e.Fingerprint}}
 	}
 	joined := Join(t.Entry, e)
-	if joined.Equal(t.Entry) || !ok && r.expired(now, joined) {
+	if joined.Equal(t.Entry) || !ok && r.expired(now, &trackedEntry{joined, now}) {
 		return false
 	}
 	t.Entry = joined
@@ -208,11 +220,11 @@
 	return true
 }
 
-func (r *Registry) expired(now time.Time, e Entry) bool {
-	if n := len(e.Deaths); n > 0 {
-		return now.Sub(e.Deaths[0].At) >= r.retention(n)
+func (r *Registry) expired(now time.Time, t *trackedEntry) bool {
+	if n, last := t.uncleared(); n > 0 {
+		return now.Sub(last) >= r.retention(n)
 	}
-	return now.Sub(e.ClearedAt) >= clearedRetention
+	return now.Sub(t.updatedAt) >= clearedRetention
 }
 
 // Tick drops expired entries.
@@ -223,7 +235,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for fp, t := range r.entries {
-		if r.expired(now, t.Entry) {
+		if r.expired(now, t) {
 			delete(r.entries, fp)
 		}
 	}
@@ -255,7 +267,7 @@
 }
 
 func compareNewestFirst(a, b *trackedEntry) int {
-	if c := b.lastEventAt().Compare(a.lastEventAt()); c != 0 {
+	if c := b.lastDeathAt().Compare(a.lastDeathAt()); c != 0 {
 		return c
 	}
 	return cmp.Compare(a.Fingerprint, b.Fingerprint)
--- a/suspect/registry_test.go
+++ b/suspect/registry_test.go
@@ -70,12 +70,9 @@
 	e := Entry{Fingerprint: poison}
 	for range rapid.IntRange(0, 5).Draw(t, "deaths") {
 		i := rapid.IntRange(0, 6).Draw(t, "which")
-		d := Death{Target: fmt.Sprint("t", i), Incarnation: 1, At: start.Add(time.Duration(i) * time.Second)}
+		d := Death{Target: fmt.Sprint("t", i), Incarnation: 1, At: start.Add(time.Duration(i) * time.Second), Cleared: rapid.Bool().Draw(t, "cleared")}
 		e = Join(e, Entry{Fingerprint: poison, Deaths: []Death{d}})
 	}
-	if rapid.Bool().Draw(t, "cleared") {
-		e = Join(e, Entry{Fingerprint: poison, ClearedAt: start.Add(time.Duration(rapid.IntRange(0, 6).Draw(t, "at")) * time.Second)})
-	}
 	return e
 }
 
