Crashes: all hosts count them, and a host that starts asks the others

Six late retries crash two targets each, and 17 orders in progress there end with 502.

Cause: one host, the owner of the fingerprint, counted the deaths, and each host held in memory what it had been told to refuse. A daemon that started asked nobody, and a restart of the owner lost the count. A message that a host missed was repeated only after a further death.

Change: every host counts deaths itself; the gate whose target died tells all hosts until they have answered (outbox). A host that starts asks three others, three more if none of them is complete, before its first request passes: 0.6 s at most. A host without a row, which nobody tells, asks every two seconds. A request that is served is cleared of the deaths known, at all hosts.

TestQuarantineOutlivesEveryDaemon fails on ("all hosts know the third crash: not within 10 s") and passes, also with -race.

--- a/hostd/changes.go
+++ b/hostd/changes.go
@@ -158,11 +158,23 @@
 	return changesKey{}, false, nil
 }
 
+// crashReports fetches the deaths of targets that a gate's host knows.
+func (c *gateClient) crashReports(ctx context.Context, gate string) (crashReports, error) {
+	var out crashReports
+	err := c.fetch(ctx, gate, crashReportsPath, &out)
+	return out, errors.Wrap(err, "fetch reports of deaths")
+}
+
 // fetchChanges decodes the changes after a version at a gate into out.
 func (c *gateClient) fetchChanges(ctx context.Context, gate, path string, after uint64, out any) error {
+	return c.fetch(ctx, gate, path+strconv.FormatUint(after, 10), out)
+}
+
+// fetch decodes the JSON document at a URI of a gate into out.
+func (c *gateClient) fetch(ctx context.Context, gate, uri string, out any) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	req.Header.SetRequestURI(path + strconv.FormatUint(after, 10))
+	req.Header.SetRequestURI(uri)
 	req.Header.SetHost(gate)
 	req.Header.Set(fasthttp.HeaderAcceptEncoding, "gzip")
 	resp, err := c.links.Do(ctx, gate, req, link.RequestOptions{})
--- a/hostd/datagrams.go
+++ b/hostd/datagrams.go
@@ -15,6 +15,7 @@
 	"github.com/gooseberryshed/gooseberryshed/metrics"
 	"github.com/gooseberryshed/gooseberryshed/retry"
 	"github.com/gooseberryshed/gooseberryshed/rollout"
+	"github.com/gooseberryshed/gooseberryshed/suspect"
 )
 
 // datagram is a query from one daemon to another or the answer to it. Datagrams
@@ -27,14 +28,12 @@
 	// Name is the subject of the query.
 	Name string `json:"w,omitempty"`
 	// Host is the sender's host, except in a withdrawal, where it is the host
-	// that the query is addressed to, and in a crash report, where it is the
-	// target that died.
+	// that the query is addressed to.
 	Host string `json:"h,omitempty"`
 	// To is the host that a query is meant for. Another one that has been given its
 	// address does not act on the query.
 	To string `json:"a,omitempty"`
-	// Incarnation identifies the gate process that a withdrawal refers to, or the
-	// dead process of the target in a crash report.
+	// Incarnation identifies the gate process that a withdrawal refers to.
 	Incarnation int64 `json:"l,omitempty"`
 	// Owner is set in a query for a token that is relayed: only this owner may
 	// answer it, and other receivers pass it on to it.
@@ -61,6 +60,8 @@
 	// Counts is a gate's report on a roll-out and Allowance the answer to it.
 	Counts    *rollout.Report `json:"r,omitempty"`
 	Allowance *rollout.Answer `json:"u,omitempty"`
+	// Crash is a report of the death of a target.
+	Crash *suspect.Report `json:"d,omitempty"`
 }
 
 // queryAlive asks a host whether it is alive.
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -27,8 +27,9 @@
 	view     func() *View
 	publish  func(Target) (written <-chan struct{})
 	// onDeath is called with the fingerprints of the requests in flight when
-	// the target has died.
-	onDeath func(ctx context.Context, target string, incarnation int64, fingerprints []uint64)
+	// the target has died, and onServed with that of a request that it has served.
+	onDeath  func(target string, incarnation int64, fingerprints []uint64)
+	onServed func(fingerprint uint64)
 	// shortage returns the shortage of the host's processor or link.
 	shortage func() float64
 	log      *decisions.Log
@@ -75,7 +76,8 @@
 		settings:    settings,
 		view:        view,
 		publish:     publish,
-		onDeath:     func(context.Context, string, int64, []uint64) {},
+		onDeath:     func(string, int64, []uint64) {},
+		onServed:    func(uint64) {},
 		shortage:    func() float64 { return 0 },
 		log:         l,
 		metrics:     m,
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -18,6 +18,7 @@
 	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/memory"
 	"github.com/gooseberryshed/gooseberryshed/metrics"
+	"github.com/gooseberryshed/gooseberryshed/outbox"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/storepoll"
 	"github.com/gooseberryshed/gooseberryshed/supervise"
@@ -56,7 +57,9 @@
 	ingress *Ingress
 	limiter *fleetLimiter
 	crashes *crashTracker
-	load    *hostLoad
+	// news is what other hosts are told until they have answered.
+	news *outbox.Outbox[news]
+	load *hostLoad
 	// withdrawals withdraws attempts at the gates of all hosts.
 	withdrawals *withdrawals
 	rollouts    *rollouts
@@ -111,8 +114,10 @@
 	h.limiter = newFleetLimiter(o.Settings.Host, h.bounds, h.control.View, conn.query, h.control.Isolated, h.log, h.metrics)
 	h.withdrawals = &withdrawals{host: o.Settings.Host, gate: h.gate, view: h.control.View, query: conn.query}
 	h.ingress = NewIngress(h.current.Load, h.control, h, h.limiter, h.gate.RecordCallFailure, h.log, h.metrics)
-	h.crashes = newCrashTracker(o.Settings.Host, h.control.View, conn.query, h.log)
+	h.news = newOutbox(h.control.View, conn.query, h.metrics)
+	h.crashes = newCrashTracker(o.Settings.Host, h.control.View, h.tell, h.log, h.metrics)
 	h.gate.onDeath = h.crashes.reportDeath
+	h.gate.onServed = h.crashes.recordServed
 	h.load = &hostLoad{log: h.log, metrics: h.metrics}
 	h.gate.shortage = h.load.shortage
 	h.ingress.quarantined = h.crashes.quarantined
@@ -182,6 +187,7 @@
 	for _, l := range h.servers.listeners {
 		l.Close()
 	}
+	h.news.Close()
 	h.datagrams.close()
 	h.gate.Close()
 	h.client.links.Close()
@@ -211,6 +217,7 @@
 	failed := make(chan error, 1)
 	go func() { failed <- supervise.New(supervise.Options{Logger: h.log.Logger()}, children...).Run(treeCtx) }()
 	go h.gate.Discover(treeCtx)
+	go h.crashes.run(treeCtx, h.client.crashReports)
 	h.log.Logger().Info("started", "host", h.settings.Host, "data_centre", h.settings.DataCentre, "service", h.settings.Service,
 		"callers", h.settings.CallerListen, "gates", h.settings.GateListen)
 	select {
@@ -323,8 +330,8 @@
 		return datagram{Result: true}
 	case queryChanged:
 		return h.control.recordNotice(q)
-	case queryCrash, queryQuarantine:
-		return h.crashes.answer(ctx, q)
+	case queryCrash:
+		return h.crashes.answer(q)
 	case queryRollout:
 		return h.rollouts.answer(q)
 	case queryWithdraw:
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -64,7 +64,7 @@
 
 	// quarantined reports whether a request is refused because it crashes
 	// targets.
-	quarantined func(fingerprint uint64, now time.Time) bool
+	quarantined func(ctx context.Context, fingerprint uint64) bool
 	// onCallFailed is called when a call made by this host's target fails.
 	onCallFailed func()
 	// servedRank returns the highest rank among the requests that this host's target is
@@ -106,7 +106,7 @@
 		usual:        newUsualDurations(),
 		balances:     newBalances(),
 		onCallFailed: callFailed,
-		quarantined:  func(uint64, time.Time) bool { return false },
+		quarantined:  func(context.Context, uint64) bool { return false },
 		refuseUnsent: make(chan struct{}),
 		endRequests:  make(chan struct{}),
 		latencies:    map[string]*gray.DurationModel{},
@@ -152,7 +152,7 @@
 		return
 	}
 	e.fingerprint = fingerprintOf(&x.Request, e.workspaceName())
-	if in.quarantined(e.fingerprint, time.Now()) {
+	if in.quarantined(ctx, e.fingerprint) {
 		e.refuse(wire.Refuse(wire.ReasonQuarantined, "requests with the same method, Host header, URI, workspace and body have crashed %d targets", quarantineDeaths), "refused")
 		return
 	}
--- a/hostd/roundtrip.go
+++ b/hostd/roundtrip.go
@@ -158,6 +158,9 @@
 	t.queue.Complete(now.Sub(tk.started), tk.f.Nested)
 	g.grantSlots(t, now)
 	g.mu.Unlock()
+	if e.signal == signalGood {
+		g.onServed(tk.f.Fingerprint)
+	}
 	g.logExchange(tk, a, e, now, gray)
 	if e.refusal != nil {
 		return Reply{Refusal: e.refusal}
--- a/hostd/view.go
+++ b/hostd/view.go
@@ -140,6 +140,12 @@
 	return t, v.hostVersions[host]
 }
 
+// allHosts returns the hosts that have a row, also those whose targets have departed: they
+// still take requests of callers.
+func (v *View) allHosts() []string {
+	return slices.AppendSeq(slices.Clone(v.names), maps.Keys(v.departed))
+}
+
 // hasDeparted reports whether the target of a host, with an id and a time of its
 // start, has left.
 func (v *View) hasDeparted(host, id string, born int64) bool {
