Departures: acknowledged when another process holds them, asked for at the start

A late heartbeat brings the target back; 90 orders reach it later than two seconds after the acknowledgement, and 5 are lost when it ends.

Cause: a departure was acknowledged after 0.7 s whether or not it was in the store, and only the process knew it. A process that starts took any heartbeat for news. Beside it, read in the code: a publication of the row that superseded the departure's made it count as written.

Change: package departure decides which hosts hold a departure that the store does not take, and when enough do. It is acknowledged once it is in the store or held by two hosts, in two data centres where there are two; otherwise the answer is 503. A daemon that starts asks them before it takes a heartbeat or a health check for that of its target; while it knows nobody, it asks those it hears from, who ask on. A superseded row counts as written with its successor.

--- /dev/null
+++ b/departure/departure.go
@@ -0,0 +1,129 @@
+// Package departure decides which hosts hold the departure of a target that the store cannot
+// take, and when enough of them do.
+//
+// It answers the restart of a daemon that is cut off from the store. The acknowledgement of
+// a departure promises that no request reaches the target any more, also after a restart of
+// the daemon that gave it, so the fact has to outlive the process. While the store cannot be
+// written, the daemon tells a few other hosts, acknowledges once two of them have answered,
+// in different data centres where there are any, and asks the same hosts when it starts,
+// before it takes a heartbeat for news.
+//
+// The hosts are those of the highest rendezvous ranks, which changes of the fleet move
+// little, taken from the data centres in turn. What was weighed: without an acknowledgement
+// the target ends some seconds later by itself, which is safe, but its orders in progress end
+// with it; telling every host costs a message per host and protects against no more than
+// the restart of all that hold it. The store remains the place for good: the departure is
+// written there as soon as that is possible, and the hosts forget it after Retention.
+package departure
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/quota"
+)
+
+const (
+	// MaxHolders is the number of hosts that are told of a departure and asked after a
+	// restart. Some of them may be down or cut off.
+	MaxHolders = 8
+	// minHolders is how many of them must hold it before it is acknowledged, and in how many
+	// data centres, where the fleet has as many.
+	minHolders = 2
+	// Retention is how long a departure is held: longer than any target runs on after it.
+	Retention = 2 * time.Minute
+)
+
+// Peer is another host.
+type Peer struct {
+	Host, DataCentre string
+}
+
+// Holders returns the hosts that hold the departures of a host's target, in the order of
+// preference: those of the highest ranks, from the data centres in turn.
+func Holders(host string, others []Peer) []Peer {
+	byDataCentre := map[string][]string{}
+	for _, p := range others {
+		byDataCentre[p.DataCentre] = append(byDataCentre[p.DataCentre], p.Host)
+	}
+	var names []string
+	for name, hosts := range byDataCentre {
+		byDataCentre[name] = quota.RankOwners("departure "+host, hosts)
+		names = append(names, name)
+	}
+	slices.SortFunc(names, strings.Compare)
+	var out []Peer
+	for i := 0; len(out) < min(MaxHolders, len(others)); i++ {
+		for _, name := range names {
+			if hosts := byDataCentre[name]; i < len(hosts) && len(out) < MaxHolders {
+				out = append(out, Peer{hosts[i], name})
+			}
+		}
+	}
+	return out
+}
+
+// Enough reports whether a departure outlives the process that acknowledges it, if these of
+// the holders hold it. With nobody else to hold it, it does not.
+func Enough(holding, holders []Peer) bool {
+	return len(holding) > 0 &&
+		len(holding) >= min(minHolders, len(holders)) &&
+		dataCentres(holding) >= min(minHolders, dataCentres(holders))
+}
+
+func dataCentres(peers []Peer) int {
+	names := map[string]bool{}
+	for _, p := range peers {
+		names[p.DataCentre] = true
+	}
+	return len(names)
+}
+
+// Record is the departure of a target: its id, and when it started in Unix milliseconds by
+// its own clock, or when it signed off if that is not known.
+type Record struct {
+	Target string
+	Born   int64
+}
+
+// Held are the departures that a host holds for others. It is safe for concurrent use.
+type Held struct {
+	mu     sync.Mutex
+	byHost map[string]heldRecord
+}
+
+type heldRecord struct {
+	Record
+	until time.Time
+}
+
+// Put holds the departure of a host's target. A later one replaces it.
+func (h *Held) Put(now time.Time, host string, r Record) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.byHost == nil {
+		h.byHost = map[string]heldRecord{}
+	}
+	h.byHost[host] = heldRecord{r, now.Add(Retention)}
+}
+
+// Get returns the departure of a host's target, if it is held.
+func (h *Held) Get(now time.Time, host string) (Record, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r, ok := h.byHost[host]
+	return r.Record, ok && now.Before(r.until)
+}
+
+// Sweep drops what is no longer held.
+func (h *Held) Sweep(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for host, r := range h.byHost {
+		if !now.Before(r.until) {
+			delete(h.byHost, host)
+		}
+	}
+}
--- a/hostd/datagrams.go
+++ b/hostd/datagrams.go
@@ -33,14 +33,16 @@
 	// To is the host that a query is meant for. Another one that has been given its
 	// address does not act on the query.
 	To string `json:"a,omitempty"`
-	// Incarnation identifies the gate process that a withdrawal refers to.
+	// Incarnation identifies the gate process that a withdrawal refers to. Beside a
+	// departure it is when the target started.
 	Incarnation int64 `json:"l,omitempty"`
 	// Owner is set in a query for a token that is relayed: only this owner may
 	// answer it, and other receivers pass it on to it.
 	Owner string `json:"x,omitempty"`
 	// Origin is the host whose request needs the token of a relayed query.
 	Origin string `json:"g,omitempty"`
-	// Relay asks the receiver of a withdrawal to pass it on to its host.
+	// Relay asks the receiver of a withdrawal to pass it on to its host, and that of a
+	// question about a departure to ask the hosts that may hold it.
 	Relay bool `json:"v,omitempty"`
 	// Authoritative is set if the answer comes from the host that the query is
 	// addressed to.
@@ -87,6 +89,8 @@
 	metrics *metrics.Registry
 	// answer returns the answer to a query. It runs in a goroutine of its own.
 	answer func(ctx context.Context, q datagram) datagram
+	// heard, if not nil, is called with the address of each query.
+	heard func(from netip.AddrPort)
 
 	// lastID starts at a random number, so that an answer to an earlier process at
 	// this address matches no query of this one.
@@ -141,6 +145,9 @@
 			d.deliver(m, from)
 			continue
 		}
+		if d.heard != nil {
+			d.heard(from)
+		}
 		go d.reply(ctx, m, from)
 	}
 }
--- /dev/null
+++ b/hostd/departures.go
@@ -0,0 +1,261 @@
+package hostd
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gooseberryshed/gooseberryshed/decisions"
+	"github.com/gooseberryshed/gooseberryshed/departure"
+	"github.com/gooseberryshed/gooseberryshed/internal/pause"
+	"github.com/gooseberryshed/gooseberryshed/metrics"
+	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
+)
+
+// The departure of a target that the store cannot take is held by other hosts, which this
+// host asks when it starts (package departure).
+
+const (
+	// queryDeparted tells a host to hold the departure of the sender's target.
+	queryDeparted = "departed"
+	// queryDepartedOf asks a host for the departure that it holds for a host. With Relay
+	// set, it asks the hosts that hold departures of that host too.
+	queryDepartedOf = "departed-of"
+)
+
+const (
+	// holdDelay is how long the store may take for a departure before other hosts are told.
+	// It answers in milliseconds.
+	holdDelay = 150 * time.Millisecond
+	// departureRelayTimeout bounds how long a relayed question takes. It is shorter than the
+	// time that the sender waits for its answer.
+	departureRelayTimeout = 100 * time.Millisecond
+	// departureAskInterval is the pause between questions at the start while nobody answers.
+	departureAskInterval = 20 * time.Millisecond
+	// departureAskTimeout bounds how long a target is not taken for one that is there while
+	// the other hosts are known and none answers. They have probably gone, as after a loss of
+	// power; the questions go on at departureLateAskInterval.
+	departureAskTimeout      = 300 * time.Millisecond
+	departureLateAskInterval = 500 * time.Millisecond
+	// maxHeardPeers bounds the peers that are remembered at the start.
+	maxHeardPeers = 4
+)
+
+// departures are what this host holds for others, and the way to those that hold its own.
+type departures struct {
+	host    string
+	view    func() *View
+	query   func(ctx context.Context, addr string, q datagram) (datagram, error)
+	tell    func(hosts []string, n func() datagram, answered func(host string))
+	log     *decisions.Log
+	metrics *metrics.Registry
+	held    departure.Held
+	heard   heardPeers
+}
+
+// heardPeers are addresses from which queries have come. A host that starts while it does not
+// reach the store knows no others.
+type heardPeers struct {
+	mu    sync.Mutex
+	addrs []string
+}
+
+func (p *heardPeers) put(from netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if addr := from.String(); len(p.addrs) < maxHeardPeers && !slices.Contains(p.addrs, addr) {
+		p.addrs = append(p.addrs, addr)
+	}
+}
+
+func (p *heardPeers) get() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.addrs)
+}
+
+// holders returns the hosts that hold the departures of a host's target.
+func (d *departures) holders(view *View, host string) []departure.Peer {
+	var others []departure.Peer
+	for _, name := range view.allHosts() {
+		if t, _ := view.row(name); name != host {
+			others = append(others, departure.Peer{Host: name, DataCentre: t.DataCentre})
+		}
+	}
+	return departure.Holders(host, others)
+}
+
+// hold has other hosts hold a departure unless it is written to the store at once. The
+// channel that it returns is closed when enough of them hold it.
+func (d *departures) hold(row Target, written <-chan struct{}) <-chan struct{} {
+	held := make(chan struct{})
+	go func() {
+		timer := time.NewTimer(holdDelay)
+		defer timer.Stop()
+		select {
+		case <-written:
+			return
+		case <-timer.C:
+		}
+		holders := d.holders(d.view(), d.host)
+		names := make([]string, len(holders))
+		for i, p := range holders {
+			names[i] = p.Host
+		}
+		var mu sync.Mutex
+		var holding []departure.Peer
+		done := false
+		d.tell(names, func() datagram {
+			return datagram{Kind: queryDeparted, Host: d.host, Name: row.ID, Incarnation: row.Born}
+		}, func(host string) {
+			mu.Lock()
+			defer mu.Unlock()
+			holding = append(holding, holders[slices.Index(names, host)])
+			if !done && departure.Enough(holding, holders) {
+				done = true
+				d.metrics.Add("departures_held_elsewhere", 1)
+				d.log.Decide("departure-held-elsewhere", "target", row.ID, "by", holding)
+				close(held)
+			}
+		})
+	}()
+	return held
+}
+
+// answer handles a departure of another host's target, or a question about one.
+func (d *departures) answer(ctx context.Context, q datagram) datagram {
+	now := time.Now()
+	if q.Kind == queryDeparted {
+		d.held.Put(now, q.Host, departure.Record{Target: q.Name, Born: q.Incarnation})
+		d.log.Decide("departure-held", "host", q.Host, "target", q.Name, "born", q.Incarnation)
+		return datagram{Result: true}
+	}
+	r, ok := d.held.Get(now, q.Host)
+	view := d.view()
+	if departed, listed := view.departed[q.Host]; !ok && listed {
+		r, ok = departure.Record{Target: departed.ID, Born: departed.Born}, true
+	}
+	if !ok && q.Relay {
+		ctx, cancel := context.WithTimeout(ctx, departureRelayTimeout)
+		defer cancel()
+		var found []departure.Record
+		if _, found = d.ask(ctx, d.addresses(view, q.Host), datagram{Kind: queryDepartedOf, Host: q.Host}); len(found) > 0 {
+			r, ok = found[0], true
+		}
+	}
+	return datagram{Result: ok, Authoritative: true, Name: r.Target, Incarnation: r.Born}
+}
+
+// addresses returns the datagram addresses of the hosts that hold a host's departures, except
+// this host.
+func (d *departures) addresses(view *View, host string) []string {
+	var out []string
+	for _, p := range d.holders(view, host) {
+		if t, version := view.row(p.Host); version != 0 && p.Host != d.host {
+			out = append(out, t.Control)
+		}
+	}
+	return out
+}
+
+// ask sends a question to addresses at the same time. It returns how many have answered, and
+// the departures that they hold.
+func (d *departures) ask(ctx context.Context, addrs []string, q datagram) (answered int, found []departure.Record) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, addr := range addrs {
+		wg.Go(func() {
+			a, err := d.query(ctx, addr, q)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil || !a.Authoritative {
+				return
+			}
+			answered++
+			if r := (departure.Record{Target: a.Name, Born: a.Incarnation}); a.Result && !slices.Contains(found, r) {
+				found = append(found, r)
+			}
+		})
+	}
+	wg.Wait()
+	return answered, found
+}
+
+// askAtStart asks the hosts that hold departures of this host's target, and passes what they
+// hold to learn. settled is called once the answer is known: before that, a heartbeat may be
+// a late one of a target that has departed. While this host does not know the others, it asks
+// those from which it hears. It returns once hosts that may hold one have answered.
+func (d *departures) askAtStart(ctx context.Context, learn func(departure.Record), settled func()) {
+	settle := sync.OnceFunc(settled)
+	defer settle()
+	var loadedAt time.Time
+	for interval := departureAskInterval; ; {
+		view := d.view()
+		loaded := view.HostsLoaded
+		addrs, q := d.heard.get(), datagram{Kind: queryDepartedOf, Host: d.host, Relay: true}
+		if loaded {
+			addrs, q.Relay = d.addresses(view, d.host), false
+			if loadedAt.IsZero() {
+				loadedAt = time.Now()
+			}
+		}
+		answered, found := d.ask(ctx, addrs, q)
+		for _, r := range found {
+			learn(r)
+		}
+		if answered > 0 {
+			settle()
+		}
+		switch {
+		case loaded && (answered > 0 || len(addrs) == 0):
+			d.log.Decide("departures-asked", "asked", len(addrs), "answered", answered, "found", len(found))
+			return
+		case loaded && interval == departureAskInterval && time.Since(loadedAt) > departureAskTimeout:
+			d.metrics.Add("departures_not_asked", 1)
+			d.log.Decide("departures-not-asked", "asked", len(addrs), "after_ms", time.Since(loadedAt).Milliseconds())
+			interval = departureLateAskInterval
+			settle()
+		}
+		if !pause.For(ctx, interval) {
+			return
+		}
+	}
+}
+
+// learnDeparture applies a departure of this host's target that another host holds from
+// before the start of this process.
+func (g *Gate) learnDeparture(r departure.Record) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	set := g.settings()
+	left := Target{ID: r.Target, Born: r.Born, Departed: true}
+	t := g.target
+	row, version := g.view().row(set.Host)
+	switch {
+	case t != nil && (t.leaving || !left.includes(t.id, t.born)):
+		return
+	case t != nil:
+		t.leaving, t.signedOffAt = true, time.Now()
+		g.publishDeparture(t, "held elsewhere")
+	case version != 0 && row.Born > r.Born:
+		return // a later target has been written since
+	default:
+		g.startIncarnation(departedTarget(set, r), time.Now())
+	}
+	g.target.departureHeld = closedChannel
+}
+
+// closedChannel is that of a departure that other hosts hold already.
+var closedChannel = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// departedTarget describes a target of this host that is known only by its departure.
+func departedTarget(set *karpithaz.Settings, r departure.Record) karpithaz.Heartbeat {
+	return karpithaz.Heartbeat{Target: r.Target, Service: set.Service, Address: set.TargetAddress,
+		DataCentre: set.DataCentre, Slots: 1, StartedAtMillis: r.Born, Leaving: true}
+}
--- /dev/null
+++ b/hostd/departures_test.go
@@ -0,0 +1,92 @@
+package hostd
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gooseberryshed/gooseberryshed/platform/standin"
+)
+
+// ordersAt sends orders at a host and returns how many of them ran at a target.
+func (f *testFleet) ordersAt(i int, target *standin.Target, name string) int {
+	f.t.Helper()
+	before := len(target.Runs())
+	for n := range 20 {
+		r, err := f.hosts[i].call(standin.Call{Attempt: fmt.Sprint(name, "-", n), Method: "POST", URI: "/order/1", Key: testKey, Body: "a bed"})
+		assert.NilError(f.t, err)
+		assert.Equal(f.t, r.Status, 200)
+	}
+	return len(target.Runs()) - before
+}
+
+// A departure that is acknowledged while the host is cut off from the store outlives its
+// daemon: a late heartbeat does not bring the target back, neither while the store is away
+// nor after that (review/7).
+func TestAcknowledgedDepartureOutlivesTheDaemon(t *testing.T) {
+	f := newFleetIn(t, "dc-a", "dc-a", "dc-b", "dc-b")
+	h, target := f.hosts[0], f.hosts[0].target
+	h.settings.Bounds.ShutdownGracePeriod = time.Second
+	late := target.Heartbeat("dc-a", "ready")
+	f.store.SetHostFault(h.settings.IP, standin.ModeSilent)
+	f.await("the departure is acknowledged", func() bool {
+		status, err := target.SignOff(h.settings.AnnounceListen)
+		return err == nil && status == 200
+	})
+	h.cancel()
+	assert.NilError(t, <-h.done)
+	f.hosts[0] = f.start(h.settings, target) // its heartbeats say that it is ready
+	_, err := target.SendHeartbeat(h.settings.AnnounceListen, late)
+	assert.NilError(t, err)
+	assert.Equal(t, f.ordersAt(1, target, "cut-off"), 0)
+	f.store.SetHostFault(h.settings.IP, standin.ModeOK)
+	f.await("the departure is in the store", func() bool {
+		for _, h := range f.hosts {
+			if !h.control.View().hasDeparted("host-1", target.ID, 0) {
+				return false
+			}
+		}
+		return true
+	})
+	assert.Equal(t, f.ordersAt(1, target, "in-touch"), 0)
+}
+
+// Nobody else knows of the departure, so that it is not acknowledged: the target ends by
+// itself some seconds later. Nothing is sent to it meanwhile.
+func TestDepartureIsNotAcknowledgedWithNobodyToHoldIt(t *testing.T) {
+	f := newFleet(t, 1)
+	h := f.hosts[0]
+	f.store.SetHostFault(h.settings.IP, standin.ModeSilent)
+	for range 2 {
+		status, err := h.target.SignOff(h.settings.AnnounceListen)
+		assert.NilError(t, err)
+		assert.Equal(t, status, 503)
+	}
+	r, err := h.call(standin.Call{Attempt: "order", Method: "POST", URI: "/order/1", Key: testKey, Body: "a bed"})
+	assert.NilError(t, err)
+	assert.Equal(t, r.Status, 503)
+	assert.Equal(t, len(h.target.Runs()), 0)
+	f.store.SetHostFault(h.settings.IP, standin.ModeOK)
+	f.await("acknowledged once the store has it", func() bool {
+		status, err := h.target.SignOff(h.settings.AnnounceListen)
+		return err == nil && status == 200
+	})
+}
+
+// The row of a departure that another publication supersedes is not taken for written.
+func TestSupersededDepartureIsNotTakenForWritten(t *testing.T) {
+	c := NewControl("host-1", "dc-a", nil, nil, nil, nil)
+	first := c.PublishTarget(Target{ID: "i-1", Departed: true})
+	second := c.PublishTarget(Target{ID: "i-1", Departed: true, Version: "v1"})
+	select {
+	case <-first:
+		t.Fatal("the first row counts as written, and neither has been")
+	default:
+	}
+	change := <-c.ownRow
+	change.close()
+	<-first
+	<-second
+}
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -16,7 +16,6 @@
 	"github.com/gooseberryshed/gooseberryshed/offerlog"
 	"github.com/gooseberryshed/gooseberryshed/placing"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
-	"github.com/gooseberryshed/gooseberryshed/routes"
 	"github.com/gooseberryshed/gooseberryshed/wire"
 )
 
@@ -30,6 +29,12 @@
 	// the target has died, and onServed with that of a request that it has served.
 	onDeath  func(target string, incarnation int64, fingerprints []uint64)
 	onServed func(fingerprint uint64)
+	// holdDeparture has other hosts hold a departure that is not written to the store at
+	// once. It returns a channel that is closed when enough of them do.
+	holdDeparture func(row Target, written <-chan struct{}) (held <-chan struct{})
+	// departuresAsked is closed once other hosts have been asked for the departure of this
+	// host's target.
+	departuresAsked <-chan struct{}
 	// shortage returns the shortage of the host's processor or link.
 	shortage func() float64
 	log      *decisions.Log
@@ -73,12 +78,16 @@
 func NewGate(settings func() *karpithaz.Settings, view func() *View, publish func(Target) <-chan struct{}, l *decisions.Log, m *metrics.Registry) *Gate {
 	incarnation := time.Now().UnixNano()
 	return &Gate{
-		settings:    settings,
-		view:        view,
-		publish:     publish,
-		onDeath:     func(string, int64, []uint64) {},
-		onServed:    func(uint64) {},
-		shortage:    func() float64 { return 0 },
+		settings: settings,
+		view:     view,
+		publish:  publish,
+		onDeath:  func(string, int64, []uint64) {},
+		onServed: func(uint64) {},
+		shortage: func() float64 { return 0 },
+
+		holdDeparture:   func(Target, <-chan struct{}) <-chan struct{} { return nil },
+		departuresAsked: closedChannel,
+
 		log:         l,
 		metrics:     m,
 		incarnation: incarnation,
@@ -324,25 +333,6 @@
 	tk.request = t.filter.Start(now, g.latency(tk.f))
 }
 
-func (g *Gate) service(name string) *routes.Service {
-	cfg := g.view().Config
-	if cfg == nil {
-		return nil
-	}
-	svc, _ := cfg.Service(name)
-	return svc
-}
-
-// latency returns the latency distribution of a route. g.mu must be held.
-func (g *Gate) latency(f Forward) *gray.DurationModel {
-	w := g.latencies[f.Route]
-	if w == nil {
-		w = gray.NewDurationModel(time.Duration(f.ObjectiveMs) * time.Millisecond)
-		g.latencies[f.Route] = w
-	}
-	return w
-}
-
 func answerWaiting(it *admission.Item, refusal *wire.Refusal) {
 	it.Value.(chan *wire.Refusal) <- refusal
 }
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/gooseberryshed/gooseberryshed/departure"
 	"github.com/gooseberryshed/gooseberryshed/h1"
 	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/link"
@@ -14,26 +15,31 @@
 )
 
 // handleAnnouncement handles a heartbeat or a sign-off of the target.
-func (g *Gate) handleAnnouncement(_ context.Context, x *h1.Exchange) {
+func (g *Gate) handleAnnouncement(ctx context.Context, x *h1.Exchange) {
 	id, ok := karpithaz.AnnouncementTargetID(string(x.Request.Header.RequestURI()))
 	switch {
 	case ok && x.Request.Header.IsPut():
-		g.handleHeartbeat(id, x)
+		g.handleHeartbeat(ctx, id, x)
 	case ok && x.Request.Header.IsDelete():
 		g.markLeaving(id)
-		g.awaitDeparture()
-		acknowledge(&x.Response)
+		g.acknowledge(&x.Response)
 	default:
 		x.Response.SetStatusCode(fasthttp.StatusNotFound)
 	}
 }
 
-func acknowledge(resp *fasthttp.Response) {
+// acknowledge acknowledges an announcement. That of a departure is a promise that outlives
+// this process, so it is not given unless somebody else knows of the departure.
+func (g *Gate) acknowledge(resp *fasthttp.Response) {
+	if !g.awaitDeparture() {
+		resp.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
 	resp.Header.SetContentType("application/json")
 	resp.SetBodyString(karpithaz.HeartbeatResponse)
 }
 
-func (g *Gate) handleHeartbeat(id string, x *h1.Exchange) {
+func (g *Gate) handleHeartbeat(ctx context.Context, id string, x *h1.Exchange) {
 	h, err := karpithaz.DecodeHeartbeat(id, x.Request.Body())
 	if err != nil {
 		g.metrics.Add("heartbeats_unreadable", 1)
@@ -47,9 +53,35 @@
 		x.Response.SetStatusCode(fasthttp.StatusConflict)
 		return
 	}
+	if !h.Leaving && !g.awaitDeparturesAsked(ctx) {
+		g.metrics.Add("heartbeats_early", 1)
+		g.log.Decide("heartbeat-early", "target", id, "err", "it is not known yet whether this target has departed")
+		x.Response.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
 	g.applyHeartbeat(h, time.Now())
-	g.awaitDeparture()
-	acknowledge(&x.Response)
+	g.acknowledge(&x.Response)
+}
+
+// earlyHeartbeatWait is how long a heartbeat waits for a gate that has just started. The
+// target expects its answer within a second.
+const earlyHeartbeatWait = 500 * time.Millisecond
+
+// awaitDeparturesAsked waits until other hosts have been asked whether this host's target
+// has departed, unless a target is known. It returns false if that takes too long.
+func (g *Gate) awaitDeparturesAsked(ctx context.Context) bool {
+	if g.hasTarget() {
+		return true
+	}
+	timer := time.NewTimer(earlyHeartbeatWait)
+	defer timer.Stop()
+	select {
+	case <-g.departuresAsked:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
 }
 
 // maxClockError is how far the time of day of a target may be ahead of this host's.
@@ -185,9 +217,7 @@
 	switch {
 	case t == nil:
 		// The daemon has restarted and does not know the target yet.
-		set := g.settings()
-		g.startIncarnation(karpithaz.Heartbeat{Target: id, Service: set.Service, Address: set.TargetAddress,
-			DataCentre: set.DataCentre, Slots: 1, Leaving: true}, time.Now())
+		g.startIncarnation(departedTarget(g.settings(), departure.Record{Target: id}), time.Now())
 	case t.id == id && !t.leaving:
 		t.leaving, t.signedOffAt = true, time.Now()
 		g.publishDeparture(t, "left")
@@ -199,34 +229,41 @@
 func (g *Gate) publishDeparture(t *localTarget, why string) {
 	g.log.Decide("target-leaving", "target", t.id, "why", why, "running", t.queue.Running(), "waiting", t.queue.Waiting())
 	g.flush(t, "target "+t.id+" is leaving")
-	t.departureWritten = g.publish(g.hostRow(t))
+	row := g.hostRow(t)
+	t.departureWritten = g.publish(row)
+	t.departureHeld = g.holdDeparture(row, t.departureWritten)
 }
 
-// departureWriteTimeout bounds how long the acknowledgement of a departure waits
-// for the store. The target expects it within a second.
-const departureWriteTimeout = 700 * time.Millisecond
+// departureTimeout bounds how long the acknowledgement of a departure waits. The
+// target expects it within a second.
+const departureTimeout = 700 * time.Millisecond
 
 // awaitDeparture waits until the departure of the current target, if it is
-// leaving, is in the store: it has to be known after a restart of this process
-// once it has been acknowledged.
-func (g *Gate) awaitDeparture() {
+// leaving, is in the store or held by other hosts: it has to be known after a
+// restart of this process once it has been acknowledged. It returns false if that
+// takes too long.
+func (g *Gate) awaitDeparture() bool {
 	g.mu.Lock()
-	var written <-chan struct{}
+	var written, held <-chan struct{}
 	if g.target != nil {
-		written = g.target.departureWritten
+		written, held = g.target.departureWritten, g.target.departureHeld
 	}
 	g.mu.Unlock()
 	if written == nil {
-		return
+		return true
 	}
-	timer := time.NewTimer(departureWriteTimeout)
+	timer := time.NewTimer(departureTimeout)
 	defer timer.Stop()
 	select {
 	case <-written:
+	case <-held:
 	case <-timer.C:
-		g.metrics.Add("departures_not_written", 1)
-		g.log.Decide("departure-not-written", "after_ms", departureWriteTimeout.Milliseconds())
+		g.metrics.Add("departures_not_acknowledged", 1)
+		g.log.Decide("departure-not-acknowledged", "after_ms", departureTimeout.Milliseconds(),
+			"err", "neither the store nor enough other hosts have it; the target is sent nothing, and ends by itself")
+		return false
 	}
+	return true
 }
 
 // flush refuses all requests queued for a target. g.mu must be held.
@@ -260,6 +297,11 @@
 		return
 	}
 	h, ok := g.checkHealth(ctx, discoverTimeout)
+	select {
+	case <-g.departuresAsked:
+	case <-ctx.Done():
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if ok && g.target == nil {
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -57,6 +57,10 @@
 	ingress *Ingress
 	limiter *fleetLimiter
 	crashes *crashTracker
+	// departures holds those of other hosts' targets, and departuresAsked is closed once
+	// this host knows whether others hold that of its own.
+	departures      *departures
+	departuresAsked chan struct{}
 	// news is what other hosts are told until they have answered.
 	news *outbox.Outbox[news]
 	load *hostLoad
@@ -91,6 +95,8 @@
 		store:    karpithaz.NewStore(o.Settings.StoreAddress, o.Settings.IP),
 		client:   newGateClient(o.Settings.IP, newAccount(o.Settings)),
 		stopCh:   make(chan struct{}),
+
+		departuresAsked: make(chan struct{}),
 	}
 	h.store.SetOnInvalid(recordInvalid(fromStore, h.log, h.metrics))
 	h.client.links.SetOnInvalid(recordInvalid(fromHost, h.log, h.metrics))
@@ -116,6 +122,9 @@
 	h.ingress = NewIngress(h.current.Load, h.control, h, h.limiter, h.gate.RecordCallFailure, h.log, h.metrics)
 	h.news = newOutbox(h.control.View, conn.query, h.metrics)
 	h.crashes = newCrashTracker(o.Settings.Host, h.control.View, h.tell, h.log, h.metrics)
+	h.departures = &departures{host: o.Settings.Host, view: h.control.View, query: conn.query, tell: h.tell, log: h.log, metrics: h.metrics}
+	h.gate.holdDeparture, h.gate.departuresAsked = h.departures.hold, h.departuresAsked
+	conn.heard = h.departures.heard.put
 	h.gate.onDeath = h.crashes.reportDeath
 	h.gate.onServed = h.crashes.recordServed
 	h.load = &hostLoad{log: h.log, metrics: h.metrics}
@@ -216,6 +225,7 @@
 	}, h.servers.children...)
 	failed := make(chan error, 1)
 	go func() { failed <- supervise.New(supervise.Options{Logger: h.log.Logger()}, children...).Run(treeCtx) }()
+	go h.departures.askAtStart(treeCtx, h.gate.learnDeparture, func() { close(h.departuresAsked) })
 	go h.gate.Discover(treeCtx)
 	go h.crashes.run(treeCtx, h.client.crashReports)
 	h.log.Logger().Info("started", "host", h.settings.Host, "data_centre", h.settings.DataCentre, "service", h.settings.Service,
@@ -255,6 +265,7 @@
 		h.gate.links.CloseExpired(now)
 		h.limiter.sweep(now)
 		h.crashes.sweep(now)
+		h.departures.held.Sweep(now)
 		h.runs.sweep(now)
 		view := h.control.View()
 		h.ingress.states.prune(func(target string) bool { return view.hasTarget(target) })
@@ -332,6 +343,8 @@
 		return h.control.recordNotice(q)
 	case queryCrash:
 		return h.crashes.answer(q)
+	case queryDeparted, queryDepartedOf:
+		return h.departures.answer(ctx, q)
 	case queryRollout:
 		return h.rollouts.answer(q)
 	case queryWithdraw:
--- a/hostd/liveness.go
+++ b/hostd/liveness.go
@@ -34,11 +34,11 @@
 	// and checkedAt is the time of the last check.
 	inContactSince, checkedAt time.Time
 	// departedSince is when this host first saw a departed target, by host.
-	departedSince map[string]departure
+	departedSince map[string]seenDeparture
 }
 
-// departure is a departed target and when it was first seen to be one.
-type departure struct {
+// seenDeparture is a departed target and when it was first seen to be one.
+type seenDeparture struct {
 	target Target
 	since  time.Time
 }
@@ -52,12 +52,12 @@
 func (h *livenessTracker) expiredDepartures(departed map[string]Target, now time.Time) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	kept := map[string]departure{}
+	kept := map[string]seenDeparture{}
 	var expired []string
 	for host, t := range departed {
 		d, known := h.departedSince[host]
 		if !known || d.target != t {
-			d = departure{t, now}
+			d = seenDeparture{t, now}
 		}
 		if now.Sub(d.since) > departureRetention {
 			expired = append(expired, host)
--- a/hostd/ownrow.go
+++ b/hostd/ownrow.go
@@ -17,22 +17,33 @@
 // ownRowChange is a change of the host's own row.
 type ownRowChange struct {
 	target Target
-	// written is closed when the row has been written or superseded.
-	written chan struct{}
+	// written are closed when the row has been written, or a later one in its place: those
+	// of this change and of the ones that it supersedes.
+	written []chan struct{}
+}
+
+// supersede makes c take the place of an older change that has not been written.
+func (c *ownRowChange) supersede(older ownRowChange) { c.written = append(c.written, older.written...) }
+
+func (c *ownRowChange) close() {
+	for _, w := range c.written {
+		close(w)
+	}
 }
 
 // PublishTarget replaces the host's own row with one for t. It does not block. A
 // newer call supersedes a pending one. The channel that it returns is closed when
-// the row has been written or superseded.
+// the row has been written, or a later one in its place.
 func (c *Control) PublishTarget(t Target) (written <-chan struct{}) {
+	own := make(chan struct{})
+	change := ownRowChange{t, []chan struct{}{own}}
 	select {
-	case old := <-c.ownRow:
-		close(old.written)
+	case older := <-c.ownRow:
+		change.supersede(older)
 	default:
 	}
-	change := ownRowChange{t, make(chan struct{})}
 	c.ownRow <- change
-	return change.written
+	return own
 }
 
 // RunOwnRow maintains the host's own row until ctx ends.
@@ -56,7 +67,7 @@
 		err := write(ctx, wanted.target, &version)
 		switch {
 		case err == nil:
-			close(wanted.written)
+			wanted.close()
 			pending, failures = false, 0
 			c.ownRowVersion.Store(version)
 		case platform.IsKind(err, platform.KindConflict):
@@ -71,7 +82,7 @@
 		select {
 		case next := <-c.ownRow:
 			if pending {
-				close(wanted.written)
+				next.supersede(wanted)
 			}
 			wanted, pending = next, true
 		default:
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -34,7 +34,9 @@
 	// departureWritten is closed when the departure has been written to the
 	// store. It is nil unless the target is leaving.
 	departureWritten <-chan struct{}
-	coldUntil        time.Time
+	// departureHeld is closed when enough other hosts hold the departure.
+	departureHeld <-chan struct{}
+	coldUntil     time.Time
 	// downUntil is when a target that refused a connection may receive requests
 	// again.
 	downUntil  time.Time
@@ -191,3 +193,22 @@
 		Cold:            t.cold(now),
 	}
 }
+
+func (g *Gate) service(name string) *routes.Service {
+	cfg := g.view().Config
+	if cfg == nil {
+		return nil
+	}
+	svc, _ := cfg.Service(name)
+	return svc
+}
+
+// latency returns the latency distribution of a route. g.mu must be held.
+func (g *Gate) latency(f Forward) *gray.DurationModel {
+	w := g.latencies[f.Route]
+	if w == nil {
+		w = gray.NewDurationModel(time.Duration(f.ObjectiveMs) * time.Millisecond)
+		g.latencies[f.Route] = w
+	}
+	return w
+}
