Deaths: a connection that breaks is evidence whichever transmission met it

Cause: a repeatable request on a kept-alive connection that breaks within 20 ms is sent again, as the target may just have closed an idle connection. It is dead, so that this fails to connect; only that failure was recorded, and it says that the request was not sent. No death was reported.

The gate of the other daemon lost the first of two failures in the same way and is mended in the same way.

The tests of gate passed.

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -168,7 +168,8 @@
 		g.cancelAttempt(tk)
 		return failureRefusal(tk, wire.ReasonTimeout, "the caller canceled the request: %s", linkErr)
 	}
-	died := linkErr.Cause == link.CauseClosed && linkErr.Stage != link.StageDial && g.recordBrokenConnection(ctx, tk)
+	broke := linkErr.Cause == link.CauseClosed && linkErr.Stage != link.StageDial || tk.closedOnReuse && linkErr.Stage == link.StageDial
+	died := broke && g.recordBrokenConnection(ctx, tk)
 	kind := kindOfError(linkErr)
 	g.recordOutcome(tk, kind, latency)
 	switch {
--- a/gate/failure_test.go
+++ b/gate/failure_test.go
@@ -161,6 +161,43 @@
 	assert.Equal(t, dead[0]+dead[1], uint64(201))
 }
 
+// TestDeathOnAReusedConnectionIsReported crashes a target as soon as a request
+// arrives on a connection that was used before. The request is sent again, which
+// finds the target gone; it must be reported as in flight at the death (review/6,
+// at the other daemon).
+func TestDeathOnAReusedConnectionIsReported(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	seen := &outcomeRecorder{}
+	f := start(t, &fakeTarget{addr: ln.Addr().String()}, "orders", func(o *gate.Options) { o.Observer = seen })
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		br := bufio.NewReader(c)
+		readRequest(br)               //nolint:errcheck // the gate sees the failure
+		io.WriteString(c, okResponse) //nolint:errcheck
+		readRequest(br)               //nolint:errcheck
+		ln.Close()
+		c.Close()
+	}()
+	first, second := f.attempt(), f.attempt()
+	first.Idempotent, second.Idempotent = true, true
+	second.Fingerprint = 7
+	_, ref := f.forward(first)
+	assert.Assert(t, ref == nil, "%v", ref)
+	_, ref = f.forward(second)
+	assertRefused(t, ref, wire.ReasonTargetDied, wire.Unknown)
+	var dead []uint64
+	for _, out := range seen.all {
+		if out.Kind == gate.KindDied {
+			dead = append(dead, out.InFlight...)
+		}
+	}
+	assert.DeepEqual(t, dead, []uint64{7})
+}
+
 // TestDeathDetectedWhenListenerClosesLast closes a target's connection 10 ms
 // before its listener, as the exit of a process on a busy machine may. If such
 // deaths are missed, quarantine comes too late: one request killed four targets
--- a/gate/forward.go
+++ b/gate/forward.go
@@ -135,6 +135,7 @@
 		return resp, err
 	}
 	now := g.opts.Clock()
+	tk.closedOnReuse = linkErr.Cause == link.CauseClosed
 	g.mu.Lock()
 	g.stats.ReuseFailed++
 	haveSlot := tk.holdsSlot || g.acquireSlot(tk, now)
--- a/gate/ticket.go
+++ b/gate/ticket.go
@@ -19,6 +19,9 @@
 	queued bool
 	// sentAt is the time just before the first byte was sent.
 	sentAt time.Time
+	// closedOnReuse is set if the target closed a reused connection before it responded,
+	// and the request was sent again.
+	closedOnReuse bool
 
 	// The fields below are guarded by the gate's lock.
 
--- a/hostd/crashes.go
+++ b/hostd/crashes.go
@@ -273,32 +273,3 @@
 	}
 	return complete, answered
 }
-
-// Time limits for detecting the death of a target.
-const (
-	// deathProbeDelay is the delay between a broken connection and the probe.
-	deathProbeDelay = 30 * time.Millisecond
-	// deathProbeTimeout bounds the probe. The target is on the same host.
-	deathProbeTimeout = 300 * time.Millisecond
-)
-
-// probeForDeath probes a target whose connection broke. If the target is dead,
-// it reports the requests in flight.
-func (g *Gate) probeForDeath(t *localTarget) {
-	time.Sleep(deathProbeDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), deathProbeTimeout)
-	err := g.links.Probe(ctx, t.address)
-	cancel()
-	g.mu.Lock()
-	broken := t.broken
-	if err != nil && len(broken) > 0 {
-		g.recordDeathByBytes(t, time.Now())
-	}
-	t.broken, t.probing = nil, false
-	born := t.born
-	g.mu.Unlock()
-	if err == nil || len(broken) == 0 {
-		return
-	}
-	g.onDeath(t.id, born, broken)
-}
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -158,6 +158,9 @@
 	g.target.update(h, now)
 	g.endSearch()
 	if old != nil {
+		if !old.leaving {
+			g.recordDeath(old, now)
+		}
 		g.flush(old, "target "+old.id+" has been replaced")
 		g.links.CloseIdle(old.address)
 	}
--- a/hostd/roundtrip.go
+++ b/hostd/roundtrip.go
@@ -26,9 +26,9 @@
 	if err == nil || !tk.f.Repeatable || !closedWhileIdle(err, time.Since(sent)) {
 		return g.finishExchange(tk, answer, err)
 	}
-	// The target closed an idle connection just as it was reused.
+	// The target closed an idle connection just as it was reused, or has died of the request.
 	g.metrics.Add("target_stale_connections", 1)
-	g.recordPossibleRestart(tk.target)
+	g.recordPossibleRestart(tk)
 	tk.retransmitted = true
 	answer, err = g.roundTrip(ctx, tk, req, true)
 	return g.finishExchange(tk, answer, err)
@@ -127,6 +127,7 @@
 	}
 	switch e.signal {
 	case signalGood:
+		t.forgetBroken(tk.f.Fingerprint)
 		g.observeSpeed(tk, now)
 		t.filter.RecordSuccess(now, tk.request)
 	case signalFailed, signalShed:
@@ -168,11 +169,14 @@
 	return Reply{Answer: a}
 }
 
-// recordPossibleRestart records that the target may have restarted.
-func (g *Gate) recordPossibleRestart(t *localTarget) {
+// recordPossibleRestart records that the target may have restarted, or died, with a request
+// in flight.
+func (g *Gate) recordPossibleRestart(tk *ticket) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t.startLimit.MayHaveRestarted(time.Now())
+	now := time.Now()
+	tk.target.startLimit.MayHaveRestarted(now)
+	g.recordBroken(tk, now)
 }
 
 // recordLinkError records what a failed exchange says about whether the target
@@ -183,19 +187,11 @@
 	switch {
 	case le.Stage == link.StageDial:
 		t.downUntil = now.Add(dialFailureBackoff)
-	case le.Cause == link.CauseClosed && len(t.broken) < maxBrokenFingerprints:
-		t.broken = append(t.broken, tk.f.Fingerprint)
-		if !t.probing {
-			t.probing = true
-			t.heldAtBreak = t.bytes.InFlight()
-			go g.probeForDeath(t)
-		}
+	case le.Cause == link.CauseClosed:
+		g.recordBroken(tk, now)
 	}
 }
 
-// maxBrokenFingerprints bounds the requests reported with one death.
-const maxBrokenFingerprints = 64
-
 // dialFailureBackoff is how long a target that refused a connection receives no
 // requests. Targets restart within seconds.
 const dialFailureBackoff = 200 * time.Millisecond
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -56,9 +56,9 @@
 	// grayProbedAt is when a request was last sent to the target although it
 	// seemed gray.
 	grayProbedAt time.Time
-	// broken are the fingerprints of the requests whose connections broke
-	// recently. probing is set while the target is being probed.
-	broken  []uint64
+	// broken are the requests whose connections broke recently. probing is set while the
+	// target is being probed.
+	broken  []brokenRequest
 	probing bool
 	// failedCalls are the times at which calls made by the target failed.
 	failedCalls []time.Time
