Departures: a heartbeat that comes early is applied later, not refused

Change: such a heartbeat is kept and acknowledged, which promises nothing, and applied once the others have answered. One that says that the target leaves is applied at once, as before.

Result: TestHeartbeatWaitsUntilDeparturesAreAsked.

--- a/hostd/departures_test.go
+++ b/hostd/departures_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/gooseberryshed/gooseberryshed/departure"
 	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 )
 
@@ -75,6 +76,30 @@
 	})
 }
 
+// A heartbeat that arrives before other hosts have been asked is applied after that. If they
+// hold the departure of its target, the target stays departed.
+func TestHeartbeatWaitsUntilDeparturesAreAsked(t *testing.T) {
+	for _, departed := range []bool{false, true} {
+		t.Run(fmt.Sprint("departed ", departed), func(t *testing.T) {
+			g, _ := newTestGate(t)
+			asked := make(chan struct{})
+			g.departuresAsked = asked
+			assert.Assert(t, g.deferHeartbeat(newHeartbeat("a", 5, 1, false)))
+			assert.Assert(t, g.deferHeartbeat(newHeartbeat("a", 5, 2, false)))
+			assert.Assert(t, !g.hasTarget())
+			if departed {
+				g.learnDeparture(departure.Record{Target: "a", Born: 5})
+			}
+			close(asked)
+			g.applyDeferred()
+			assert.Equal(t, g.target.id, "a")
+			assert.Equal(t, g.target.sequence, int64(2))
+			assert.Equal(t, g.target.leaving, departed)
+			assert.Assert(t, !g.deferHeartbeat(newHeartbeat("a", 5, 3, false)))
+		})
+	}
+}
+
 // The row of a departure that another publication supersedes is not taken for written.
 func TestSupersededDepartureIsNotTakenForWritten(t *testing.T) {
 	c := NewControl("host-1", "dc-a", nil, nil, nil, nil)
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -35,6 +35,8 @@
 	// departuresAsked is closed once other hosts have been asked for the departure of this
 	// host's target.
 	departuresAsked <-chan struct{}
+	// deferred are the heartbeats that arrived before that. They are guarded by mu.
+	deferred []karpithaz.Heartbeat
 	// shortage returns the shortage of the host's processor or link.
 	shortage func() float64
 	log      *decisions.Log
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -15,11 +15,11 @@
 )
 
 // handleAnnouncement handles a heartbeat or a sign-off of the target.
-func (g *Gate) handleAnnouncement(ctx context.Context, x *h1.Exchange) {
+func (g *Gate) handleAnnouncement(_ context.Context, x *h1.Exchange) {
 	id, ok := karpithaz.AnnouncementTargetID(string(x.Request.Header.RequestURI()))
 	switch {
 	case ok && x.Request.Header.IsPut():
-		g.handleHeartbeat(ctx, id, x)
+		g.handleHeartbeat(id, x)
 	case ok && x.Request.Header.IsDelete():
 		g.markLeaving(id)
 		g.acknowledge(&x.Response)
@@ -39,7 +39,7 @@
 	resp.SetBodyString(karpithaz.HeartbeatResponse)
 }
 
-func (g *Gate) handleHeartbeat(ctx context.Context, id string, x *h1.Exchange) {
+func (g *Gate) handleHeartbeat(id string, x *h1.Exchange) {
 	h, err := karpithaz.DecodeHeartbeat(id, x.Request.Body())
 	if err != nil {
 		g.metrics.Add("heartbeats_unreadable", 1)
@@ -53,35 +53,44 @@
 		x.Response.SetStatusCode(fasthttp.StatusConflict)
 		return
 	}
-	if !h.Leaving && !g.awaitDeparturesAsked(ctx) {
-		g.metrics.Add("heartbeats_early", 1)
-		g.log.Decide("heartbeat-early", "target", id, "err", "it is not known yet whether this target has departed")
-		x.Response.SetStatusCode(fasthttp.StatusServiceUnavailable)
-		return
+	if !g.deferHeartbeat(h) {
+		g.applyHeartbeat(h, time.Now())
 	}
-	g.applyHeartbeat(h, time.Now())
 	g.acknowledge(&x.Response)
 }
 
-// earlyHeartbeatWait is how long a heartbeat waits for a gate that has just started. The
-// target expects its answer within a second.
-const earlyHeartbeatWait = 500 * time.Millisecond
-
-// awaitDeparturesAsked waits until other hosts have been asked whether this host's target
-// has departed, unless a target is known. It returns false if that takes too long.
-func (g *Gate) awaitDeparturesAsked(ctx context.Context) bool {
-	if g.hasTarget() {
-		return true
-	}
-	timer := time.NewTimer(earlyHeartbeatWait)
-	defer timer.Stop()
+// deferHeartbeat keeps a heartbeat of a target that is not known, if it is not known either
+// whether that target has departed. applyDeferred applies it.
+func (g *Gate) deferHeartbeat(h karpithaz.Heartbeat) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	select {
 	case <-g.departuresAsked:
-		return true
-	case <-timer.C:
-	case <-ctx.Done():
+		return false
+	default:
+	}
+	if g.target != nil || h.Leaving {
+		return false
+	}
+	g.deferred = append(g.deferred, h)
+	g.deferred = g.deferred[max(len(g.deferred)-maxDeferred, 0):]
+	g.metrics.Add("heartbeats_deferred", 1)
+	g.log.Decide("heartbeat-deferred", "target", h.Target, "born", h.StartedAtMillis, "sequence", h.Sequence)
+	return true
+}
+
+// maxDeferred bounds the heartbeats that are kept. The latest ones count.
+const maxDeferred = 4
+
+// applyDeferred applies the heartbeats that arrived before departuresAsked was closed.
+func (g *Gate) applyDeferred() {
+	g.mu.Lock()
+	deferred := g.deferred
+	g.deferred = nil
+	g.mu.Unlock()
+	for _, h := range deferred {
+		g.applyHeartbeat(h, time.Now())
 	}
-	return false
 }
 
 // maxClockError is how far the time of day of a target may be ahead of this host's.
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -225,7 +225,10 @@
 	}, h.servers.children...)
 	failed := make(chan error, 1)
 	go func() { failed <- supervise.New(supervise.Options{Logger: h.log.Logger()}, children...).Run(treeCtx) }()
-	go h.departures.askAtStart(treeCtx, h.gate.learnDeparture, func() { close(h.departuresAsked) })
+	go h.departures.askAtStart(treeCtx, h.gate.learnDeparture, func() {
+		close(h.departuresAsked)
+		h.gate.applyDeferred()
+	})
 	go h.gate.Discover(treeCtx)
 	go h.crashes.run(treeCtx, h.client.crashReports)
 	h.log.Logger().Info("started", "host", h.settings.Host, "data_centre", h.settings.DataCentre, "service", h.settings.Service,
