Departures: a sign-off of a target that the gate does not know counts

Cause: markLeaving did nothing where the id was not the current target's.

Change: the gate remembers such a departure and has other hosts hold it, and acknowledges it when enough do. Later heartbeats and health checks of that target are those of one that leaves; the current target keeps its place. What a daemon learns when it starts goes the same way, so that a departed target of the past never takes the place of a later one. Hosts hold up to four departures for each other, and are told again every two seconds until the store has them.

Result: TestDepartureOfATargetThatIsNotKnownYet fails on (11 orders ran at the target) and passes; TestLateSignOffOfAnEarlierTarget held before too. ordersAt sends its orders at the same time now: one after another they can all go to one target, so that its former zeros could be chance.

--- a/departure/departure.go
+++ b/departure/departure.go
@@ -84,45 +84,63 @@
 // Record is the departure of a target: its id, and when it started in Unix milliseconds by
 // its own clock, or when it signed off if that is not known.
 type Record struct {
-	Target string
-	Born   int64
+	Target string `json:"t"`
+	Born   int64  `json:"b,omitempty"`
+}
+
+// Includes reports whether the record is of the target with an id that started at born, or of
+// a later start under that id. A start that is not known does not tell them apart.
+func (r Record) Includes(id string, born int64) bool {
+	return r.Target == id && (born == 0 || r.Born == 0 || born <= r.Born)
 }
 
 // Held are the departures that a host holds for others. It is safe for concurrent use.
 type Held struct {
 	mu     sync.Mutex
-	byHost map[string]heldRecord
+	byHost map[string][]heldRecord
 }
 
+// maxHeld bounds the departures held for one host. Its targets follow one another within
+// seconds at most.
+const maxHeld = 4
+
 type heldRecord struct {
 	Record
 	until time.Time
 }
 
-// Put holds the departure of a host's target. A later one replaces it.
+// Put holds the departure of a host's target. Of too many, the one that was put first goes.
 func (h *Held) Put(now time.Time, host string, r Record) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.byHost == nil {
-		h.byHost = map[string]heldRecord{}
+		h.byHost = map[string][]heldRecord{}
 	}
-	h.byHost[host] = heldRecord{r, now.Add(Retention)}
+	list := slices.DeleteFunc(h.byHost[host], func(old heldRecord) bool { return old.Record == r || !now.Before(old.until) })
+	list = append(list, heldRecord{r, now.Add(Retention)})
+	h.byHost[host] = list[max(len(list)-maxHeld, 0):]
 }
 
-// Get returns the departure of a host's target, if it is held.
-func (h *Held) Get(now time.Time, host string) (Record, bool) {
+// Get returns the departures of a host's targets that are held.
+func (h *Held) Get(now time.Time, host string) []Record {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	r, ok := h.byHost[host]
-	return r.Record, ok && now.Before(r.until)
+	var out []Record
+	for _, r := range h.byHost[host] {
+		if now.Before(r.until) {
+			out = append(out, r.Record)
+		}
+	}
+	return out
 }
 
 // Sweep drops what is no longer held.
 func (h *Held) Sweep(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for host, r := range h.byHost {
-		if !now.Before(r.until) {
+	for host, list := range h.byHost {
+		list = slices.DeleteFunc(list, func(r heldRecord) bool { return !now.Before(r.until) })
+		if h.byHost[host] = list; len(list) == 0 {
 			delete(h.byHost, host)
 		}
 	}
--- a/departure/departure_test.go
+++ b/departure/departure_test.go
@@ -60,14 +60,29 @@
 	var h Held
 	start := time.Unix(1_700_000_000, 0)
 	h.Put(start, "a", Record{"i-1", 5})
-	h.Put(start, "a", Record{"i-2", 6})
-	r, ok := h.Get(start.Add(Retention-1), "a")
-	assert.Assert(t, ok)
-	assert.Equal(t, r, Record{"i-2", 6})
-	_, ok = h.Get(start.Add(Retention), "a")
-	assert.Assert(t, !ok)
+	h.Put(start.Add(time.Second), "a", Record{"i-2", 6})
+	h.Put(start.Add(time.Second), "a", Record{"i-2", 6})
+	assert.DeepEqual(t, h.Get(start.Add(Retention-1), "a"), []Record{{"i-1", 5}, {"i-2", 6}})
+	assert.DeepEqual(t, h.Get(start.Add(Retention), "a"), []Record{{"i-2", 6}})
 	h.Sweep(start.Add(Retention))
+	assert.DeepEqual(t, h.Get(start, "a"), []Record{{"i-2", 6}})
+	h.Sweep(start.Add(Retention + time.Second))
 	assert.Equal(t, len(h.byHost), 0)
-	_, ok = h.Get(start, "b")
-	assert.Assert(t, !ok)
+	assert.Equal(t, len(h.Get(start, "b")), 0)
+	for i := range int64(2 * maxHeld) {
+		h.Put(start, "a", Record{"i", i})
+	}
+	assert.Equal(t, len(h.Get(start, "a")), maxHeld)
+}
+
+func TestRecordIncludesEarlierStarts(t *testing.T) {
+	r := Record{"i-1", 5}
+	for _, c := range []struct {
+		id   string
+		born int64
+		want bool
+	}{{"i-1", 5, true}, {"i-1", 4, true}, {"i-1", 0, true}, {"i-1", 6, false}, {"i-2", 5, false}} {
+		assert.Equal(t, r.Includes(c.id, c.born), c.want, "%+v", c)
+	}
+	assert.Assert(t, Record{"i-1", 0}.Includes("i-1", 9))
 }
--- a/hostd/datagrams.go
+++ b/hostd/datagrams.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gooseberryshed/gooseberryshed/departure"
 	"github.com/gooseberryshed/gooseberryshed/metrics"
 	"github.com/gooseberryshed/gooseberryshed/retry"
 	"github.com/gooseberryshed/gooseberryshed/rollout"
@@ -33,8 +34,7 @@
 	// To is the host that a query is meant for. Another one that has been given its
 	// address does not act on the query.
 	To string `json:"a,omitempty"`
-	// Incarnation identifies the gate process that a withdrawal refers to. Beside a
-	// departure it is when the target started.
+	// Incarnation identifies the gate process that a withdrawal refers to.
 	Incarnation int64 `json:"l,omitempty"`
 	// Owner is set in a query for a token that is relayed: only this owner may
 	// answer it, and other receivers pass it on to it.
@@ -64,6 +64,8 @@
 	Allowance *rollout.Answer `json:"u,omitempty"`
 	// Crash is a report of the death of a target.
 	Crash *suspect.Report `json:"d,omitempty"`
+	// Departures are what a host is to hold, or what it holds for another one.
+	Departures []departure.Record `json:"i,omitempty"`
 }
 
 // queryAlive asks a host whether it is alive.
--- a/hostd/departures.go
+++ b/hostd/departures.go
@@ -11,7 +11,6 @@
 	"github.com/gooseberryshed/gooseberryshed/departure"
 	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/metrics"
-	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 )
 
 // The departure of a target that the store cannot take is held by other hosts, which this
@@ -39,6 +38,9 @@
 	// power; the questions go on at departureLateAskInterval.
 	departureAskTimeout      = 300 * time.Millisecond
 	departureLateAskInterval = 500 * time.Millisecond
+	// departureRepeat is how often the holders are told again while the store does not have a
+	// departure: they may have restarted.
+	departureRepeat = 2 * time.Second
 	// maxHeardPeers bounds the peers that are remembered at the start.
 	maxHeardPeers = 4
 )
@@ -88,8 +90,9 @@
 }
 
 // hold has other hosts hold a departure unless it is written to the store at once. The
-// channel that it returns is closed when enough of them hold it.
-func (d *departures) hold(row Target, written <-chan struct{}) <-chan struct{} {
+// channel that it returns is closed when enough of them hold it. written is nil for a
+// departure that is not written.
+func (d *departures) hold(r departure.Record, written <-chan struct{}) <-chan struct{} {
 	held := make(chan struct{})
 	go func() {
 		timer := time.NewTimer(holdDelay)
@@ -99,55 +102,72 @@
 			return
 		case <-timer.C:
 		}
-		holders := d.holders(d.view(), d.host)
-		names := make([]string, len(holders))
-		for i, p := range holders {
-			names[i] = p.Host
-		}
-		var mu sync.Mutex
-		var holding []departure.Peer
-		done := false
-		d.tell(names, func() datagram {
-			return datagram{Kind: queryDeparted, Host: d.host, Name: row.ID, Incarnation: row.Born}
-		}, func(host string) {
-			mu.Lock()
-			defer mu.Unlock()
-			holding = append(holding, holders[slices.Index(names, host)])
-			if !done && departure.Enough(holding, holders) {
-				done = true
-				d.metrics.Add("departures_held_elsewhere", 1)
-				d.log.Decide("departure-held-elsewhere", "target", row.ID, "by", holding)
-				close(held)
+		enough := sync.OnceFunc(func() { close(held) })
+		for begun := time.Now(); time.Since(begun) < departure.Retention; {
+			d.tellHolders(r, enough)
+			timer.Reset(departureRepeat)
+			select {
+			case <-written:
+				return
+			case <-timer.C:
 			}
-		})
+		}
 	}()
 	return held
 }
 
+// tellHolders tells the hosts that are to hold a departure. enough is called once enough of
+// them have answered.
+func (d *departures) tellHolders(r departure.Record, enough func()) {
+	holders := d.holders(d.view(), d.host)
+	names := make([]string, len(holders))
+	for i, p := range holders {
+		names[i] = p.Host
+	}
+	var mu sync.Mutex
+	var holding []departure.Peer
+	d.tell(names, func() datagram {
+		return datagram{Kind: queryDeparted, Host: d.host, Departures: []departure.Record{r}}
+	}, func(host string) {
+		mu.Lock()
+		defer mu.Unlock()
+		before := departure.Enough(holding, holders)
+		holding = append(holding, holders[slices.Index(names, host)])
+		if !before && departure.Enough(holding, holders) {
+			d.metrics.Add("departures_held_elsewhere", 1)
+			d.log.Decide("departure-held-elsewhere", "target", r.Target, "by", holding)
+			enough()
+		}
+	})
+}
+
 // answer handles a departure of another host's target, or a question about one.
 func (d *departures) answer(ctx context.Context, q datagram) datagram {
 	now := time.Now()
 	if q.Kind == queryDeparted {
-		d.held.Put(now, q.Host, departure.Record{Target: q.Name, Born: q.Incarnation})
-		d.log.Decide("departure-held", "host", q.Host, "target", q.Name, "born", q.Incarnation)
+		for _, r := range q.Departures {
+			d.held.Put(now, q.Host, r)
+			d.log.Decide("departure-held", "host", q.Host, "target", r.Target, "born", r.Born)
+		}
 		return datagram{Result: true}
 	}
-	r, ok := d.held.Get(now, q.Host)
+	out := d.held.Get(now, q.Host)
 	view := d.view()
-	if departed, listed := view.departed[q.Host]; !ok && listed {
-		r, ok = departure.Record{Target: departed.ID, Born: departed.Born}, true
+	if row, listed := view.departed[q.Host]; listed {
+		out = append(out, departure.Record{Target: row.ID, Born: row.Born})
 	}
-	if !ok && q.Relay {
+	if q.Relay {
 		ctx, cancel := context.WithTimeout(ctx, departureRelayTimeout)
 		defer cancel()
-		var found []departure.Record
-		if _, found = d.ask(ctx, d.addresses(view, q.Host), datagram{Kind: queryDepartedOf, Host: q.Host}); len(found) > 0 {
-			r, ok = found[0], true
-		}
+		_, found := d.ask(ctx, d.addresses(view, q.Host), datagram{Kind: queryDepartedOf, Host: q.Host})
+		out = append(out, found...)
 	}
-	return datagram{Result: ok, Authoritative: true, Name: r.Target, Incarnation: r.Born}
+	return datagram{Result: true, Authoritative: true, Departures: out[:min(len(out), maxToldDepartures)]}
 }
 
+// maxToldDepartures bounds the departures in an answer, which is a datagram.
+const maxToldDepartures = 8
+
 // addresses returns the datagram addresses of the hosts that hold a host's departures, except
 // this host.
 func (d *departures) addresses(view *View, host string) []string {
@@ -174,8 +194,10 @@
 				return
 			}
 			answered++
-			if r := (departure.Record{Target: a.Name, Born: a.Incarnation}); a.Result && !slices.Contains(found, r) {
-				found = append(found, r)
+			for _, r := range a.Departures {
+				if !slices.Contains(found, r) {
+					found = append(found, r)
+				}
 			}
 		})
 	}
@@ -223,39 +245,3 @@
 		}
 	}
 }
-
-// learnDeparture applies a departure of this host's target that another host holds from
-// before the start of this process.
-func (g *Gate) learnDeparture(r departure.Record) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	set := g.settings()
-	left := Target{ID: r.Target, Born: r.Born, Departed: true}
-	t := g.target
-	row, version := g.view().row(set.Host)
-	switch {
-	case t != nil && (t.leaving || !left.includes(t.id, t.born)):
-		return
-	case t != nil:
-		t.leaving, t.signedOffAt = true, time.Now()
-		g.publishDeparture(t, "held elsewhere")
-	case version != 0 && row.Born > r.Born:
-		return // a later target has been written since
-	default:
-		g.startIncarnation(departedTarget(set, r), time.Now())
-	}
-	g.target.departureHeld = closedChannel
-}
-
-// closedChannel is that of a departure that other hosts hold already.
-var closedChannel = func() <-chan struct{} {
-	c := make(chan struct{})
-	close(c)
-	return c
-}()
-
-// departedTarget describes a target of this host that is known only by its departure.
-func departedTarget(set *karpithaz.Settings, r departure.Record) karpithaz.Heartbeat {
-	return karpithaz.Heartbeat{Target: r.Target, Service: set.Service, Address: set.TargetAddress,
-		DataCentre: set.DataCentre, Slots: 1, StartedAtMillis: r.Born, Leaving: true}
-}
--- a/hostd/departures_test.go
+++ b/hostd/departures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,15 +12,21 @@
 	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 )
 
-// ordersAt sends orders at a host and returns how many of them ran at a target.
+// ordersAt sends more orders at the same time to a host than two targets have slots for, and
+// returns how many of them ran at a target.
 func (f *testFleet) ordersAt(i int, target *standin.Target, name string) int {
 	f.t.Helper()
 	before := len(target.Runs())
-	for n := range 20 {
-		r, err := f.hosts[i].call(standin.Call{Attempt: fmt.Sprint(name, "-", n), Method: "POST", URI: "/order/1", Key: testKey, Body: "a bed"})
-		assert.NilError(f.t, err)
-		assert.Equal(f.t, r.Status, 200)
+	var all sync.WaitGroup
+	for n := range 24 {
+		all.Go(func() {
+			r, err := f.hosts[i].call(standin.Call{Attempt: fmt.Sprint(name, "-", n), Method: "POST", URI: "/order/1", Key: testKey, Body: "a bed"})
+			if err != nil || r.Status != 200 {
+				f.t.Errorf("status %d, %v", r.Status, err)
+			}
+		})
 	}
+	all.Wait()
 	return len(target.Runs()) - before
 }
 
@@ -100,6 +107,45 @@
 	}
 }
 
+// A target signs off before its first heartbeat has arrived, while the gate knows the one
+// before it. It stays departed, also after a restart, and the other one stays.
+func TestDepartureOfATargetThatIsNotKnownYet(t *testing.T) {
+	f := newFleet(t, 3)
+	h, former := f.hosts[0], f.hosts[0].target
+	h.settings.Bounds.ShutdownGracePeriod = time.Second
+	former.Close()
+	target, err := standin.StartTarget("i-1-next", "svc", h.settings.TargetAddress, 4, 20*time.Millisecond)
+	assert.NilError(t, err)
+	t.Cleanup(target.Close)
+	status, err := target.SignOff(h.settings.AnnounceListen)
+	assert.NilError(t, err)
+	assert.Equal(t, status, 200)
+	_, err = target.Announce(h.settings.AnnounceListen, "dc-a", "ready")
+	assert.NilError(t, err)
+	assert.Equal(t, f.ordersAt(1, target, "before"), 0)
+	h.cancel()
+	assert.NilError(t, <-h.done)
+	f.hosts[0] = f.start(h.settings, target)
+	assert.Equal(t, f.ordersAt(1, target, "after"), 0)
+}
+
+// A late sign-off of an earlier target takes nothing from the current one, neither at once nor
+// after a restart.
+func TestLateSignOffOfAnEarlierTarget(t *testing.T) {
+	f := newFleet(t, 3)
+	h := f.hosts[0]
+	h.settings.Bounds.ShutdownGracePeriod = time.Second
+	earlier, err := standin.StartTarget("i-0", "svc", freeAddr(t, h.settings.IP), 4, 20*time.Millisecond)
+	assert.NilError(t, err)
+	t.Cleanup(earlier.Close)
+	status, err := earlier.SignOff(h.settings.AnnounceListen)
+	assert.NilError(t, err)
+	assert.Equal(t, status, 200)
+	assert.Assert(t, f.ordersAt(0, h.target, "before") > 0)
+	f.restart(0)
+	assert.Assert(t, f.ordersAt(0, h.target, "after") > 0)
+}
+
 // The row of a departure that another publication supersedes is not taken for written.
 func TestSupersededDepartureIsNotTakenForWritten(t *testing.T) {
 	c := NewControl("host-1", "dc-a", nil, nil, nil, nil)
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -9,6 +9,7 @@
 
 	"github.com/gooseberryshed/gooseberryshed/admission"
 	"github.com/gooseberryshed/gooseberryshed/decisions"
+	"github.com/gooseberryshed/gooseberryshed/departure"
 	"github.com/gooseberryshed/gooseberryshed/gray"
 	"github.com/gooseberryshed/gooseberryshed/link"
 	"github.com/gooseberryshed/gooseberryshed/memory"
@@ -31,12 +32,14 @@
 	onServed func(fingerprint uint64)
 	// holdDeparture has other hosts hold a departure that is not written to the store at
 	// once. It returns a channel that is closed when enough of them do.
-	holdDeparture func(row Target, written <-chan struct{}) (held <-chan struct{})
+	holdDeparture func(r departure.Record, written <-chan struct{}) (held <-chan struct{})
 	// departuresAsked is closed once other hosts have been asked for the departure of this
 	// host's target.
 	departuresAsked <-chan struct{}
-	// deferred are the heartbeats that arrived before that. They are guarded by mu.
+	// deferred are the heartbeats that arrived before that, and left the departures of
+	// targets of which later heartbeats may come. Both are guarded by mu.
 	deferred []karpithaz.Heartbeat
+	left     []departure.Record
 	// shortage returns the shortage of the host's processor or link.
 	shortage func() float64
 	log      *decisions.Log
@@ -87,7 +90,7 @@
 		onServed: func(uint64) {},
 		shortage: func() float64 { return 0 },
 
-		holdDeparture:   func(Target, <-chan struct{}) <-chan struct{} { return nil },
+		holdDeparture:   func(departure.Record, <-chan struct{}) <-chan struct{} { return nil },
 		departuresAsked: closedChannel,
 
 		log:         l,
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -6,12 +6,10 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/gooseberryshed/gooseberryshed/departure"
 	"github.com/gooseberryshed/gooseberryshed/h1"
 	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/link"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
-	"github.com/gooseberryshed/gooseberryshed/wire"
 )
 
 // handleAnnouncement handles a heartbeat or a sign-off of the target.
@@ -21,8 +19,7 @@
 	case ok && x.Request.Header.IsPut():
 		g.handleHeartbeat(id, x)
 	case ok && x.Request.Header.IsDelete():
-		g.markLeaving(id)
-		g.acknowledge(&x.Response)
+		g.acknowledge(g.markLeaving(id), &x.Response)
 	default:
 		x.Response.SetStatusCode(fasthttp.StatusNotFound)
 	}
@@ -30,8 +27,11 @@
 
 // acknowledge acknowledges an announcement. That of a departure is a promise that outlives
 // this process, so it is not given unless somebody else knows of the departure.
-func (g *Gate) acknowledge(resp *fasthttp.Response) {
-	if !g.awaitDeparture() {
+func (g *Gate) acknowledge(p promise, resp *fasthttp.Response) {
+	if !p.await() {
+		g.metrics.Add("departures_not_acknowledged", 1)
+		g.log.Decide("departure-not-acknowledged", "after_ms", departureTimeout.Milliseconds(),
+			"err", "neither the store nor enough other hosts have it; the target is sent nothing, and ends by itself")
 		resp.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
@@ -53,10 +53,11 @@
 		x.Response.SetStatusCode(fasthttp.StatusConflict)
 		return
 	}
+	var p promise
 	if !g.deferHeartbeat(h) {
-		g.applyHeartbeat(h, time.Now())
+		p = g.applyHeartbeat(h, time.Now())
 	}
-	g.acknowledge(&x.Response)
+	g.acknowledge(p, &x.Response)
 }
 
 // deferHeartbeat keeps a heartbeat of a target that is not known, if it is not known either
@@ -112,9 +113,11 @@
 	return ""
 }
 
-func (g *Gate) applyHeartbeat(h karpithaz.Heartbeat, now time.Time) {
+// applyHeartbeat applies a heartbeat and returns what its acknowledgement waits for.
+func (g *Gate) applyHeartbeat(h karpithaz.Heartbeat, now time.Time) promise {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	h.Leaving = h.Leaving || g.hasLeft(h)
 	t := g.target
 	switch {
 	case t == nil || !t.sameIncarnation(h) && h.StartedAtMillis >= t.born:
@@ -138,6 +141,7 @@
 			g.log.Decide("target-cold", "target", t.id, "cold", !cold, "for_ms", h.ColdRemaining.Milliseconds(), "sequence", h.Sequence)
 		}
 	}
+	return g.target.departure
 }
 
 // returnTime is how long after the first target is known a gate counts as just started.
@@ -221,70 +225,6 @@
 	}
 }
 
-// markLeaving handles the sign-off of a target.
-func (g *Gate) markLeaving(id string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	t := g.target
-	switch {
-	case t == nil:
-		// The daemon has restarted and does not know the target yet.
-		g.startIncarnation(departedTarget(g.settings(), departure.Record{Target: id}), time.Now())
-	case t.id == id && !t.leaving:
-		t.leaving, t.signedOffAt = true, time.Now()
-		g.publishDeparture(t, "left")
-	}
-}
-
-// publishDeparture stops sending to a target and marks it as departed in the
-// host's row. g.mu must be held.
-func (g *Gate) publishDeparture(t *localTarget, why string) {
-	g.log.Decide("target-leaving", "target", t.id, "why", why, "running", t.queue.Running(), "waiting", t.queue.Waiting())
-	g.flush(t, "target "+t.id+" is leaving")
-	row := g.hostRow(t)
-	t.departureWritten = g.publish(row)
-	t.departureHeld = g.holdDeparture(row, t.departureWritten)
-}
-
-// departureTimeout bounds how long the acknowledgement of a departure waits. The
-// target expects it within a second.
-const departureTimeout = 700 * time.Millisecond
-
-// awaitDeparture waits until the departure of the current target, if it is
-// leaving, is in the store or held by other hosts: it has to be known after a
-// restart of this process once it has been acknowledged. It returns false if that
-// takes too long.
-func (g *Gate) awaitDeparture() bool {
-	g.mu.Lock()
-	var written, held <-chan struct{}
-	if g.target != nil {
-		written, held = g.target.departureWritten, g.target.departureHeld
-	}
-	g.mu.Unlock()
-	if written == nil {
-		return true
-	}
-	timer := time.NewTimer(departureTimeout)
-	defer timer.Stop()
-	select {
-	case <-written:
-	case <-held:
-	case <-timer.C:
-		g.metrics.Add("departures_not_acknowledged", 1)
-		g.log.Decide("departure-not-acknowledged", "after_ms", departureTimeout.Milliseconds(),
-			"err", "neither the store nor enough other hosts have it; the target is sent nothing, and ends by itself")
-		return false
-	}
-	return true
-}
-
-// flush refuses all requests queued for a target. g.mu must be held.
-func (g *Gate) flush(t *localTarget, detail string) {
-	for _, it := range t.queue.Flush() {
-		answerWaiting(it, wire.Refuse(wire.ReasonLeaving, "%s", detail))
-	}
-}
-
 // Timing of the search for a target at start-up.
 const (
 	discoverTimeout      = time.Second
@@ -317,6 +257,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if ok && g.target == nil {
+		h.Leaving = g.hasLeft(h)
 		g.startIncarnation(h, time.Now())
 	}
 }
--- a/hostd/target.go
+++ b/hostd/target.go
@@ -31,12 +31,9 @@
 	leaving bool
 	// signedOffAt is when the target signed off.
 	signedOffAt time.Time
-	// departureWritten is closed when the departure has been written to the
-	// store. It is nil unless the target is leaving.
-	departureWritten <-chan struct{}
-	// departureHeld is closed when enough other hosts hold the departure.
-	departureHeld <-chan struct{}
-	coldUntil     time.Time
+	// departure is what the acknowledgement of the target's departure waits for.
+	departure promise
+	coldUntil time.Time
 	// downUntil is when a target that refused a connection may receive requests
 	// again.
 	downUntil  time.Time
--- a/hostd/view.go
+++ b/hostd/view.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gooseberryshed/gooseberryshed/departure"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/rollout"
 	"github.com/gooseberryshed/gooseberryshed/routes"
@@ -41,7 +42,7 @@
 // at born, or an earlier incarnation of it. A start that is not known does not
 // distinguish incarnations.
 func (t Target) includes(id string, born int64) bool {
-	return t.Departed && t.ID == id && (born == 0 || t.Born == 0 || born <= t.Born)
+	return t.Departed && departure.Record{Target: t.ID, Born: t.Born}.Includes(id, born)
 }
 
 // sameRow reports whether a row says the same as another one to write in its place,
