Departures: held by other hosts from the start, and asked for until all answer

Cause: other hosts were told only of a departure that the store had not taken within 150 ms.

Change: they are told of each, eight datagrams a departure. A host that starts goes on asking for some seconds while some of them have not answered, so that one that was cut off is asked too. A target that has left takes the place of none while the host's row does not name it, and a late heartbeat of it is acknowledged, as others hold the departure already.

--- a/departure/departure.go
+++ b/departure/departure.go
@@ -1,19 +1,20 @@
-// Package departure decides which hosts hold the departure of a target that the store cannot
-// take, and when enough of them do.
+// Package departure decides which hosts hold the departure of a target beside the store, and
+// when enough of them do.
 //
 // It answers the restart of a daemon that is cut off from the store. The acknowledgement of
 // a departure promises that no request reaches the target any more, also after a restart of
-// the daemon that gave it, so the fact has to outlive the process. While the store cannot be
-// written, the daemon tells a few other hosts, acknowledges once two of them have answered,
-// in different data centres where there are any, and asks the same hosts when it starts,
-// before it takes a heartbeat for news.
+// the daemon that gave it, so the fact has to outlive the process. The daemon tells a few
+// other hosts, acknowledges once the store has it or two of them have answered, in different
+// data centres where there are any, and asks the same hosts when it starts, before it takes
+// a heartbeat for news. They also know it if the store comes back from an older copy.
 //
 // The hosts are those of the highest rendezvous ranks, which changes of the fleet move
 // little, taken from the data centres in turn. What was weighed: without an acknowledgement
 // the target ends some seconds later by itself, which is safe, but its orders in progress end
 // with it; telling every host costs a message per host and protects against no more than
-// the restart of all that hold it. The store remains the place for good: the departure is
-// written there as soon as that is possible, and the hosts forget it after Retention.
+// the restart of all that hold it; telling them only while the store is away saves eight
+// datagrams a departure and loses what a restored store has lost. The store remains the
+// place for good, and the hosts forget a departure after Retention.
 package departure
 
 import (
--- a/hostd/departures.go
+++ b/hostd/departures.go
@@ -13,8 +13,8 @@
 	"github.com/gooseberryshed/gooseberryshed/metrics"
 )
 
-// The departure of a target that the store cannot take is held by other hosts, which this
-// host asks when it starts (package departure).
+// The departure of a target is held by a few other hosts beside the store, which may be out
+// of reach. This host asks them when it starts (package departure).
 
 const (
 	// queryDeparted tells a host to hold the departure of the sender's target.
@@ -25,9 +25,6 @@
 )
 
 const (
-	// holdDelay is how long the store may take for a departure before other hosts are told.
-	// It answers in milliseconds.
-	holdDelay = 150 * time.Millisecond
 	// departureRelayTimeout bounds how long a relayed question takes. It is shorter than the
 	// time that the sender waits for its answer.
 	departureRelayTimeout = 100 * time.Millisecond
@@ -38,6 +35,9 @@
 	// power; the questions go on at departureLateAskInterval.
 	departureAskTimeout      = 300 * time.Millisecond
 	departureLateAskInterval = 500 * time.Millisecond
+	// departureLateAsks bounds the further questions while some hosts have not answered: they
+	// may be cut off or restarting.
+	departureLateAsks = 30
 	// departureRepeat is how often the holders are told again while the store does not have a
 	// departure: they may have restarted.
 	departureRepeat = 2 * time.Second
@@ -89,27 +89,22 @@
 	return departure.Holders(host, others)
 }
 
-// hold has other hosts hold a departure unless it is written to the store at once. The
+// hold has other hosts hold a departure, and tells them again until it is written. The
 // channel that it returns is closed when enough of them hold it. written is nil for a
-// departure that is not written.
+// departure that is not written. Even one that is written at once is held: the store may
+// come back from a copy that is older.
 func (d *departures) hold(r departure.Record, written <-chan struct{}) <-chan struct{} {
 	held := make(chan struct{})
+	enough := sync.OnceFunc(func() { close(held) })
 	go func() {
-		timer := time.NewTimer(holdDelay)
-		defer timer.Stop()
-		select {
-		case <-written:
-			return
-		case <-timer.C:
-		}
-		enough := sync.OnceFunc(func() { close(held) })
+		ticker := time.NewTicker(departureRepeat)
+		defer ticker.Stop()
 		for begun := time.Now(); time.Since(begun) < departure.Retention; {
 			d.tellHolders(r, enough)
-			timer.Reset(departureRepeat)
 			select {
 			case <-written:
 				return
-			case <-timer.C:
+			case <-ticker.C:
 			}
 		}
 	}()
@@ -208,40 +203,53 @@
 // askAtStart asks the hosts that hold departures of this host's target, and passes what they
 // hold to learn. settled is called once the answer is known: before that, a heartbeat may be
 // a late one of a target that has departed. While this host does not know the others, it asks
-// those from which it hears. It returns once hosts that may hold one have answered.
+// those from which it hears.
 func (d *departures) askAtStart(ctx context.Context, learn func(departure.Record), settled func()) {
 	settle := sync.OnceFunc(settled)
 	defer settle()
-	var loadedAt time.Time
-	for interval := departureAskInterval; ; {
-		view := d.view()
-		loaded := view.HostsLoaded
-		addrs, q := d.heard.get(), datagram{Kind: queryDepartedOf, Host: d.host, Relay: true}
-		if loaded {
-			addrs, q.Relay = d.addresses(view, d.host), false
-			if loadedAt.IsZero() {
-				loadedAt = time.Now()
-			}
-		}
-		answered, found := d.ask(ctx, addrs, q)
-		for _, r := range found {
-			learn(r)
-		}
-		if answered > 0 {
+	known := map[departure.Record]bool{}
+	interval := departureAskInterval
+	for !d.view().HostsLoaded {
+		if answered, found := d.ask(ctx, d.heard.get(), datagram{Kind: queryDepartedOf, Host: d.host, Relay: true}); answered > 0 {
+			d.learnNew(known, found, learn)
 			settle()
+			interval = departureLateAskInterval
 		}
-		switch {
-		case loaded && (answered > 0 || len(addrs) == 0):
-			d.log.Decide("departures-asked", "asked", len(addrs), "answered", answered, "found", len(found))
+		if !pause.For(ctx, interval) {
 			return
-		case loaded && interval == departureAskInterval && time.Since(loadedAt) > departureAskTimeout:
-			d.metrics.Add("departures_not_asked", 1)
-			d.log.Decide("departures-not-asked", "asked", len(addrs), "after_ms", time.Since(loadedAt).Milliseconds())
-			interval = departureLateAskInterval
+		}
+	}
+	loadedAt := time.Now()
+	interval = departureAskInterval
+	for late := 0; late < departureLateAsks; {
+		addrs := d.addresses(d.view(), d.host)
+		answered, found := d.ask(ctx, addrs, datagram{Kind: queryDepartedOf, Host: d.host})
+		d.learnNew(known, found, learn)
+		waited := time.Since(loadedAt)
+		if late == 0 && (answered > 0 || len(addrs) == 0 || waited > departureAskTimeout) {
+			d.log.Decide("departures-asked", "asked", len(addrs), "answered", answered, "found", len(found), "after_ms", waited.Milliseconds())
+			if answered == 0 && len(addrs) > 0 {
+				d.metrics.Add("departures_not_asked", 1)
+			}
 			settle()
+			interval = departureLateAskInterval
 		}
-		if !pause.For(ctx, interval) {
+		if answered == len(addrs) || !pause.For(ctx, interval) {
 			return
 		}
+		if interval == departureLateAskInterval {
+			late++
+		}
+	}
+}
+
+// learnNew passes on the departures that are not known yet.
+func (d *departures) learnNew(known map[departure.Record]bool, found []departure.Record, learn func(departure.Record)) {
+	for _, r := range found {
+		if !known[r] {
+			known[r] = true
+			d.log.Decide("departure-learned", "target", r.Target, "born", r.Born)
+			learn(r)
+		}
 	}
 }
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -30,8 +30,8 @@
 	// the target has died, and onServed with that of a request that it has served.
 	onDeath  func(target string, incarnation int64, fingerprints []uint64)
 	onServed func(fingerprint uint64)
-	// holdDeparture has other hosts hold a departure that is not written to the store at
-	// once. It returns a channel that is closed when enough of them do.
+	// holdDeparture has other hosts hold a departure. It returns a channel that is closed when
+	// enough of them do.
 	holdDeparture func(r departure.Record, written <-chan struct{}) (held <-chan struct{})
 	// departuresAsked is closed once other hosts have been asked for the departure of this
 	// host's target.
@@ -39,7 +39,7 @@
 	// deferred are the heartbeats that arrived before that, and left the departures of
 	// targets of which later heartbeats may come. Both are guarded by mu.
 	deferred []karpithaz.Heartbeat
-	left     []departure.Record
+	left     []leftTarget
 	// shortage returns the shortage of the host's processor or link.
 	shortage func() float64
 	log      *decisions.Log
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -117,7 +117,8 @@
 func (g *Gate) applyHeartbeat(h karpithaz.Heartbeat, now time.Time) promise {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	h.Leaving = h.Leaving || g.hasLeft(h)
+	earlier, left := g.hasLeft(h)
+	h.Leaving = h.Leaving || left
 	t := g.target
 	switch {
 	case t == nil || !t.sameIncarnation(h) && h.StartedAtMillis >= t.born:
@@ -141,6 +142,9 @@
 			g.log.Decide("target-cold", "target", t.id, "cold", !cold, "for_ms", h.ColdRemaining.Milliseconds(), "sequence", h.Sequence)
 		}
 	}
+	if left && g.target.id == h.Target {
+		g.target.departure.held = earlier.held
+	}
 	return g.target.departure
 }
 
@@ -257,7 +261,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if ok && g.target == nil {
-		h.Leaving = g.hasLeft(h)
+		_, h.Leaving = g.hasLeft(h)
 		g.startIncarnation(h, time.Now())
 	}
 }
--- a/hostd/leaving.go
+++ b/hostd/leaving.go
@@ -25,6 +25,13 @@
 	written, held <-chan struct{}
 }
 
+// leftTarget is a departed target that is not the gate's current one.
+type leftTarget struct {
+	departure.Record
+	// promise is what the acknowledgement of the departure waits for.
+	promise promise
+}
+
 // startDeparted registers a target that is known only by its departure. g.mu must be held.
 func (g *Gate) startDeparted(id string, signedOffAt time.Time, why string) {
 	set := g.settings()
@@ -47,9 +54,8 @@
 	case t.id != id:
 		// It is an earlier target, or one that has started and not been heard of yet.
 		r := departure.Record{Target: id, Born: now.UnixMilli()}
-		g.rememberLeft(r)
 		g.log.Decide("target-leaving", "target", id, "why", "left", "current", t.id)
-		return promise{held: g.holdDeparture(r, nil)}
+		return g.rememberLeft(r, promise{held: g.holdDeparture(r, nil)})
 	case !t.leaving:
 		t.leaving, t.signedOffAt = true, now
 		g.publishDeparture(t, "left")
@@ -58,20 +64,21 @@
 }
 
 // rememberLeft makes later heartbeats of a target those of one that leaves. g.mu must be held.
-func (g *Gate) rememberLeft(r departure.Record) {
-	g.left = append(g.left, r)
+func (g *Gate) rememberLeft(r departure.Record, p promise) promise {
+	g.left = append(g.left, leftTarget{r, p})
 	g.left = g.left[max(len(g.left)-maxLeft, 0):]
+	return p
 }
 
 // hasLeft reports whether the target of a heartbeat has departed although it may not say so.
 // g.mu must be held.
-func (g *Gate) hasLeft(h karpithaz.Heartbeat) bool {
-	for _, r := range g.left {
-		if r.Includes(h.Target, h.StartedAtMillis) {
-			return true
+func (g *Gate) hasLeft(h karpithaz.Heartbeat) (p promise, ok bool) {
+	for _, l := range g.left {
+		if l.Includes(h.Target, h.StartedAtMillis) {
+			return l.promise, true
 		}
 	}
-	return false
+	return promise{}, false
 }
 
 // learnDeparture applies a departure of a target of this host that another host holds from
@@ -79,14 +86,15 @@
 func (g *Gate) learnDeparture(r departure.Record) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.rememberLeft(r)
+	g.rememberLeft(r, promise{held: closedChannel})
 	t := g.target
 	row, version := g.view().row(g.settings().Host)
 	switch {
 	case t != nil && !t.leaving && r.Includes(t.id, t.born):
 		t.leaving, t.signedOffAt = true, time.Now()
 		g.publishDeparture(t, "held elsewhere")
-	case t == nil && (version == 0 || r.Includes(row.ID, row.Born)):
+	case t == nil && version != 0 && !row.Departed && r.Includes(row.ID, row.Born):
+		// Other hosts go on offering to it because of its row.
 		signedOffAt := time.Now()
 		if r.Born != 0 {
 			signedOffAt = time.UnixMilli(r.Born)
