Departures: an id that is used again is another target, and the store goes first

Cause, found by reading the change again: a departure that is learned late was dated now, so that a target which had started again under the same id counted as the departed one until the next restart of the daemon. One that was learned before the hosts table was known was not published once it was. And with hosts told at once, an acknowledgement could come before the row was in the store, which TestLeavingTargetGetsNothingMore asks for and which failed in one of three runs.

Change: the departure keeps its own date; a target found by a health check with an id that has left is not taken for present before its heartbeat says when it started. What is learned is applied again when the hosts table is known, and published only in place of a row that names the target as present; until then offers to it are refused at once. A repeated sign-off has no second round of messages. The store has 150 ms before other hosts will do.

Result: TestIDOfADepartedTargetIsUsedAgain, and three runs of the tests of departures, heartbeats, sign-offs and restored stores passed.

--- a/hostd/departures.go
+++ b/hostd/departures.go
@@ -67,7 +67,10 @@
 func (p *heardPeers) put(from netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if addr := from.String(); len(p.addrs) < maxHeardPeers && !slices.Contains(p.addrs, addr) {
+	if len(p.addrs) == maxHeardPeers {
+		return
+	}
+	if addr := from.String(); !slices.Contains(p.addrs, addr) {
 		p.addrs = append(p.addrs, addr)
 	}
 }
@@ -219,6 +222,7 @@
 			return
 		}
 	}
+	clear(known)
 	loadedAt := time.Now()
 	interval = departureAskInterval
 	for late := 0; late < departureLateAsks; {
--- a/hostd/departures_test.go
+++ b/hostd/departures_test.go
@@ -107,6 +107,24 @@
 	}
 }
 
+// A target that starts again under the id of one that has left is another one, whether or not
+// the gate knew of it when it learned of the departure.
+func TestIDOfADepartedTargetIsUsedAgain(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		t.Run(fmt.Sprint("known ", known), func(t *testing.T) {
+			g, _ := newTestGate(t)
+			if known { // by a health check, which does not tell when it started
+				g.startIncarnation(newHeartbeat("a", 0, 0, false), time.Now())
+			}
+			g.learnDeparture(departure.Record{Target: "a", Born: 5})
+			g.applyHeartbeat(newHeartbeat("a", 5, 1, false), time.Now())
+			assert.Assert(t, g.target.leaving)
+			g.applyHeartbeat(newHeartbeat("a", 9, 1, false), time.Now())
+			assert.Assert(t, !g.target.leaving)
+		})
+	}
+}
+
 // A target signs off before its first heartbeat has arrived, while the gate knows the one
 // before it. It stays departed, also after a restart, and the other one stays.
 func TestDepartureOfATargetThatIsNotKnownYet(t *testing.T) {
--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -260,8 +260,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if ok && g.target == nil {
-		_, h.Leaving = g.hasLeft(h)
+	if _, left := g.hasLeft(h); ok && g.target == nil && !left {
+		// If it has the id of one that has left, its heartbeat tells whether it is another.
 		g.startIncarnation(h, time.Now())
 	}
 }
--- a/hostd/leaving.go
+++ b/hostd/leaving.go
@@ -1,6 +1,7 @@
 package hostd
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gooseberryshed/gooseberryshed/departure"
@@ -11,6 +12,10 @@
 // maxLeft bounds the departures that a gate remembers of targets that are not its current one.
 const maxLeft = 8
 
+// repeatedSignOff is how long after a sign-off another one with the same id counts as its
+// repeat. Targets repeat it within seconds, and an id that is used again starts later.
+const repeatedSignOff = 5 * time.Second
+
 // closedChannel is that of a departure that other hosts hold already.
 var closedChannel = func() <-chan struct{} {
 	c := make(chan struct{})
@@ -18,7 +23,7 @@
 	return c
 }()
 
-// promise is what an acknowledgement waits for: one of the two, or nothing if both are nil.
+// promise is what an acknowledgement waits for: either of the two, or nothing if both are nil.
 type promise struct {
 	// written is closed when a departure is in the store, and held when enough other hosts
 	// hold it.
@@ -33,13 +38,12 @@
 }
 
 // startDeparted registers a target that is known only by its departure. g.mu must be held.
-func (g *Gate) startDeparted(id string, signedOffAt time.Time, why string) {
+func (g *Gate) startDeparted(id string, signedOffAt time.Time) {
 	set := g.settings()
 	t := newLocalTarget(karpithaz.Heartbeat{Target: id, Service: set.Service, Address: set.TargetAddress, Slots: 1})
 	t.leaving, t.signedOffAt, t.firstSeen = true, signedOffAt, time.Now()
 	g.target = t
 	g.endSearch()
-	g.publishDeparture(t, why)
 }
 
 // markLeaving handles the sign-off of a target.
@@ -50,9 +54,15 @@
 	switch {
 	case t == nil:
 		// The daemon has restarted and does not know the target yet.
-		g.startDeparted(id, now, "left")
+		g.startDeparted(id, now)
+		g.publishDeparture(g.target, "left")
 	case t.id != id:
 		// It is an earlier target, or one that has started and not been heard of yet.
+		for _, l := range g.left {
+			if l.Target == id && now.Sub(time.UnixMilli(l.Born)) < repeatedSignOff {
+				return l.promise
+			}
+		}
 		r := departure.Record{Target: id, Born: now.UnixMilli()}
 		g.log.Decide("target-leaving", "target", id, "why", "left", "current", t.id)
 		return g.rememberLeft(r, promise{held: g.holdDeparture(r, nil)})
@@ -65,8 +75,10 @@
 
 // rememberLeft makes later heartbeats of a target those of one that leaves. g.mu must be held.
 func (g *Gate) rememberLeft(r departure.Record, p promise) promise {
-	g.left = append(g.left, leftTarget{r, p})
-	g.left = g.left[max(len(g.left)-maxLeft, 0):]
+	if !slices.ContainsFunc(g.left, func(l leftTarget) bool { return l.Record == r }) {
+		g.left = append(g.left, leftTarget{r, p})
+		g.left = g.left[max(len(g.left)-maxLeft, 0):]
+	}
 	return p
 }
 
@@ -82,27 +94,32 @@
 }
 
 // learnDeparture applies a departure of a target of this host that another host holds from
-// before the start of this process.
+// before the start of this process. It is called again once the hosts table is known: the
+// departure is published only in place of a row that names the target as present, as a
+// later target may have written its own.
 func (g *Gate) learnDeparture(r departure.Record) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.rememberLeft(r, promise{held: closedChannel})
 	t := g.target
 	row, version := g.view().row(g.settings().Host)
+	// A target with the same id that started after that is another one.
+	signedOffAt := time.Now()
+	if r.Born != 0 {
+		signedOffAt = time.UnixMilli(r.Born)
+	}
 	switch {
+	case t == nil && (version == 0 || r.Includes(row.ID, row.Born)):
+		g.startDeparted(r.Target, signedOffAt)
 	case t != nil && !t.leaving && r.Includes(t.id, t.born):
-		t.leaving, t.signedOffAt = true, time.Now()
-		g.publishDeparture(t, "held elsewhere")
-	case t == nil && version != 0 && !row.Departed && r.Includes(row.ID, row.Born):
-		// Other hosts go on offering to it because of its row.
-		signedOffAt := time.Now()
-		if r.Born != 0 {
-			signedOffAt = time.UnixMilli(r.Born)
-		}
-		g.startDeparted(r.Target, signedOffAt, "held elsewhere")
-	default:
+		t.leaving, t.signedOffAt = true, signedOffAt
+		g.flush(t, "target "+t.id+" is leaving")
+	case t == nil || t.id != r.Target || !t.leaving:
 		return
 	}
+	if g.target.departure.written == nil && version != 0 && !row.Departed && r.Includes(row.ID, row.Born) {
+		g.publishDeparture(g.target, "held elsewhere")
+	}
 	g.target.departure.held = closedChannel
 }
 
@@ -116,19 +133,32 @@
 	t.departure.held = g.holdDeparture(departure.Record{Target: row.ID, Born: row.Born}, t.departure.written)
 }
 
-// departureTimeout bounds how long the acknowledgement of a departure waits. The
-// target expects it within a second.
-const departureTimeout = 700 * time.Millisecond
+const (
+	// departureTimeout bounds how long the acknowledgement of a departure waits. The
+	// target expects it within a second.
+	departureTimeout = 700 * time.Millisecond
+	// storePreference is how long the store may take before other hosts will do. It
+	// answers in milliseconds, and tells all hosts.
+	storePreference = 150 * time.Millisecond
+)
 
-// await waits until a departure is in the store or held by other hosts: it has to be
-// known after a restart of this process once it has been acknowledged. It returns
-// false if that takes too long.
+// await waits until a departure is in the store or, if that takes long, held by other hosts:
+// it has to be known after a restart of this process once it has been acknowledged. It
+// returns false if neither is.
 func (p promise) await() bool {
 	if p.written == nil && p.held == nil {
 		return true
 	}
-	timer := time.NewTimer(departureTimeout)
+	timer := time.NewTimer(storePreference)
 	defer timer.Stop()
+	if p.written != nil {
+		select {
+		case <-p.written:
+			return true
+		case <-timer.C:
+		}
+	}
+	timer.Reset(departureTimeout - storePreference)
 	select {
 	case <-p.written:
 	case <-p.held:
