--- a/hostd/datagrams.go
+++ b/hostd/datagrams.go
@@ -91,8 +91,8 @@
 	metrics *metrics.Registry
 	// answer returns the answer to a query. It runs in a goroutine of its own.
 	answer func(ctx context.Context, q datagram) datagram
-	// heard, if not nil, is called with the address of each query.
-	heard func(from netip.AddrPort)
+	// onQuery, if not nil, is called with the address of each query.
+	onQuery func(from netip.AddrPort)
 
 	// lastID starts at a random number, so that an answer to an earlier process at
 	// this address matches no query of this one.
@@ -147,8 +147,8 @@
 			d.deliver(m, from)
 			continue
 		}
-		if d.heard != nil {
-			d.heard(from)
+		if d.onQuery != nil {
+			d.onQuery(from)
 		}
 		go d.reply(ctx, m, from)
 	}
--- a/hostd/departures.go
+++ b/hostd/departures.go
@@ -41,8 +41,8 @@
 	// departureRepeat is how often the holders are told again while the store does not have a
 	// departure: they may have restarted.
 	departureRepeat = 2 * time.Second
-	// maxHeardPeers bounds the peers that are remembered at the start.
-	maxHeardPeers = 4
+	// maxSeenPeers bounds the peers that are remembered at the start.
+	maxSeenPeers = 4
 )
 
 // departures are what this host holds for others, and the way to those that hold its own.
@@ -54,20 +54,20 @@
 	log     *decisions.Log
 	metrics *metrics.Registry
 	held    departure.Held
-	heard   heardPeers
+	seen    seenPeers
 }
 
-// heardPeers are addresses from which queries have come. A host that starts while it does not
+// seenPeers are addresses from which queries have come. A host that starts while it does not
 // reach the store knows no others.
-type heardPeers struct {
+type seenPeers struct {
 	mu    sync.Mutex
 	addrs []string
 }
 
-func (p *heardPeers) put(from netip.AddrPort) {
+func (p *seenPeers) put(from netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.addrs) == maxHeardPeers {
+	if len(p.addrs) == maxSeenPeers {
 		return
 	}
 	if addr := from.String(); !slices.Contains(p.addrs, addr) {
@@ -75,7 +75,7 @@
 	}
 }
 
-func (p *heardPeers) get() []string {
+func (p *seenPeers) get() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.Clone(p.addrs)
@@ -206,14 +206,14 @@
 // askAtStart asks the hosts that hold departures of this host's target, and passes what they
 // hold to learn. settled is called once the answer is known: before that, a heartbeat may be
 // a late one of a target that has departed. While this host does not know the others, it asks
-// those from which it hears.
+// those whose queries it receives.
 func (d *departures) askAtStart(ctx context.Context, learn func(departure.Record), settled func()) {
 	settle := sync.OnceFunc(settled)
 	defer settle()
 	known := map[departure.Record]bool{}
 	interval := departureAskInterval
 	for !d.view().HostsLoaded {
-		if answered, found := d.ask(ctx, d.heard.get(), datagram{Kind: queryDepartedOf, Host: d.host, Relay: true}); answered > 0 {
+		if answered, found := d.ask(ctx, d.seen.get(), datagram{Kind: queryDepartedOf, Host: d.host, Relay: true}); answered > 0 {
 			d.learnNew(known, found, learn)
 			settle()
 			interval = departureLateAskInterval
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -124,7 +124,7 @@
 	h.crashes = newCrashTracker(o.Settings.Host, h.control.View, h.tell, h.log, h.metrics)
 	h.departures = &departures{host: o.Settings.Host, view: h.control.View, query: conn.query, tell: h.tell, log: h.log, metrics: h.metrics}
 	h.gate.holdDeparture, h.gate.departuresAsked = h.departures.hold, h.departuresAsked
-	conn.heard = h.departures.heard.put
+	conn.onQuery = h.departures.seen.put
 	h.gate.onDeath = h.crashes.reportDeath
 	h.gate.onServed = h.crashes.recordServed
 	h.load = &hostLoad{log: h.log, metrics: h.metrics}
--- a/hostd/leaving.go
+++ b/hostd/leaving.go
@@ -57,7 +57,7 @@
 		g.startDeparted(id, now)
 		g.publishDeparture(g.target, "left")
 	case t.id != id:
-		// It is an earlier target, or one that has started and not been heard of yet.
+		// It is an earlier target, or one that has started and sent no heartbeat yet.
 		for _, l := range g.left {
 			if l.Target == id && now.Sub(time.UnixMilli(l.Born)) < repeatedSignOff {
 				return l.promise
