--- a/review/_play3/clients.go
+++ b/review/_play3/clients.go
@@ -18,7 +18,6 @@
 
 // clients send requests and keep them.
 type clients struct {
-	rec  *record
 	mu   sync.Mutex
 	next int
 	sent []*sentRequest
--- a/review/_play3/fleet.go
+++ b/review/_play3/fleet.go
@@ -22,15 +22,16 @@
 
 // Figures of the small deployment (SYSTEM.md, karpithaz-mesh).
 const (
-	shopHost    = "shop.example"
-	service     = "orders"
-	memoryMB    = 284
-	slots       = 7
-	work        = 50 * time.Millisecond
-	beatEvery   = 1500 * time.Millisecond
-	drainTime   = 2 * time.Second // drainMs
-	revokeAfter = 5 * time.Second // revokeMs
-	grace       = 6 * time.Second // graceS
+	shopHost     = "shop.example"
+	service      = "orders"
+	otherService = "swatches"
+	memoryMB     = 284
+	slots        = 7
+	work         = 50 * time.Millisecond
+	beatEvery    = 1500 * time.Millisecond
+	drainTime    = 2 * time.Second // drainMs
+	revokeAfter  = 5 * time.Second // revokeMs
+	grace        = 6 * time.Second // graceS
 )
 
 type fleet struct {
@@ -74,7 +75,7 @@
 // configure writes a configuration as the operator does. The store's return is the
 // acknowledgement.
 func (f *fleet) configure(revision int, routes []standin.Route, tenants []standin.Workspace) {
-	doc := standin.EncodeConfig(revision, []string{service}, routes, tenants)
+	doc := standin.EncodeConfig(revision, []string{service, otherService}, routes, tenants)
 	doc = bytes.Replace(doc, []byte(`"rows":null`), []byte(`"rows":[]`), 1) // a list without entries
 	f.store.Put(karpithaz.OperatorTable, karpithaz.ConfigKey, doc)
 }
@@ -96,7 +97,7 @@
 		Bounds: karpithaz.Bounds{RevocationDeadline: revokeAfter, ShutdownGracePeriod: grace, RateWindow: 5 * time.Second, RateOverage: 0.1, RateSlack: 20},
 	}
 	h := &host{f: f, set: set, settings: filepath.Join(f.dir, name+".conf"), state: "ready", stop: make(chan struct{})}
-	if err := os.WriteFile(h.settings, []byte(standin.SettingsFile(set)), 0o600); err != nil {
+	if err := h.writeSettings(); err != nil {
 		return nil, err
 	}
 	var err error
@@ -114,6 +115,15 @@
 	return h, nil
 }
 
+// writeSettings writes the settings file. It replaces the file as a whole.
+func (h *host) writeSettings() error {
+	next := h.settings + ".next"
+	if err := os.WriteFile(next, []byte(standin.SettingsFile(h.set)), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, h.settings)
+}
+
 func (h *host) startDaemon() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -149,12 +159,13 @@
 	<-done
 }
 
-// startWorker starts a new incarnation of the worker, with a new id.
+// startWorker starts a new incarnation of the worker, with a new id, of the service in the
+// machine's settings.
 func (h *host) startWorker() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.starts++
-	w, err := standin.StartTarget(fmt.Sprintf("i-%s-%d", h.set.Host, h.starts), service, h.set.TargetAddress, slots, work)
+	w, err := standin.StartTarget(fmt.Sprintf("i-%s-%d", h.set.Host, h.starts), h.set.Service, h.set.TargetAddress, slots, work)
 	if err != nil {
 		return err
 	}
@@ -198,11 +209,11 @@
 	return false
 }
 
-// restartWorker stops the worker as planned (draining, drainMs, sign-off) and starts a new one
-// on the same machine.
-func (h *host) restartWorker(after time.Duration) error {
+// stopWorker ends the worker as planned: it says that it is draining, serves on for drainMs
+// and a little longer, signs off and ends.
+func (h *host) stopWorker() {
 	acked := h.sayState("draining")
-	h.f.rec.note("worker of %s says draining, acknowledged: %t", h.set.Host, acked)
+	h.f.rec.note("the worker of %s says that it is draining; acknowledged: %t", h.set.Host, acked)
 	time.Sleep(drainTime + 100*time.Millisecond)
 	h.mu.Lock()
 	w := h.worker
@@ -210,13 +221,7 @@
 	h.mu.Unlock()
 	w.SignOff(h.set.AnnounceListen) //nolint:errcheck // it ends in any case
 	w.Close()
-	time.Sleep(after)
-	if err := h.startWorker(); err != nil {
-		return err
-	}
-	acked = h.sayState("ready")
-	h.f.rec.note("new worker of %s says ready, acknowledged: %t", h.set.Host, acked)
-	return nil
+	h.f.rec.note("it has ended")
 }
 
 // ready reports whether the daemon answers 200 at its readiness address.
--- a/review/_play3/main.go
+++ b/review/_play3/main.go
@@ -15,6 +15,7 @@
 )
 
 var plays = map[string]func(f *fleet, trouble bool) (bool, error){
+	"caller": playCaller,
 	"revoke": playRevoke,
 }
 
--- a/review/_play3/record.go
+++ b/review/_play3/record.go
@@ -54,6 +54,6 @@
 		r.line(s.sent, "sent %s to %s; answered at %.3f: status %d, signed %t, error %v", s.attempt, s.host, r.at(s.done), s.result.Status, s.result.Signed, s.err)
 	}
 	for _, x := range runs {
-		r.line(x.At, "run %s by %s, tenant %q", x.Attempt, x.worker, x.Workspace)
+		r.line(x.At, "run %s by %s, tenant %q, caller %q", x.Attempt, x.worker, x.Workspace, x.Caller)
 	}
 }
--- a/review/_play3/revoke.go
+++ b/review/_play3/revoke.go
@@ -35,7 +35,7 @@
 		return false, err
 	}
 	time.Sleep(4 * time.Second)
-	c := &clients{rec: f.rec}
+	c := &clients{}
 	// Before: the key is valid, and one that was never issued is not.
 	probe := standin.Call{Method: http.MethodPost, URI: "/orders/1", Key: unheldKey, Body: "a headboard", Timeout: 4 * time.Second}
 	before := c.send(f.hosts[0], probe)
