--- a/review/_play3/main.go
+++ b/review/_play3/main.go
@@ -16,6 +16,7 @@
 
 var plays = map[string]func(f *fleet, trouble bool) (bool, error){
 	"caller": playCaller,
+	"owners": playOwners,
 	"revoke": playRevoke,
 }
 
