--- a/review/_play3/clients.go
+++ b/review/_play3/clients.go
@@ -18,17 +18,19 @@
 
 // clients send requests and keep them.
 type clients struct {
-	mu   sync.Mutex
-	next int
-	sent []*sentRequest
-	wg   sync.WaitGroup
+	// prefix begins the ids of attempts.
+	prefix string
+	mu     sync.Mutex
+	next   int
+	sent   []*sentRequest
+	wg     sync.WaitGroup
 }
 
 // send sends one request to the daemon of a host, without retries.
 func (c *clients) send(h *host, call standin.Call) *sentRequest {
 	c.mu.Lock()
 	c.next++
-	call.Attempt = fmt.Sprintf("a%07d", c.next)
+	call.Attempt = fmt.Sprintf("%sa%07d", c.prefix, c.next)
 	s := &sentRequest{attempt: call.Attempt, host: h.set.Host, sent: time.Now()}
 	c.sent = append(c.sent, s)
 	c.mu.Unlock()
--- a/review/_play3/fleet.go
+++ b/review/_play3/fleet.go
@@ -22,16 +22,14 @@
 
 // Figures of the small deployment (SYSTEM.md, karpithaz-mesh).
 const (
-	shopHost     = "shop.example"
-	service      = "orders"
-	otherService = "swatches"
-	memoryMB     = 284
-	slots        = 7
-	work         = 50 * time.Millisecond
-	beatEvery    = 1500 * time.Millisecond
-	drainTime    = 2 * time.Second // drainMs
-	revokeAfter  = 5 * time.Second // revokeMs
-	grace        = 6 * time.Second // graceS
+	shopHost    = "shop.example"
+	service     = "orders"
+	memoryMB    = 284
+	slots       = 7
+	work        = 50 * time.Millisecond
+	beatEvery   = 1500 * time.Millisecond
+	revokeAfter = 5 * time.Second // revokeMs
+	grace       = 6 * time.Second // graceS
 )
 
 type fleet struct {
@@ -75,7 +73,7 @@
 // configure writes a configuration as the operator does. The store's return is the
 // acknowledgement.
 func (f *fleet) configure(revision int, routes []standin.Route, tenants []standin.Workspace) {
-	doc := standin.EncodeConfig(revision, []string{service, otherService}, routes, tenants)
+	doc := standin.EncodeConfig(revision, []string{service}, routes, tenants)
 	doc = bytes.Replace(doc, []byte(`"rows":null`), []byte(`"rows":[]`), 1) // a list without entries
 	f.store.Put(karpithaz.OperatorTable, karpithaz.ConfigKey, doc)
 }
@@ -209,21 +207,6 @@
 	return false
 }
 
-// stopWorker ends the worker as planned: it says that it is draining, serves on for drainMs
-// and a little longer, signs off and ends.
-func (h *host) stopWorker() {
-	acked := h.sayState("draining")
-	h.f.rec.note("the worker of %s says that it is draining; acknowledged: %t", h.set.Host, acked)
-	time.Sleep(drainTime + 100*time.Millisecond)
-	h.mu.Lock()
-	w := h.worker
-	h.state = ""
-	h.mu.Unlock()
-	w.SignOff(h.set.AnnounceListen) //nolint:errcheck // it ends in any case
-	w.Close()
-	h.f.rec.note("it has ended")
-}
-
 // ready reports whether the daemon answers 200 at its readiness address.
 func (h *host) ready() bool {
 	c := http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/_play3/main.go
+++ b/review/_play3/main.go
@@ -15,7 +15,7 @@
 )
 
 var plays = map[string]func(f *fleet, trouble bool) (bool, error){
-	"caller": playCaller,
+	"ids":    playIDs,
 	"owners": playOwners,
 	"revoke": playRevoke,
 }
