--- a/review/_play3/ids.go
+++ b/review/_play3/ids.go
@@ -11,11 +11,11 @@
 )
 
 // Load of the ids case, in orders a second: the usual one, which is about what the workers bear,
-// and a burst of 1.7 times that for 5 s.
+// and a burst of 1.7 times that for 3 s.
 const (
-	usualOrders = 72
-	burstOrders = 122
-	burstTime   = 5 * time.Second
+	usualOrders = 78
+	burstOrders = 132
+	burstTime   = 3 * time.Second
 	orderWork   = 600 * time.Millisecond
 )
 
