review 14: two owners grant one rate while the store turns readers away

Cause: the list of hosts is read from the store by the first two machines of a zone alone. If the store turns these away, the standbys read the operators' table for the zone, so that its proofs stay fresh, but not the hosts. A machine that joins and outranks the owner of a rate is unknown there for another 1 to 2 s, and both grant the whole rate.

--- a/review/_play3/main.go
+++ b/review/_play3/main.go
@@ -15,9 +15,10 @@
 )
 
 var plays = map[string]func(f *fleet, trouble bool) (bool, error){
-	"ids":    playIDs,
-	"owners": playOwners,
-	"revoke": playRevoke,
+	"ids":     playIDs,
+	"owners":  playOwners,
+	"readers": playReaders,
+	"revoke":  playRevoke,
 }
 
 func main() {
