Keys: only a configuration without a list of workspaces opens its routes

Cause: routes.Config.HasWorkspaces derived "no keys needed" from the number of workspaces, and the decoder made an empty list and an absent one the same. The ingress then returned before it looked at the key or at the age of its proof.

Change: package access decides whether a key is needed, from what a configuration states about its list: none, listed (also empty), or nothing, which opens no route.

The tests failed on with 200 in place of 401: TestKeysAreAskedForAsTheListOfWorkspacesChanges (both sequences), TestEmptiedListBehindACut, TestListOfWorkspacesOutlastsARestoreOfTheStore; TestOpenedRoutesAreReported failed as nothing was reported. They pass now, and TestFleetWithoutWorkspacesNeedsNoKey passed before and after.

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -1,8 +1,6 @@
 package hostd
 
 import (
-	"bytes"
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -59,6 +57,9 @@
 	tableWrites float64
 	// lostPeers is set if most of the peers last asked did not answer.
 	lostPeers atomic.Bool
+	// openedBy is the revision of the latest configuration that opened routes to requests
+	// without a key.
+	openedBy atomic.Uint64
 	// actsAsReader is set while this host is a reader or acts in place of silent ones.
 	actsAsReader atomic.Bool
 	// inbox receives notices of changes from other hosts, and appliedChanges the
@@ -272,75 +273,6 @@
 	return v
 }
 
-func (c *Control) applyOperatorRows(n tableUpdate) {
-	evacuatedBefore := c.evacuated
-	if n.full && n.version >= c.configAt.Load() {
-		c.evacuated = map[string]bool{}
-		c.operatorRows = map[string]karpithaz.Row{}
-		c.orders = nil
-		c.operatorHistoryStart = n.version
-	}
-	for _, row := range n.rows {
-		if row.Key == karpithaz.ConfigKey {
-			c.applyConfig(row, n.from)
-			continue
-		}
-		if row.Version <= c.operatorRows[row.Key].Version {
-			continue
-		}
-		c.operatorRows[row.Key] = row
-		if service, ok := karpithaz.RolloutService(row.Key); ok {
-			c.applyOrder(service, row)
-			continue
-		}
-		dc, ok := karpithaz.EvacuatedDataCentre(row.Key)
-		if !ok {
-			continue
-		}
-		delete(c.keptEvacuations, dc)
-		if row.Removed {
-			delete(c.evacuated, dc)
-		} else {
-			c.evacuated[dc] = true
-		}
-		c.log.Decide("data-centre", "name", dc, "out", !row.Removed, "row_version", row.Version)
-	}
-	if restored(n, c.configAt.Load()) {
-		c.keepEvacuations(evacuatedBefore, time.Now())
-	}
-	c.applyKept()
-}
-
-// applyConfig applies a row fetched from a host, or from the store if from is empty. After
-// a restore of the store, two hosts may have read different configurations under one
-// version; the one with the higher revision is the later one.
-func (c *Control) applyConfig(row karpithaz.Row, from string) {
-	known := c.operatorRows[karpithaz.ConfigKey]
-	if row.Version < known.Version || row.Version == known.Version && bytes.Equal(row.Value, known.Value) {
-		return
-	}
-	c.operatorRows[karpithaz.ConfigKey] = row
-	if row.Removed {
-		return
-	}
-	cfg, err := karpithaz.DecodeConfig(row.Value)
-	if err != nil {
-		c.metrics.Add("config_unreadable", 1)
-		c.log.Logger().Error("invalid configuration ignored; the previous one stays in force", "row_version", row.Version, "err", err)
-		return
-	}
-	if c.config != nil && cfg.Revision < c.config.Revision {
-		c.log.Logger().Warn("older configuration ignored", "revision", cfg.Revision, "in_force", c.config.Revision)
-		// Hosts that start are given the one in force.
-		row.Value = c.configValue
-		c.operatorRows[karpithaz.ConfigKey] = row
-		return
-	}
-	c.config, c.configValue = cfg, row.Value
-	c.log.Decide("config", "revision", cfg.Revision, "routes", cfg.RouteCount(), "row_version", row.Version,
-		"from", cmp.Or(from, "store"), "proof_age_ms", min(c.ProofAge(), noProof).Milliseconds())
-}
-
 func (c *Control) applyHostRows(n tableUpdate) {
 	former, reload := c.hosts, c.hostsLoaded
 	if n.full && n.version >= c.hostsAt.Load() {
--- a/hostd/execution_test.go
+++ b/hostd/execution_test.go
@@ -78,7 +78,7 @@
 
 func newTestIngress(t *testing.T, g gateForwarder, hosts ...string) *Ingress {
 	t.Helper()
-	cfg, err := karpithaz.DecodeConfig(standin.EncodeConfig(1, []string{"svc"}, defaultRoutes(), nil))
+	cfg, err := karpithaz.DecodeConfig(standin.EncodeConfigWithoutWorkspaces(1, []string{"svc"}, defaultRoutes()))
 	assert.NilError(t, err)
 	set := &karpithaz.Settings{Host: "self", DataCentre: "dc", Service: "svc", Bounds: karpithaz.Bounds{RetryBudgetRatio: 0.2}}
 	log := decisions.New(&logBuffer{})
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -117,6 +117,7 @@
 	h.runs = newRuns(func(attempt string) bool { return h.gate.Withdraw(attempt, h.gate.incarnation) })
 	h.runs.onDropped = h.recordDroppedReply
 	h.metrics.Gauge("replies_held_bytes", h.runs.heldBytes)
+	h.control.registerGauges()
 	h.limiter = newFleetLimiter(o.Settings.Host, h.bounds, h.control.View, conn.query, h.control.Isolated, h.log, h.metrics)
 	h.withdrawals = &withdrawals{host: o.Settings.Host, gate: h.gate, view: h.control.View, query: conn.query}
 	h.ingress = NewIngress(h.current.Load, h.control, h, h.limiter, h.gate.RecordCallFailure, h.log, h.metrics)
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -279,7 +279,8 @@
 }
 
 func (e *exchange) authenticate(cfg *routes.Config) *wire.Refusal {
-	if !cfg.HasWorkspaces() || e.route.AuthExempt {
+	if !cfg.Access(e.route).NeedsKey() {
+		e.in.metrics.Add("requests_without_key", 1)
 		e.nested = e.route.AuthExempt && e.caller.Key == ""
 		return nil
 	}
--- a/hostd/retryvalue_test.go
+++ b/hostd/retryvalue_test.go
@@ -39,7 +39,7 @@
 func newRankedIngress(t *testing.T, g gateForwarder, hosts ...string) *Ingress {
 	t.Helper()
 	in := newTestIngress(t, g, hosts...)
-	cfg, err := karpithaz.DecodeConfig(standin.EncodeConfig(2, []string{"svc"}, rankedRoutes(), nil))
+	cfg, err := karpithaz.DecodeConfig(standin.EncodeConfigWithoutWorkspaces(2, []string{"svc"}, rankedRoutes()))
 	assert.NilError(t, err)
 	assert.Assert(t, cfg.Ranked())
 	v := *in.control.View()
--- a/hostd/shares_test.go
+++ b/hostd/shares_test.go
@@ -26,7 +26,11 @@
 			return replyWithStatus(200)
 		}}
 		in := newTestIngress(t, g, "h1")
-		cfg, err := karpithaz.DecodeConfig(standin.EncodeConfig(2, []string{"svc"}, defaultRoutes(), workspaces))
+		doc := standin.EncodeConfig(2, []string{"svc"}, defaultRoutes(), workspaces)
+		if workspaces == nil {
+			doc = standin.EncodeConfigWithoutWorkspaces(2, []string{"svc"}, defaultRoutes())
+		}
+		cfg, err := karpithaz.DecodeConfig(doc)
 		assert.NilError(t, err)
 		v := *in.control.View()
 		v.Config = cfg
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -1,10 +1,13 @@
 package routes
 
 import (
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/gooseberryshed/gooseberryshed/access"
 )
 
 // Kind is the kind of a route. It determines whether requests may be retried.
@@ -96,11 +99,14 @@
 	Limits   Limits
 
 	byHost     map[string]map[string]*Route
+	byName     map[string][]*Route
 	services   map[string]*Service
+	listed     access.Workspaces
 	workspaces map[string]*Workspace
 	byKey      map[string]*Workspace
 	routeCount int
 	ranked     bool
+	keyless    []string
 }
 
 // Key is an API key and the workspace to which it belongs.
@@ -111,26 +117,32 @@
 
 // Document holds the data from which a Config is built.
 type Document struct {
-	Revision   uint64
-	Limits     Limits
-	Routes     []Route
-	Services   []Service
+	Revision uint64
+	Limits   Limits
+	Routes   []Route
+	Services []Service
+	// Listed states whether there is a list of workspaces, which may be empty.
+	// Unstated is Listed if there are Workspaces.
+	Listed     access.Workspaces
 	Workspaces []Workspace
 	Keys       []Key
 }
 
 // New builds a Config. It fails if a route has an invalid prefix, names no
-// service or one that does not exist, and if a key names a workspace that does
-// not exist.
+// service or one that does not exist, if a workspace has no name, if there are
+// workspaces although the document has no list of them, and if a key names a
+// workspace that does not exist.
 func New(d Document) (*Config, error) {
 	c := &Config{
 		Revision:   d.Revision,
 		Limits:     d.Limits,
 		byHost:     map[string]map[string]*Route{},
+		byName:     make(map[string][]*Route, len(d.Routes)),
 		services:   make(map[string]*Service, len(d.Services)),
 		workspaces: make(map[string]*Workspace, len(d.Workspaces)),
 		byKey:      make(map[string]*Workspace, len(d.Keys)),
 		routeCount: len(d.Routes),
+		listed:     d.Listed,
 	}
 	for i := range d.Services {
 		c.services[d.Services[i].Name] = &d.Services[i]
@@ -140,8 +152,8 @@
 			return nil, err
 		}
 	}
-	for i := range d.Workspaces {
-		c.workspaces[d.Workspaces[i].Name] = &d.Workspaces[i]
+	if err := c.addWorkspaces(d.Workspaces); err != nil {
+		return nil, err
 	}
 	for _, k := range d.Keys {
 		w := c.workspaces[k.Workspace]
@@ -151,9 +163,28 @@
 		c.byKey[k.Secret] = w
 	}
 	c.ranked = hasRanks(d)
+	c.keyless = c.keylessRoutes()
 	return c, nil
 }
 
+func (c *Config) addWorkspaces(list []Workspace) error {
+	if len(list) > 0 {
+		switch c.listed {
+		case access.None:
+			return errors.Errorf("%d workspaces in a document that has no list of them", len(list))
+		case access.Unstated:
+			c.listed = access.Listed
+		}
+	}
+	for i := range list {
+		if list[i].Name == "" {
+			return errors.Errorf("workspace %d of %d has no name", i+1, len(list))
+		}
+		c.workspaces[list[i].Name] = &list[i]
+	}
+	return nil
+}
+
 func hasRanks(d Document) bool {
 	seen := map[int]bool{}
 	for i := range d.Routes {
@@ -185,6 +216,7 @@
 		c.byHost[r.Host] = prefixes
 	}
 	prefixes[r.Prefix] = r
+	c.byName[r.Name] = append(c.byName[r.Name], r)
 	return nil
 }
 
@@ -224,9 +256,58 @@
 	return w, ok
 }
 
-// HasWorkspaces reports whether there are workspaces. If there are none,
-// requests need no keys.
-func (c *Config) HasWorkspaces() bool { return len(c.workspaces) > 0 }
+// Access returns what the configuration states about the need for a key on a
+// route.
+func (c *Config) Access(r *Route) access.Rule {
+	return access.Rule{Workspaces: c.listed, Open: r.AuthExempt}
+}
+
+// RouteByName returns the route with a name. It returns false if there is none, or
+// several.
+func (c *Config) RouteByName(name string) (*Route, bool) {
+	list := c.byName[name]
+	if len(list) != 1 {
+		return nil, false
+	}
+	return list[0], true
+}
+
+// WorkspaceList states whether there is a list of workspaces.
+func (c *Config) WorkspaceList() access.Workspaces { return c.listed }
+
+// WorkspaceCount and KeyCount return the number of workspaces and that of their keys.
+func (c *Config) WorkspaceCount() int { return len(c.workspaces) }
+func (c *Config) KeyCount() int       { return len(c.byKey) }
+
+// KeylessRoutes returns the names of the routes that need no key, sorted. The caller must
+// not modify the slice.
+func (c *Config) KeylessRoutes() []string { return c.keyless }
+
+// OpenedSince returns the names of the routes that need no key and did not exist or
+// needed one in a former configuration, which may be nil.
+func (c *Config) OpenedSince(former *Config) []string {
+	if former == nil {
+		return c.keyless
+	}
+	var opened []string
+	for _, name := range c.keyless {
+		if _, was := slices.BinarySearch(former.keyless, name); !was {
+			opened = append(opened, name)
+		}
+	}
+	return opened
+}
+
+func (c *Config) keylessRoutes() []string {
+	var names []string
+	for name, list := range c.byName {
+		if slices.ContainsFunc(list, func(r *Route) bool { return !c.Access(r).NeedsKey() }) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
 
 // Ranked reports whether some requests have precedence over others: routes or workspaces
 // have different priorities.
