Keys: the gate refuses what its newer configuration does not admit

What callers saw: a request without a key, or with that of a workspace that was gone, ran as long as the host that received it had not seen the change, also at targets whose own host had.

Cause: the gate of this platform's daemon checked target, service and evacuation, but not whether its own configuration asks for a key.

Change: access.Rule.Admits decides; a gate with a newer revision than the sender's refuses as stale-config, not run, and the search for a target ends there, as other gates might not know yet. A sender as new or newer decides by itself.

--- a/access/access.go
+++ b/access/access.go
@@ -43,3 +43,22 @@
 	}
 	return ""
 }
+
+// Sender is how a host of another revision admitted a request.
+type Sender struct {
+	// Older is set if the sender's configuration is older than the one that
+	// checks the request again.
+	Older bool
+	// Workspace is that of the request's key; empty if no key was needed.
+	Workspace string
+}
+
+// Admits reports whether a request that was admitted elsewhere may run. exists
+// reports whether the configuration that checks it has a workspace. A sender
+// whose configuration is as new or newer decides by itself.
+func (r Rule) Admits(s Sender, exists func(workspace string) bool) bool {
+	if !s.Older || !r.NeedsKey() {
+		return true
+	}
+	return s.Workspace != "" && exists(s.Workspace)
+}
--- a/hostd/attempt.go
+++ b/hostd/attempt.go
@@ -181,9 +181,10 @@
 }
 
 // isFinal reports whether a reply ends the search: an answer, a request that
-// may have run, or one that reached the target.
+// may have run, one that reached the target, or one that a newer configuration
+// does not admit.
 func (a *attempt) isFinal(r Reply) bool {
-	return r.Answer != nil || r.Refusal.Run != wire.NotRun ||
+	return r.Answer != nil || r.Refusal.Run != wire.NotRun || r.Refusal.Reason == wire.ReasonStaleConfig ||
 		r.Refusal.Reason == wire.ReasonTargetShed || r.Refusal.Reason == wire.ReasonTimeout
 }
 
--- a/hostd/gate.go
+++ b/hostd/gate.go
@@ -299,6 +299,9 @@
 	case now.Before(t.downUntil):
 		return wire.Refuse(wire.ReasonUnreachable, "target %s recently refused a connection", t.id)
 	}
+	if refusal := recheckAccess(view.Config, f); refusal != nil {
+		return refusal
+	}
 	if why := g.versionRefusal(t); why != "" {
 		return wire.Refuse(wire.ReasonVersionWithdrawn, "target %s of version %s: %s", t.id, g.versionOf(t), why)
 	}
--- a/hostd/keys_test.go
+++ b/hostd/keys_test.go
@@ -1,6 +1,7 @@
 package hostd
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -13,6 +14,7 @@
 
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/platform/standin"
+	"github.com/gooseberryshed/gooseberryshed/wire"
 )
 
 const unknownKey = "key-that-was-never-issued"
@@ -154,6 +156,47 @@
 	stageEmpty.check(t, newConnection(f.hosts[0]))
 }
 
+// Guards against a host that has not seen yet that keys are needed: the gate with the newer
+// configuration decides.
+func TestGateRefusesWhatItsNewerConfigurationDoesNotAdmit(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	f.putStage(5, stageKeyed)
+	f.awaitRevision(5)
+	h := f.hosts[0]
+	cases := []struct {
+		name  string
+		f     Forward
+		stale bool
+	}{
+		{"older, without a key", Forward{Route: "order", Revision: 4}, true},
+		{"older, workspace gone", Forward{Route: "order", Revision: 4, Workspace: "gone"}, true},
+		{"older, with the key", Forward{Route: "order", Revision: 4, Workspace: testWorkspace}, false},
+		{"older, open route", Forward{Route: "inner", Revision: 4}, false},
+		{"older, route unknown here", Forward{Route: "former", Revision: 4}, false},
+		{"as new", Forward{Route: "order", Revision: 5}, false},
+		{"newer", Forward{Route: "order", Revision: 6}, false},
+	}
+	for i, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			c.f.Attempt, c.f.Target, c.f.Service = fmt.Sprintf("g%d", i), h.target.ID, "svc"
+			c.f.TimeLeftMs, c.f.MaxGray = 2000, 1
+			req := &fasthttp.Request{}
+			standin.Call{Attempt: c.f.Attempt, Method: http.MethodPost, URI: "/order/1", Host: testHost, Timeout: 2 * time.Second}.Write(req)
+			r := h.gate.Forward(context.Background(), c.f, req, nil)
+			if !c.stale {
+				assert.Assert(t, r.Answer != nil, "%+v", r.Refusal)
+				r.Answer.release()
+				return
+			}
+			assert.Assert(t, r.Refusal != nil)
+			assert.Equal(t, r.Refusal.Reason, wire.ReasonStaleConfig)
+			assert.Equal(t, r.Refusal.Run, wire.NotRun)
+			assert.Equal(t, f.runsOf(c.f.Attempt), 0)
+		})
+	}
+}
+
 // Guards against routes that open without a trace: the log and a counter name the
 // configuration.
 func TestOpenedRoutesAreReported(t *testing.T) {
--- a/hostd/records_test.go
+++ b/hostd/records_test.go
@@ -180,7 +180,7 @@
 	ask := func(attempt string, fingerprint uint64, repeatable bool) Reply {
 		req := &fasthttp.Request{}
 		standin.Call{Attempt: attempt, Method: "POST", Host: testHost, URI: "/order/1", Body: "b", Timeout: time.Second}.Write(req)
-		forward := Forward{Attempt: attempt, Target: target.ID, Service: "svc", TimeLeftMs: 1000, Route: "order", ObjectiveMs: 400, MaxGray: 1,
+		forward := Forward{Attempt: attempt, Target: target.ID, Service: "svc", TimeLeftMs: 1000, Route: "order", Revision: 1, ObjectiveMs: 400, MaxGray: 1,
 			Incarnation: to.gate.incarnation, Fingerprint: fingerprint, Repeatable: repeatable}
 		return f.hosts[0].client.OfferAgain(context.Background(), target, forward, req, offerEvents{sent: func() {}, heartbeat: func() {}})
 	}
--- a/hostd/repeats_test.go
+++ b/hostd/repeats_test.go
@@ -110,7 +110,7 @@
 			id := fmt.Sprintf("other-%d", i)
 			req := &fasthttp.Request{}
 			standin.Call{Attempt: id, Host: testHost, URI: "/read/1", Timeout: time.Second}.Write(req)
-			o.gate.gate.Forward(context.Background(), Forward{Attempt: id, Target: o.gate.target.ID, Service: "svc", TimeLeftMs: 1000, Route: "read", ObjectiveMs: 400, MaxGray: 1, Repeatable: true}, req, nil)
+			o.gate.gate.Forward(context.Background(), Forward{Attempt: id, Target: o.gate.target.ID, Service: "svc", TimeLeftMs: 1000, Route: "read", Revision: 1, ObjectiveMs: 400, MaxGray: 1, Repeatable: true}, req, nil)
 		}
 	}()
 	o.checkAnswered()
--- a/hostd/runs_test.go
+++ b/hostd/runs_test.go
@@ -122,7 +122,7 @@
 	offer := func(attempt string, incarnation int64) Reply {
 		req := &fasthttp.Request{}
 		standin.Call{Attempt: attempt, Method: "POST", Host: testHost, URI: "/order/1", Timeout: time.Second}.Write(req)
-		forward := Forward{Attempt: attempt, Target: target.ID, Service: "svc", TimeLeftMs: 1000, Route: "order", ObjectiveMs: 400, MaxGray: 1, Incarnation: incarnation}
+		forward := Forward{Attempt: attempt, Target: target.ID, Service: "svc", TimeLeftMs: 1000, Route: "order", Revision: 1, ObjectiveMs: 400, MaxGray: 1, Incarnation: incarnation}
 		return f.hosts[0].client.OfferAgain(context.Background(), target, forward, req, offerEvents{sent: func() {}, heartbeat: func() {}})
 	}
 	r := offer("other process", to.gate.incarnation-1)
