Configuration: one that cannot be read proves nothing about the previous one

What callers would see: a key that a new document takes away stayed valid for as long as the daemons could not read that document. Nobody has met it: the platform's store takes only valid documents, so it needs one that a daemon takes for invalid.

Cause: applyConfig logged what it could not decode and went on with the previous configuration, while reads of the store went on to prove that one as current.

Change: the proof of the configuration in force ends with the last one before the document that was not read, until one that can be read follows. Keys then end within revokeMs, and denials are temporary. What hosts tell each other of the store's freshness is as before, so nobody asks the store more often. A gauge names the row.

Evidence: TestConfigurationThatCannotBeReadProvesNothing failed before ("served a key 5.01s after the change") and passes.

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -72,6 +72,8 @@
 	// The fields below are used only by the goroutine that calls Run.
 	config      *routes.Config
 	configValue []byte
+	// unread is the operators' newest configuration if it could not be read, or nil.
+	unread      *unreadConfig
 	evacuated   map[string]bool
 	hosts       map[string]Target
 	hostsLoaded bool
@@ -157,7 +159,11 @@
 func (c *Control) ProvenView() (*View, freshnessProof) {
 	// The proof is read first: apply stores it after the view that it proves.
 	p := freshnessProof(c.proof.Load())
-	return c.View(), p
+	v := c.View()
+	if v.unread != nil {
+		p = v.unread.proof
+	}
+	return v, p
 }
 
 // freshnessProof is the boottime.Instant at which the configuration of a view was
@@ -257,7 +263,7 @@
 	for _, row := range c.operatorRows {
 		v.operatorVersion = max(v.operatorVersion, row.Version)
 	}
-	v.orders = c.orders
+	v.orders, v.unread = c.orders, c.unread
 	v.operatorRows, v.operatorHistoryStart = maps.Clone(c.operatorRows), c.operatorHistoryStart
 	v.hostVersions, v.historyStart = maps.Clone(c.hostVersions), c.historyStart
 	v.keptHosts = maps.Clone(c.keptHosts)
--- a/hostd/keys_test.go
+++ b/hostd/keys_test.go
@@ -156,6 +156,45 @@
 	stageEmpty.check(t, newConnection(f.hosts[0]))
 }
 
+// Guards against keys that stay valid although a configuration that cannot be read may have
+// taken them away, and against one that is applied in part.
+func TestConfigurationThatCannotBeReadProvesNothing(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	good := standin.EncodeConfig(2, []string{"svc"}, f.routes, nil)
+	bad := []byte(strings.Replace(string(good), `"tenants":{`, `"tenants":null,"unheardOf":{`, 1))
+	f.store.Put(karpithaz.OperatorTable, karpithaz.ConfigKey, bad)
+	acked := time.Now()
+	f.await("refused on all hosts", func() bool {
+		for _, h := range f.hosts {
+			if h.control.View().unread == nil {
+				return false
+			}
+		}
+		return true
+	})
+	assert.Equal(t, newConnection(f.hosts[0]).status(t, "/order/1", unknownKey), 401)
+	for _, h := range f.hosts {
+		open := newConnection(h)
+		f.await("key no longer taken", func() bool {
+			sent := time.Now()
+			status := open.status(t, "/order/1", testKey)
+			assert.Assert(t, status != 200 || sent.Sub(acked) < 5*time.Second, "served a key %s after the change", sent.Sub(acked))
+			return status == 503
+		})
+		assert.Equal(t, h.control.View().Config.Revision, uint64(1))
+		assert.Equal(t, open.status(t, "/inner/1", ""), 200, "routes that need no key are served")
+		assert.Equal(t, open.status(t, "/order/1", unknownKey), 503, "the newer configuration may know the key")
+		assert.Assert(t, strings.Contains(h.logs.String(), "configuration refused as a whole"))
+		var text strings.Builder
+		assert.NilError(t, h.metrics.WriteText(&text))
+		assert.Assert(t, !strings.Contains(text.String(), "config_unread_version 0\n"), text.String())
+	}
+	f.putStage(3, stageKeyed)
+	f.awaitRevision(3)
+	stageKeyed.check(t, newConnection(f.hosts[0]))
+}
+
 // Guards against a host that has not seen yet that keys are needed: the gate with the newer
 // configuration decides.
 func TestGateRefusesWhatItsNewerConfigurationDoesNotAdmit(t *testing.T) {
--- a/hostd/operatorrows.go
+++ b/hostd/operatorrows.go
@@ -9,6 +9,14 @@
 	"github.com/gooseberryshed/gooseberryshed/routes"
 )
 
+// unreadConfig is the operators' newest configuration, which could not be read. The one in
+// force may lack what it changes.
+type unreadConfig struct {
+	rowVersion uint64
+	// proof is the last freshness proof of the configuration in force.
+	proof freshnessProof
+}
+
 func (c *Control) applyOperatorRows(n tableUpdate) {
 	evacuatedBefore := c.evacuated
 	if n.full && n.version >= c.configAt.Load() {
@@ -62,10 +70,10 @@
 	}
 	cfg, err := karpithaz.DecodeConfig(row.Value)
 	if err != nil {
-		c.metrics.Add("config_unreadable", 1)
-		c.log.Logger().Error("invalid configuration ignored; the previous one stays in force", "row_version", row.Version, "err", err)
+		c.refuseConfig(row, from, err)
 		return
 	}
+	c.unread = nil
 	if c.config != nil && cfg.Revision < c.config.Revision {
 		c.log.Logger().Warn("older configuration ignored", "revision", cfg.Revision, "in_force", c.config.Revision)
 		// Hosts that start are given the one in force.
@@ -81,6 +89,24 @@
 	c.reportOpened(former, cfg)
 }
 
+// refuseConfig keeps the previous configuration in force. The one that cannot be read may
+// take keys away, so the freshness of the previous one is proven no longer.
+func (c *Control) refuseConfig(row karpithaz.Row, from string, err error) {
+	if c.unread == nil {
+		c.unread = &unreadConfig{proof: freshnessProof(c.proof.Load())}
+	} else {
+		c.unread = &unreadConfig{proof: c.unread.proof}
+	}
+	c.unread.rowVersion = row.Version
+	c.metrics.Add("config_unreadable", 1)
+	var inForce uint64
+	if c.config != nil {
+		inForce = c.config.Revision
+	}
+	c.log.Logger().Error("configuration refused as a whole; the previous one stays in force, without keys once its proof is too old: write a configuration that can be read",
+		"row_version", row.Version, "bytes", len(row.Value), "from", cmp.Or(from, "store"), "in_force", inForce, "err", err)
+}
+
 // maxRoutesLogged bounds the routes that a log line names.
 const maxRoutesLogged = 8
 
@@ -105,4 +131,10 @@
 		return 0
 	})
 	c.metrics.Gauge("routes_opened_revision", func() int64 { return int64(c.openedBy.Load()) })
+	c.metrics.Gauge("config_unread_version", func() int64 {
+		if u := c.View().unread; u != nil {
+			return int64(u.rowVersion)
+		}
+		return 0
+	})
 }
--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -323,7 +323,8 @@
 // nothing to report.
 func (c *Control) reportVersions(host string) datagram {
 	c.liveness.recordContact(host, time.Now())
-	view, proof := c.ProvenView()
+	proof := freshnessProof(c.proof.Load()) // before the view, as in ProvenView
+	view := c.View()
 	return datagram{
 		Result:        view.Ready() && proof != 0,
 		ConfigVersion: view.operatorVersion,
--- a/hostd/view.go
+++ b/hostd/view.go
@@ -109,6 +109,8 @@
 	operatorHistoryStart uint64
 	// orders are the operators' roll-out orders by service.
 	orders map[string]rollout.Order
+	// unread is the operators' newest configuration if it could not be read, or nil.
+	unread *unreadConfig
 	// inUse are the versions of most targets of the services.
 	inUse map[string]string
 	// hostsChangedAt is when the set of hosts last changed.
