Rates: an owner that cannot tell says so, and is waited for

What callers saw: after a loss of power of all hosts, requests of workspaces far below their rates were refused with 429 "rate-exceeded" and a Retry-After of 1.5 s or more.

Cause: an owner without a configuration, or whose configuration did not list the workspace, answered Result: false, which is also "the rate is exceeded". What it did not know was told as "no".

Change: quota.OwnerConfig.Standing decides what an owner can tell; "unknown" is a value of its own in the answer. If nobody can tell, the caller gets 503 limiter-unavailable. An owner with a newer configuration without the workspace ends the wait at once.

--- a/hostd/datagrams.go
+++ b/hostd/datagrams.go
@@ -53,11 +53,14 @@
 	// Result and Millis are the answer.
 	Result bool  `json:"y,omitempty"`
 	Millis int64 `json:"m,omitempty"`
+	// Unknown is set in an answer to a query for a token if the owner cannot tell.
+	// Daemons of earlier versions do not know it and take Result.
+	Unknown bool `json:"q,omitempty"`
 	// ConfigVersion and HostsVersion are the versions of the latest changes
 	// that a host knows, or of which it gives notice.
 	ConfigVersion uint64 `json:"c,omitempty"`
 	HostsVersion  uint64 `json:"t,omitempty"`
-	// Revision is that of the configuration in force.
+	// Revision is that of the sender's configuration in force.
 	Revision uint64 `json:"z,omitempty"`
 	// Counts is a gate's report on a roll-out and Allowance the answer to it.
 	Counts    *rollout.Report `json:"r,omitempty"`
--- a/hostd/execution_test.go
+++ b/hostd/execution_test.go
@@ -69,7 +69,9 @@
 // unlimitedRates allows all requests, and a limited number of retries.
 type unlimitedRates struct{ retries int }
 
-func (unlimitedRates) Allow(context.Context, *routes.Workspace) (bool, time.Duration) { return true, 0 }
+func (unlimitedRates) Allow(context.Context, *routes.Workspace, time.Duration) (bool, time.Duration, error) {
+	return true, 0, nil
+}
 
 func (r *unlimitedRates) AllowRetry(context.Context, string, retry.Value) bool {
 	r.retries--
--- a/hostd/ingress.go
+++ b/hostd/ingress.go
@@ -41,8 +41,9 @@
 
 // rateLimiter enforces limits that apply to the whole fleet.
 type rateLimiter interface {
-	// Allow reports whether a workspace may send one more request.
-	Allow(ctx context.Context, w *routes.Workspace) (ok bool, retryAfter time.Duration)
+	// Allow reports whether a workspace may send one more request. It waits no longer
+	// than patience for an owner of the limit that cannot tell yet, and then fails.
+	Allow(ctx context.Context, w *routes.Workspace, patience time.Duration) (ok bool, retryAfter time.Duration, err error)
 	// AllowRetry reports whether a request to a service may be retried from the
 	// fleet's reserve, beyond the retries earned by the service's requests.
 	AllowRetry(ctx context.Context, service string, v retry.Value) bool
@@ -185,12 +186,8 @@
 	if refusal := e.authenticate(cfg); refusal != nil {
 		return refusal
 	}
-	if e.workspace != nil {
-		if ok, after := e.in.limiter.Allow(ctx, e.workspace); !ok {
-			r := wire.Refuse(wire.ReasonRateExceeded, "workspace %s exceeds its rate limit of %g requests per second with a burst of %g", e.workspace.Name, e.workspace.Rate, e.workspace.Burst)
-			r.RetryAfter = after
-			return r
-		}
+	if refusal := e.limitRate(ctx); refusal != nil {
+		return refusal
 	}
 	if e.nested && cfg.Ranked() {
 		e.served = e.in.servedRank()
@@ -202,6 +199,23 @@
 	return nil
 }
 
+// limitRate takes a token of the workspace's rate limit.
+func (e *exchange) limitRate(ctx context.Context) *wire.Refusal {
+	if e.workspace == nil {
+		return nil
+	}
+	ok, after, err := e.in.limiter.Allow(ctx, e.workspace, startWait(time.Until(e.deadline)))
+	switch {
+	case err != nil:
+		return wire.Refuse(wire.ReasonLimiterUnavailable, "%v", err)
+	case ok:
+		return nil
+	}
+	r := wire.Refuse(wire.ReasonRateExceeded, "workspace %s exceeds its rate limit of %g requests per second with a burst of %g", e.workspace.Name, e.workspace.Rate, e.workspace.Burst)
+	r.RetryAfter = after
+	return r
+}
+
 // originForm returns the path without the query. It rewrites an absolute
 // request target as a path and a Host header.
 func (e *exchange) originForm() (path string, ok bool) {
--- a/hostd/limiter.go
+++ b/hostd/limiter.go
@@ -117,17 +117,21 @@
 }
 
 // Allow implements rateLimiter.
-func (l *fleetLimiter) Allow(ctx context.Context, w *routes.Workspace) (ok bool, retryAfter time.Duration) {
+func (l *fleetLimiter) Allow(ctx context.Context, w *routes.Workspace, patience time.Duration) (ok bool, retryAfter time.Duration, err error) {
 	if w.Rate <= 0 {
-		return true, 0
+		return true, 0, nil
 	}
-	return l.takeToken(ctx, l.workspaceBucket(w))
+	a := l.takeToken(ctx, l.workspaceBucket(w), patience)
+	if a.Unknown {
+		return false, 0, l.unknownError(w, a)
+	}
+	return a.Result, time.Duration(a.Millis) * time.Millisecond, nil
 }
 
-// AllowRetry implements rateLimiter.
+// AllowRetry implements rateLimiter. Retry budgets do not depend on a configuration, so
+// their owners always know them.
 func (l *fleetLimiter) AllowRetry(ctx context.Context, service string, v retry.Value) bool {
-	ok, _ := l.takeToken(ctx, l.retryBucket(service, v))
-	return ok
+	return l.takeToken(ctx, l.retryBucket(service, v), 0).Result
 }
 
 func (l *fleetLimiter) workspaceBucket(w *routes.Workspace) bucketSpec {
@@ -144,32 +148,39 @@
 		initial: func(_, burst float64) float64 { return quota.InitialFill(burst) }}
 }
 
-// takeToken takes a token of a bucket from its owner.
-func (l *fleetLimiter) takeToken(ctx context.Context, b bucketSpec) (ok bool, retryAfter time.Duration) {
+// takeToken takes a token of a bucket from its owner. An owner that cannot tell is asked
+// again for as long as patience lasts.
+func (l *fleetLimiter) takeToken(ctx context.Context, b bucketSpec, patience time.Duration) datagram {
 	owners := quota.RankOwners(b.kind+" "+b.name, l.view().hostNames())
+	var unknown datagram
 	for _, owner := range owners[:min(len(owners), maxOwnersTried)] {
 		if owner == l.host {
-			a := l.grant(ctx, b, owners, l.host, true)
-			return a.Result, time.Duration(a.Millis) * time.Millisecond
+			return l.grant(ctx, b, owners, l.host, true)
 		}
-		if a, ok := l.queryOwner(ctx, owner, b); ok {
-			return a.Result, time.Duration(a.Millis) * time.Millisecond
+		a, ok := l.queryPatiently(ctx, owner, b, patience)
+		switch {
+		case ok && !a.Unknown:
+			return a
+		case ok:
+			unknown, patience = a, 0
 		}
 	}
 	if a, ok := l.relay(ctx, b, owners, l.host); ok {
-		return a.Result, time.Duration(a.Millis) * time.Millisecond
+		return a
+	}
+	if unknown.Unknown {
+		return unknown // an owner is there, and grants as soon as it can
 	}
 	// No owner can be reached. Each host grants its share of the rate, so that
 	// the sum over all hosts stays within it.
 	l.metrics.Add("rate_own_part", 1)
 	rate, burst := l.reach(owners).OwnShare()
-	a := l.takeLocal(b, false, rate, burst)
-	return a.Result, time.Duration(a.Millis) * time.Millisecond
+	return l.takeLocal(b, false, rate, burst)
 }
 
 // queryOwner asks an owner for a token. The owner may relay the query.
 func (l *fleetLimiter) queryOwner(ctx context.Context, owner string, b bucketSpec) (datagram, bool) {
-	return l.ask(ctx, owner, owner, datagram{Kind: b.kind, Name: b.name, Host: l.host, Value: b.value})
+	return l.ask(ctx, owner, owner, datagram{Kind: b.kind, Name: b.name, Host: l.host, Value: b.value, Revision: l.view().revision()})
 }
 
 // ask sends a query about the bucket of an owner to a host, unless that has
@@ -188,6 +199,10 @@
 	if err == nil && (host == owner || a.Authoritative) {
 		l.states.recordSuccess(path)
 		l.contacts.recordContact(t.DataCentre, time.Now())
+		if a.Unknown && a.Revision <= q.Revision {
+			l.recordUnknown(owner, q)
+			return a, true
+		}
 		if missing, was := l.lost.found(owner, time.Now()); was {
 			l.log.Decide("owner-found", "owner", owner, "missing_ms", missing.Milliseconds())
 		}
@@ -210,7 +225,7 @@
 	if len(owners) == 0 {
 		return datagram{}, false
 	}
-	q := datagram{Kind: b.kind, Name: b.name, Host: l.host, Owner: owners[0], Origin: origin, Value: b.value}
+	q := datagram{Kind: b.kind, Name: b.name, Host: l.host, Owner: owners[0], Origin: origin, Value: b.value, Revision: l.view().revision()}
 	deadline := time.Now().Add(maxRelayTimeouts * relayTimeout)
 	for _, host := range append([]string{owners[0]}, l.witnesses(owners)...) {
 		if time.Until(deadline) < relayTimeout {
@@ -261,7 +276,7 @@
 		return l.takeLocal(b, true, share, share)
 	}
 	if relay {
-		if a, ok := l.relay(ctx, b, owners, origin); ok {
+		if a, ok := l.relay(ctx, b, owners, origin); ok && !a.Unknown {
 			return a
 		}
 	}
@@ -322,24 +337,21 @@
 // answerOnce takes the token.
 func (l *fleetLimiter) answerOnce(ctx context.Context, q datagram) datagram {
 	if q.Owner != "" && q.Owner != l.host {
-		a, ok := l.ask(ctx, q.Owner, q.Owner, datagram{Kind: q.Kind, Name: q.Name, Host: l.host, Owner: q.Owner, Origin: q.Origin, Value: q.Value})
+		a, ok := l.ask(ctx, q.Owner, q.Owner, datagram{Kind: q.Kind, Name: q.Name, Host: l.host, Owner: q.Owner, Origin: q.Origin, Value: q.Value, Revision: q.Revision})
 		a.Authoritative = ok
 		return a
 	}
 	view := l.view()
 	b := l.retryBucket(q.Name, q.Value)
 	if q.Kind == queryRate {
-		if view.Config == nil {
-			return datagram{Millis: ownerBackoff.Milliseconds()}
-		}
-		w, ok := view.Config.Workspace(q.Name)
-		if !ok {
-			return datagram{Millis: ownerBackoff.Milliseconds()}
-		}
-		if w.Rate <= 0 {
+		w, standing := l.standing(ctx, q)
+		switch standing {
+		case quota.StandingUnlimited:
 			return datagram{Result: true}
+		case quota.StandingUnknown, quota.StandingGone:
+			return datagram{Unknown: true, Revision: l.view().revision(), Millis: ownerBackoff.Milliseconds()}
 		}
-		b = l.workspaceBucket(w)
+		view, b = l.view(), l.workspaceBucket(w)
 	}
 	return l.grant(ctx, b, quota.RankOwners(b.kind+" "+b.name, view.hostNames()), q.Host, q.Owner == "")
 }
--- a/hostd/limiter_test.go
+++ b/hostd/limiter_test.go
@@ -152,7 +152,7 @@
 					f.mu.Lock()
 					l := f.limiters[host]
 					f.mu.Unlock()
-					if ok, _ := l.Allow(context.Background(), f.workspace); ok {
+					if ok, _, _ := l.Allow(context.Background(), f.workspace, 0); ok {
 						f.mu.Lock()
 						f.granted = append(f.granted, time.Now())
 						f.mu.Unlock()
--- a/hostd/startwait.go
+++ b/hostd/startwait.go
@@ -15,6 +15,12 @@
 	startWaitShare = 0.25
 )
 
+// startWait returns how long a request may wait for a host that has just started, if its
+// caller has some time left.
+func startWait(left time.Duration) time.Duration {
+	return min(maxStartWait, time.Duration(startWaitShare*float64(left)))
+}
+
 // awaitReady waits until the host can serve requests for the first time since its start.
 // After a restart of the whole fleet callers find no other host, so that a refusal at
 // once would lose their requests.
@@ -27,9 +33,9 @@
 	if e.in.stopBegan.Load() != nil {
 		return
 	}
-	wait := time.Duration(maxStartWait)
+	wait := maxStartWait
 	if left := e.caller.TimeLeft; left > 0 {
-		wait = min(wait, time.Duration(startWaitShare*float64(left)))
+		wait = startWait(left)
 	}
 	e.in.metrics.Add("requests_awaiting_start", 1)
 	timer := time.NewTimer(wait)
