--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"strings"
+
+	"github.com/gooseberryshed/gooseberryshed/access"
 )
 
 const (
@@ -144,10 +146,36 @@
 // DataCentres returns all data centres, sorted by name.
 func (s *Snapshot) DataCentres() []DataCentre { return slices.Clone(s.dataCentres) }
 
+// NeedsKey reports whether requests on the route need the key of a workspace. A
+// document of this kind always has a list of workspaces, which may be empty.
+func (r *Route) NeedsKey() bool {
+	return access.Rule{Workspaces: access.Listed, Open: r.Access == AccessOpen}.NeedsKey()
+}
+
+// OpenedSince returns the paths of the routes that need no key and did not exist or
+// needed one in a former snapshot, which may be nil, sorted.
+func (s *Snapshot) OpenedSince(former *Snapshot) []string {
+	var opened []string
+	s.routes.all(func(path string, r *Route) bool {
+		if r.NeedsKey() {
+			return true
+		}
+		if former != nil {
+			if old, ok := former.routes.get(path); ok && !old.NeedsKey() {
+				return true
+			}
+		}
+		opened = append(opened, path)
+		return true
+	})
+	slices.Sort(opened)
+	return opened
+}
+
 // Allows reports whether the route accepts requests of the workspace. An open
 // route accepts all requests, including those without a workspace ("").
 func (r *Route) Allows(workspace string) bool {
-	if r.Access == AccessOpen {
+	if !r.NeedsKey() {
 		return true
 	}
 	if workspace == "" {
--- a/control/documents.go
+++ b/control/documents.go
@@ -270,11 +270,27 @@
 			return
 		}
 		recordRestored(now, s, next.Snapshot)
+		former := s.view.Snapshot
 		s.view = next
 		c.stats.Adopted.Add(1)
 		c.opts.Logger.Info("configuration in force", "revision", next.State.Revision)
+		c.reportOpened(next.State.Revision, next.Snapshot.OpenedSince(former))
 	})
 }
 
+// maxRoutesLogged bounds the routes that a log line names.
+const maxRoutesLogged = 8
+
+// reportOpened reports the routes that a configuration has opened to requests without a
+// key.
+func (c *Control) reportOpened(revision uint64, opened []string) {
+	if len(opened) == 0 {
+		return
+	}
+	c.stats.RoutesOpened.Add(int64(len(opened)))
+	c.stats.RoutesOpenedRevision.Store(int64(revision))
+	c.opts.Logger.Info("routes opened", "revision", revision, "count", len(opened), "routes", opened[:min(len(opened), maxRoutesLogged)])
+}
+
 // revision returns the configuration revision in force, or 0 if there is none.
 func (s *state) revision() uint64 { return s.view.State.Revision }
--- a/control/stats.go
+++ b/control/stats.go
@@ -13,6 +13,10 @@
 	ExchangeFailures atomic.Int64
 	Samples          atomic.Int64
 	Outages          atomic.Int64
+	// RoutesOpened counts routes that have come to need no key, and
+	// RoutesOpenedRevision is the revision that did so last.
+	RoutesOpened         atomic.Int64
+	RoutesOpenedRevision atomic.Int64
 }
 
 // Counts is a point-in-time copy of Stats.
@@ -26,6 +30,9 @@
 	ExchangeFailures int64 `json:"exchange_failures"`
 	Samples          int64 `json:"touch_samples"`
 	Outages          int64 `json:"table_outages"`
+
+	RoutesOpened         int64 `json:"routes_opened"`
+	RoutesOpenedRevision int64 `json:"routes_opened_revision"`
 }
 
 // Counts returns a copy of the counters.
@@ -41,5 +48,8 @@
 		ExchangeFailures: s.ExchangeFailures.Load(),
 		Samples:          s.Samples.Load(),
 		Outages:          s.Outages.Load(),
+
+		RoutesOpened:         s.RoutesOpened.Load(),
+		RoutesOpenedRevision: s.RoutesOpenedRevision.Load(),
 	}
 }
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -64,7 +64,7 @@
 	if !ok || route.Path != att.Route || route.Service != att.Service {
 		return wire.Refuse(wire.ReasonNoRoute, "route %s does not lead to service %s", att.Route, att.Service)
 	}
-	if route.Access == config.AccessOpen {
+	if !route.NeedsKey() {
 		return nil
 	}
 	var digest [32]byte
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -67,7 +67,7 @@
 }
 
 func (a *admission) authenticate(cfg *config.Snapshot, h *fasthttp.RequestHeader) *wire.Refusal {
-	if a.route.Access == config.AccessOpen {
+	if !a.route.NeedsKey() {
 		return nil
 	}
 	secret, err := apiKey(h)
