Configuration document: an empty list of a route is not an absent one

What callers would see: a route that is restricted to workspaces admits every workspace, and a method that must not be repeated is, once the list has become empty on its way.

Cause: workspaces and idempotent of a route stand for a default when they are absent. A program that writes sections without the parser could open a route that way.

--- a/config/defaults.go
+++ b/config/defaults.go
@@ -74,7 +74,7 @@
 
 func (r Route) withDefaults() Route {
 	r.Access = orDefault(r.Access, AccessKeyed)
-	if len(r.Idempotent) == 0 {
+	if r.Idempotent == nil {
 		r.Idempotent = defaultIdempotent
 	}
 	if len(r.Workspaces) > maxLinearSearch {
--- a/config/diff.go
+++ b/config/diff.go
@@ -131,7 +131,7 @@
 		after := newField.Interface().([]Key)
 		return slices.EqualFunc(before, after, func(k, l Key) bool { return k.ID == l.ID && k.SHA256 == l.SHA256 })
 	}
-	if oldField.Kind() == reflect.Slice && oldField.Len() == 0 && newField.Len() == 0 {
+	if _, told := oldField.Interface().(Names); !told && oldField.Kind() == reflect.Slice && oldField.Len() == 0 && newField.Len() == 0 {
 		return true
 	}
 	return reflect.DeepEqual(oldField.Interface(), newField.Interface())
--- a/config/document.go
+++ b/config/document.go
@@ -134,12 +134,13 @@
 	Service string `yaml:"service" json:"service"`
 	// Access defaults to "keyed".
 	Access Access `yaml:"access,omitempty" json:"access,omitempty"`
-	// Workspaces restricts a keyed route to the listed workspaces; an empty list
-	// allows all.
-	Workspaces []string `yaml:"workspaces,omitempty" json:"workspaces,omitempty"`
-	// Idempotent lists the methods that may be retried on this route. It
-	// defaults to GET, HEAD, OPTIONS. The list [none] allows no method.
-	Idempotent []string `yaml:"idempotent,omitempty" json:"idempotent,omitempty"`
+	// Workspaces restricts a keyed route to the listed workspaces. No list allows
+	// all; one that has become empty, which is not valid, allows none.
+	Workspaces Names `yaml:"workspaces,omitempty" json:"workspaces,omitzero"`
+	// Idempotent lists the methods that may be retried on this route. No list
+	// stands for GET, HEAD, OPTIONS. The list [none] allows no method, and so does
+	// one that has become empty, which is not valid.
+	Idempotent Names `yaml:"idempotent,omitempty" json:"idempotent,omitzero"`
 
 	pos position
 	// workspaceSet holds Workspaces as a set in routes of a snapshot; nil if the
--- a/config/items.go
+++ b/config/items.go
@@ -99,7 +99,9 @@
 func (d *decoder) nonEmptyTextList(n *yaml.Node, what string) []string {
 	out := d.textList(n, what)
 	if len(out) == 0 && n.Kind == yaml.SequenceNode {
-		d.report(positionOf(n), "omit the field for its default, or name at least one", "%s is an empty list", what)
+		d.report(positionOf(n), emptyListRemedy, "%s is an empty list", what)
 	}
 	return out
 }
+
+const emptyListRemedy = "omit the field for its default, or name at least one"
--- a/config/patch.go
+++ b/config/patch.go
@@ -59,8 +59,8 @@
 	s.Services = sortedBy(s.Services, Service.key)
 	s.Routes = sortedBy(s.Routes, Route.key)
 	for i := range s.Routes {
-		s.Routes[i].Workspaces = slices.Sorted(slices.Values(s.Routes[i].Workspaces))
-		s.Routes[i].Idempotent = slices.Sorted(slices.Values(s.Routes[i].Idempotent))
+		s.Routes[i].Workspaces = s.Routes[i].Workspaces.sorted()
+		s.Routes[i].Idempotent = s.Routes[i].Idempotent.sorted()
 	}
 	return s
 }
--- a/config/references.go
+++ b/config/references.go
@@ -20,6 +20,8 @@
 	default:
 		c.report(r.pos, "write keyed or open", "access of route %s cannot be %q", r.Path, truncate(string(r.Access)))
 	}
+	c.checkNotEmpty(r, "workspaces", r.Workspaces)
+	c.checkNotEmpty(r, "idempotent", r.Idempotent)
 	c.checkMethods(r)
 	c.checkDuplicates(r, "workspaces", r.Workspaces)
 	c.checkDuplicates(r, "idempotent", r.Idempotent)
@@ -57,6 +59,14 @@
 	return !strings.ContainsRune("-._~!$&'()+,;=:@", r)
 }
 
+// checkNotEmpty rejects a list without entries: it says the opposite of the default that
+// an absent one stands for.
+func (c *checker) checkNotEmpty(r *Route, what string, names Names) {
+	if names != nil && len(names) == 0 {
+		c.report(r.pos, emptyListRemedy, "%s of route %s is an empty list", what, r.Path)
+	}
+}
+
 func (c *checker) checkMethods(r *Route) {
 	for _, m := range r.Idempotent {
 		if m == NoMethod && len(r.Idempotent) == 1 {
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -181,7 +181,7 @@
 	if workspace == "" {
 		return false
 	}
-	if len(r.Workspaces) == 0 {
+	if r.Workspaces == nil {
 		return true
 	}
 	if r.workspaceSet != nil {
@@ -194,7 +194,7 @@
 // IsIdempotent reports whether a request with the method may be retried.
 func (r *Route) IsIdempotent(method string) bool {
 	methods := r.Idempotent
-	if len(methods) == 0 {
+	if methods == nil {
 		methods = defaultIdempotent
 	}
 	return method != NoMethod && slices.Contains(methods, method)
