Soak: a target whose sign-off was not acknowledged is replaced too

Such a target exits soon, so its daemon rightly sends it nothing more; the soak went on announcing it, and replaced after the faults only those whose sign-off had been acknowledged. No target was left, and each refusal ("no eligible target") was true.

Change: clearFaults replaces every target that has signed off. The check and its bound are as before, and an acknowledged departure is checked as before.

--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -95,11 +95,11 @@
 	target       *standin.Target
 	targets      []*standin.Target
 	targetStarts int
-	// left is set while the target has signed off and has not been replaced, and
-	// departures are the targets that have signed off.
-	left       bool
-	departures []departure
-	logs       *os.File
+	// signedOff is set once the target has signed off and until it is replaced, left if
+	// that was acknowledged, and departures are the targets of which it was.
+	signedOff, left bool
+	departures      []departure
+	logs            *os.File
 }
 
 // program is the path of the daemon's binary, which TestMain builds.
@@ -242,7 +242,7 @@
 		return
 	}
 	target.Version = h.version
-	h.target, h.left = target, false
+	h.target, h.left, h.signedOff = target, false, false
 	h.targets = append(h.targets, target)
 }
 
--- a/internal/soak/rules_test.go
+++ b/internal/soak/rules_test.go
@@ -109,6 +109,7 @@
 	if h.left {
 		return "it had left"
 	}
+	h.signedOff = true
 	status, err := h.target.SignOff(h.set.AnnounceListen)
 	switch {
 	case err != nil || status != 200:
@@ -121,10 +122,12 @@
 	return "acknowledged"
 }
 
-func (h *host) hasLeft() bool {
+// hasSignedOff reports whether the host's target has said that it leaves, acknowledged or not.
+// Its daemon sends it nothing more either way, as it would exit soon.
+func (h *host) hasSignedOff() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.left
+	return h.signedOff
 }
 
 // checkDepartures checks that no departed target ran a request that was sent too
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -331,7 +331,7 @@
 		h.currentTarget().SetRepeating(0)
 		h.currentTarget().SetLosing(false)
 		h.currentTarget().SetBrokenPercent(0)
-		if h.hasLeft() {
+		if h.hasSignedOff() {
 			h.restartTarget()
 		}
 	}
