--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -26,7 +26,9 @@
 	store *standin.Platform
 	// revision is that of the latest configuration.
 	revision int
-	hosts    []*host
+	// listEmptied is set while the list of workspaces is empty.
+	listEmptied bool
+	hosts       []*host
 	// ipPrefix is the common prefix of the hosts' addresses, which differs by
 	// seed so that concurrent runs do not collide.
 	ipPrefix string
@@ -161,10 +163,11 @@
 		{Name: "read", Host: shopHost, Prefix: "/read/", Kind: "idempotent", Service: "svc", Timeout: 3 * time.Second, Objective: 500 * time.Millisecond},
 		{Name: "order", Host: shopHost, Prefix: "/order/", Kind: "non_idempotent", Service: "svc", Timeout: 3 * time.Second, Objective: 500 * time.Millisecond},
 	}
-	f.store.Put(karpithaz.OperatorTable, karpithaz.ConfigKey,
-		standin.EncodeConfig(revision, []string{"svc"}, routes, []standin.Workspace{
-			{Name: "ws", Key: key}, {Name: limitedWorkspace, Key: limitedKey, Rate: limitedRate, Burst: limitedBurst},
-		}))
+	workspaces := []standin.Workspace{{Name: "ws", Key: key}, {Name: limitedWorkspace, Key: limitedKey, Rate: limitedRate, Burst: limitedBurst}}
+	if f.listEmptied {
+		workspaces = nil
+	}
+	f.store.Put(karpithaz.OperatorTable, karpithaz.ConfigKey, standin.EncodeConfig(revision, []string{"svc"}, routes, workspaces))
 }
 
 // advertise returns an address at which a port of a host is reached through the
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -40,8 +40,9 @@
 // no third data centre could relay for them; in 914 they are in one data centre, and the
 // second loses the host that should relay too; in 920 the owner freezes and is cut off
 // by turns. 2001 restores the store from older copies, 10002 breaks answers too,
-// and 20010 forgot a departure that it had acknowledged.
-var regressionSeeds = []uint64{1, 845, 914, 920, 2001, 10002, 20010}
+// 20010 forgot a departure that it had acknowledged, and 50001 empties the list of
+// workspaces.
+var regressionSeeds = []uint64{1, 845, 914, 920, 2001, 10002, 20010, 50001}
 
 // call is a request with its result.
 type call struct {
@@ -71,6 +72,9 @@
 	calls   []call
 	revoked time.Time
 	key     string
+	// emptiedAt and givenBackAt are when the list of workspaces became empty and had
+	// entries again.
+	emptiedAt, givenBackAt time.Time
 }
 
 func TestSoak(t *testing.T) {
@@ -109,6 +113,7 @@
 		background.Go(func() { r.sendCalls(h, i, done) })
 		background.Go(func() { r.sendPipelined(t, h, i, done) })
 		background.Go(func() { r.sendBeyondRate(h, i, done) })
+		background.Go(func() { r.sendUnissued(h, done) })
 	}
 	r.injectFaults()
 	r.clearFaults()
@@ -211,6 +216,7 @@
 			r.breakAnswers(h, n)
 			r.testMemory(h, n)
 		}
+		r.emptyList(n)
 		time.Sleep(pause)
 	}
 }
@@ -322,6 +328,9 @@
 // clearFaults clears all faults and restarts all daemons.
 func (r *run) clearFaults() {
 	r.recordEvent("clear all faults")
+	r.mu.Lock()
+	r.giveListBack(r.f.revision + 1)
+	r.mu.Unlock()
 	r.f.heal()
 	r.f.store.SetHostFault("", standin.ModeOK)
 	for _, h := range r.f.hosts {
@@ -365,6 +374,7 @@
 	served := 0
 	for _, c := range r.calls {
 		r.checkCall(t, c, runs[c.Attempt])
+		r.checkKeyless(t, c, runs[c.Attempt])
 		if c.err == nil && c.result.Status == 200 {
 			served++
 		}
