Wording: what a proof holds for, and what an asker states

Cause: the diff read as a newcomer would. Change: comments of ProvenView, refuseConfig and OwnerConfig.Standing; refuseConfig builds its record once. No behaviour has changed.

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -155,7 +155,8 @@
 
 // ProvenView returns a view and a freshness proof that holds for it. Reading both
 // separately could combine a view with the proof of a newer one if the process is
-// delayed in between.
+// delayed in between. If the operators' newest configuration could not be read, the proof
+// is the last one before that.
 func (c *Control) ProvenView() (*View, freshnessProof) {
 	// The proof is read first: apply stores it after the view that it proves.
 	p := freshnessProof(c.proof.Load())
--- a/hostd/operatorrows.go
+++ b/hostd/operatorrows.go
@@ -89,15 +89,14 @@
 	c.reportOpened(former, cfg)
 }
 
-// refuseConfig keeps the previous configuration in force. The one that cannot be read may
-// take keys away, so the freshness of the previous one is proven no longer.
+// refuseConfig keeps the previous configuration in force although a newer one cannot be read.
+// That may take keys away, so no later proof holds for the previous one.
 func (c *Control) refuseConfig(row karpithaz.Row, from string, err error) {
-	if c.unread == nil {
-		c.unread = &unreadConfig{proof: freshnessProof(c.proof.Load())}
-	} else {
-		c.unread = &unreadConfig{proof: c.unread.proof}
+	proof := freshnessProof(c.proof.Load())
+	if c.unread != nil {
+		proof = c.unread.proof
 	}
-	c.unread.rowVersion = row.Version
+	c.unread = &unreadConfig{rowVersion: row.Version, proof: proof}
 	c.metrics.Add("config_unreadable", 1)
 	var inForce uint64
 	if c.config != nil {
--- a/quota/standing.go
+++ b/quota/standing.go
@@ -26,8 +26,8 @@
 	Listed, Limited bool
 }
 
-// Standing returns what the owner can tell a host whose configuration has a
-// revision. It is 0 if the host does not state it.
+// Standing returns what the owner can tell a host that asks, whose configuration has
+// the revision asker, or 0 if the host is of a version that does not state it.
 func (c OwnerConfig) Standing(asker uint64) Standing {
 	older := c.Revision < asker
 	switch {
