Rates: nobody grants in place of an owner that cannot tell

The first may begin to grant at any moment, with a new bucket: two granters for one rate.

Change: a first owner that cannot tell is waited for and nobody grants in its place; it does not count as missing. The wait ends if the workspace is gone by this host's own configuration. After the wait the caller gets 503 limiter-unavailable.

Result: TestOwnerThatStaysWithoutConfiguration asks every other host for 6 s, also one that reaches the second owner alone: none grants. The tests of owners pass.

--- a/hostd/limiter.go
+++ b/hostd/limiter.go
@@ -153,23 +153,23 @@
 func (l *fleetLimiter) takeToken(ctx context.Context, b bucketSpec, patience time.Duration) datagram {
 	owners := quota.RankOwners(b.kind+" "+b.name, l.view().hostNames())
 	var unknown datagram
-	for _, owner := range owners[:min(len(owners), maxOwnersTried)] {
+	for rank, owner := range owners[:min(len(owners), maxOwnersTried)] {
 		if owner == l.host {
 			return l.grant(ctx, b, owners, l.host, true)
 		}
 		a, ok := l.queryPatiently(ctx, owner, b, patience)
 		switch {
-		case ok && !a.Unknown:
-			return a
+		case ok && (!a.Unknown || rank == 0):
+			return a // the first owner is there, and grants as soon as it can
 		case ok:
-			unknown, patience = a, 0
+			unknown = a
 		}
 	}
 	if a, ok := l.relay(ctx, b, owners, l.host); ok {
 		return a
 	}
 	if unknown.Unknown {
-		return unknown // an owner is there, and grants as soon as it can
+		return unknown
 	}
 	// No owner can be reached. Each host grants its share of the rate, so that
 	// the sum over all hosts stays within it.
@@ -199,9 +199,8 @@
 	if err == nil && (host == owner || a.Authoritative) {
 		l.states.recordSuccess(path)
 		l.contacts.recordContact(t.DataCentre, time.Now())
-		if a.Unknown && a.Revision <= q.Revision {
-			l.recordUnknown(owner, q)
-			return a, true
+		if a.Unknown {
+			l.metrics.Add("rate_unknown", 1)
 		}
 		if missing, was := l.lost.found(owner, time.Now()); was {
 			l.log.Decide("owner-found", "owner", owner, "missing_ms", missing.Milliseconds())
@@ -276,7 +275,7 @@
 		return l.takeLocal(b, true, share, share)
 	}
 	if relay {
-		if a, ok := l.relay(ctx, b, owners, origin); ok && !a.Unknown {
+		if a, ok := l.relay(ctx, b, owners, origin); ok {
 			return a
 		}
 	}
--- a/hostd/ownerconfig.go
+++ b/hostd/ownerconfig.go
@@ -12,7 +12,8 @@
 )
 
 // An owner of a rate that has just started has no configuration for some tenths of a second,
-// and one that is late with a change has an older one. Requests wait for it then.
+// and one that is late with a change has an older one. Requests wait for it then. No other
+// host grants in its place, as it may begin to at any moment.
 
 const (
 	// maxStandingWait is how long an owner holds a query that it cannot answer yet. The
@@ -46,14 +47,15 @@
 	return w, c.Standing(q.Revision)
 }
 
-// queryPatiently asks an owner for a token, and again while it cannot tell. Only a newer
-// configuration at the owner ends this early.
+// queryPatiently asks an owner for a token, and again while it cannot tell. It ends early if
+// the workspace is gone, by a newer configuration of the owner or of this host.
 func (l *fleetLimiter) queryPatiently(ctx context.Context, owner string, b bucketSpec, patience time.Duration) (datagram, bool) {
 	until := time.Now().Add(patience)
 	for {
 		asked := time.Now()
 		a, ok := l.queryOwner(ctx, owner, b)
-		if !ok || !a.Unknown || a.Revision > l.view().revision() {
+		view := l.view()
+		if !ok || !a.Unknown || a.Revision > view.revision() || !view.lists(b.name) {
 			return a, ok
 		}
 		rest := max(minAskInterval-time.Since(asked), 0)
@@ -63,19 +65,23 @@
 	}
 }
 
-// recordUnknown records that an owner cannot tell. It grants nothing meanwhile, so it counts
-// as missing for what others may grant.
-func (l *fleetLimiter) recordUnknown(owner string, q datagram) {
-	l.metrics.Add("rate_unknown", 1)
-	if l.lost.missed(owner, time.Now()) {
-		l.log.Decide("owner-unknowing", "owner", owner, "limit", q.Name, "kind", q.Kind, "revision", q.Revision)
+// lists reports whether the configuration has a workspace.
+func (v *View) lists(workspace string) bool {
+	if v.Config == nil {
+		return false
 	}
+	_, ok := v.Config.Workspace(workspace)
+	return ok
 }
 
 // unknownError returns why no owner could tell whether a workspace may send a request.
 func (l *fleetLimiter) unknownError(w *routes.Workspace, a datagram) error {
-	if own := l.view().revision(); a.Revision > own {
+	view := l.view()
+	switch own := view.revision(); {
+	case a.Revision > own:
 		return errors.Errorf("the owner of the rate of workspace %s has revision %d, in which the workspace does not exist; this host has revision %d", w.Name, a.Revision, own)
+	case !view.lists(w.Name):
+		return errors.Errorf("workspace %s does not exist any more in revision %d", w.Name, own)
 	}
-	return errors.Errorf("the owners of the rate of workspace %s have no configuration yet, or an older one", w.Name)
+	return errors.Errorf("the owner of the rate of workspace %s has no configuration yet, or an older one", w.Name)
 }
