--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"flag"
 	"fmt"
 	"net"
 	"os"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/gooseberryshed/gooseberryshed/internal/e2e/fabric"
@@ -108,15 +110,14 @@
 var program string
 
 func TestMain(m *testing.M) {
+	flag.Parse()
 	dir, err := os.MkdirTemp("", "gooseberryshed-soak-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	program = filepath.Join(dir, "gooseberryshedd")
-	out, err := exec.Command("go", "build", "-o", program, "github.com/gooseberryshed/gooseberryshed/cmd/gooseberryshedd").CombinedOutput()
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "build the daemon: %v\n%s", err, out)
+	if program, err = daemonProgram(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	code := m.Run()
@@ -124,6 +125,17 @@
 	os.Exit(code)
 }
 
+// daemonProgram returns the path of the daemon: the one that -soak.daemon names, or one that
+// it builds in a directory.
+func daemonProgram(dir string) (string, error) {
+	if *daemonFlag != "" {
+		return filepath.Abs(*daemonFlag)
+	}
+	path := filepath.Join(dir, "gooseberryshedd")
+	out, err := exec.Command("go", "build", "-o", path, "github.com/gooseberryshed/gooseberryshed/cmd/gooseberryshedd").CombinedOutput()
+	return path, errors.Wrapf(err, "build the daemon: %s", out)
+}
+
 // maxFabricHosts is the largest fleet whose daemons are connected through the
 // fabric. Each pair of daemons uses file descriptors of the test process, and 100
 // daemons exhausted the limit of 20,000.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,10 +20,11 @@
 )
 
 var (
-	seedFlag  = flag.Uint64("soak.seed", 0, "seed of the run; 0 runs the regression seeds")
-	timeFlag  = flag.Duration("soak.time", 12*time.Second, "how long faults are injected")
-	hostsFlag = flag.Int("soak.hosts", 4, "number of daemons")
-	stepsFlag = flag.String("soak.steps", "", "comma-separated numbers of the faults to inject; empty for all")
+	seedFlag   = flag.Uint64("soak.seed", 0, "seed of the run; 0 runs the regression seeds")
+	timeFlag   = flag.Duration("soak.time", 12*time.Second, "how long faults are injected")
+	hostsFlag  = flag.Int("soak.hosts", 4, "number of daemons")
+	daemonFlag = flag.String("soak.daemon", "", "daemon to test, such as one of another commit; empty builds this one")
+	stepsFlag  = flag.String("soak.steps", "", "comma-separated numbers of the faults to inject; empty for all")
 	// shrinkFlag is of use with soak.seed; each trial takes as long as a run.
 	shrinkFlag = flag.Bool("soak.shrink", false, "after a failure, look for the smallest set of faults that still fails")
 )
