Tests: the stand-in closes a connection only where its answer says so

Its stand-in closed each connection after the answer, also where length, chunks and version say that it is kept. The gate had then sometimes sent the next order on it: "request sent, no response ... connection reset by peer". An order is not repeated, and 502 is right.

Change: the stand-in closes after answers without framing and of HTTP/1.0 alone. What is checked is as before: 200, the whole body and the signature for each sound form.

--- a/hostd/brokenfleet_test.go
+++ b/hostd/brokenfleet_test.go
@@ -86,12 +86,15 @@
 	assert.NilError(t, err)
 	f.await("the caller's host has no target", func() bool { return len(from.control.View().Targets("svc")) == 1 })
 	var answer atomic.Pointer[func(fields string) string]
+	// last is set if the answer ends with its connection, as its framing or version says.
+	// After others the connection is kept: the gate may already have sent the next order on it.
+	var last atomic.Bool
 	addr := to.target.Addr()
 	to.target.Close()
 	to.gate.links.CloseIdle(addr)
 	target, err := rawanswer.StartAt(addr, func(head *fasthttp.RequestHeader, _ int) (string, int, bool) {
 		fields := strings.TrimPrefix(standin.SignedHead, "HTTP/1.1 200 OK\r\n") + standin.AttemptHeader(standin.AttemptOf(head))
-		return (*answer.Load())(fields), 0, true
+		return (*answer.Load())(fields), 0, last.Load()
 	})
 	assert.NilError(t, err)
 	defer target.Close()
@@ -102,6 +105,7 @@
 			}
 			build := func(fields string) string { return c.Bytes(framing, fields) }
 			answer.Store(&build)
+			last.Store(framing == rawanswer.Unframed || strings.HasPrefix(c.Name, "HTTP/1.0"))
 			id := fmt.Sprintf("%s, %s", c.Name, framing)
 			r, err := from.call(standin.Call{Attempt: strings.ReplaceAll(id, " ", "-"), Method: "POST", URI: "/order/1", Body: "b", Key: testKey})
 			assert.NilError(t, err, id)
