Changes: how a configuration arrived, in the log

The line config now has the bytes of the document, those on the wire, the time from request to end, the number of requests and the time of decoding; config-not-fetched, hosts-not-fetched and the new store-not-read say what had arrived when they ended; two gauges show what a host is sending to others. link counts the bytes of an exchange in a meter of its context (package transfer); h1 tells a handler when its exchange has ended. No behaviour changes; the tests of hostd, link and h1 pass.

--- a/h1/body.go
+++ b/h1/body.go
@@ -176,4 +176,7 @@
 	for _, l := range x.held {
 		l.Release()
 	}
+	if x.onEnd != nil {
+		x.onEnd(x.sent)
+	}
 }
--- a/h1/conn.go
+++ b/h1/conn.go
@@ -355,6 +355,7 @@
 		reset(c.Conn)
 		return
 	}
+	x.sent = true
 	if c.s.opts.OnSent != nil {
 		c.s.opts.OnSent(len(x.Response.Body()), time.Since(started))
 	}
--- a/h1/server.go
+++ b/h1/server.go
@@ -72,8 +72,15 @@
 	// lease is the memory of the request, and held that of the response.
 	lease *memory.Lease
 	held  []*memory.Lease
+	// sent is set once the response has been sent, and onEnd is called after the exchange.
+	sent  bool
+	onEnd func(sent bool)
 }
 
+// OnEnd sets a function that is called when the exchange has ended, with whether the whole
+// response has been written to the connection. It may only be used by the handler.
+func (x *Exchange) OnEnd(f func(sent bool)) { x.onEnd = f }
+
 // SendInterim sends an interim response with a status below 200. It must not be used
 // with pipelining peers: the responses to earlier requests must have been sent.
 func (x *Exchange) SendInterim(status int) error { return x.conn.sendInterim(status) }
--- a/hostd/control.go
+++ b/hostd/control.go
@@ -39,8 +39,11 @@
 	// configAt and hostsAt are the store versions up to which all changes of
 	// the two tables have been applied.
 	configAt, hostsAt atomic.Uint64
-	updates           chan tableUpdate
-	ownRow            chan ownRowChange
+	// configTries and hostsTries count the fetches of the two tables since the last one
+	// that succeeded.
+	configTries, hostsTries atomic.Int64
+	updates                 chan tableUpdate
+	ownRow                  chan ownRowChange
 	// ownRowVersion is the version of the host's own row as this process has written
 	// or found it, or 0.
 	ownRowVersion atomic.Uint64
@@ -66,8 +69,10 @@
 	// changes of which other hosts may need notice.
 	inbox          noticeInbox
 	appliedChanges chan operatorChange
-	// encoded are responses to requests of other hosts for changes.
+	// encoded are responses to requests of other hosts for changes, and sending those that
+	// are on their way.
 	encoded encodedChanges
+	sending changesInFlight
 
 	// The fields below are used only by the goroutine that calls Run.
 	config      *routes.Config
@@ -107,6 +112,8 @@
 	// from is the host from which the rows were fetched, or empty if they were
 	// read from the store.
 	from string
+	// received is how the rows arrived.
+	received received
 	// proof is set if the read proves the freshness of the configuration: as of
 	// provenAt, nothing had changed after provenVersion.
 	proof         bool
--- a/hostd/feed.go
+++ b/hostd/feed.go
@@ -104,6 +104,8 @@
 	// loaded is set once the whole table has been read.
 	loaded   bool
 	failures int
+	// tries are the reads since the last one that succeeded.
+	tries atomic.Int64
 	// clock is the store's in an era; a restored store may have another one.
 	clock storeClock
 	era   uint64
@@ -131,6 +133,7 @@
 // read reads once and applies the result.
 func (f *tableFeed) read(ctx context.Context, wait time.Duration) error {
 	asked := boottime.Now()
+	ctx, reception := f.c.begin(ctx, &f.tries)
 	var r karpithaz.RowsResponse
 	var err error
 	full := !f.loaded
@@ -139,14 +142,16 @@
 	} else {
 		r, err = f.c.store.Feed(ctx, f.table, f.version.Load(), wait, storeTimeout)
 	}
+	received := reception.end(err)
 	if err != nil {
+		f.c.log.Decide("store-not-read", "table", f.table, "received_bytes", received.bytes, "after_ms", received.took.Milliseconds(), "tries", received.tries, "err", err)
 		return err
 	}
 	f.loaded = true
 	if era := karpithaz.EraOf(r.Version); era != f.era {
 		f.era, f.clock = era, storeClock{}
 	}
-	n := tableUpdate{table: f.table, full: full, rows: r.Rows, version: r.Version}
+	n := tableUpdate{table: f.table, full: full, rows: r.Rows, version: r.Version, received: received}
 	n.proof = f.table == karpithaz.OperatorTable
 	n.provenVersion = r.Version
 	n.provenAt = f.clock.answeredAt(asked, boottime.Now(), r.StoreClockMillis)
--- a/hostd/handlers.go
+++ b/hostd/handlers.go
@@ -17,7 +17,11 @@
 
 // handleForward handles an attempt or a request for changes from another daemon.
 func (h *Host) handleForward(ctx context.Context, x *h1.Exchange) {
-	if h.control.serveChanges(&x.Request, &x.Response) || h.crashes.serve(&x.Request, &x.Response) {
+	if h.control.serveChanges(&x.Request, &x.Response) {
+		x.OnEnd(h.control.sending.begin(len(x.Response.Body())))
+		return
+	}
+	if h.crashes.serve(&x.Request, &x.Response) {
 		return
 	}
 	question := x.Request.Header.Peek(headerQuestion) != nil
--- a/hostd/operatorrows.go
+++ b/hostd/operatorrows.go
@@ -27,7 +27,7 @@
 	}
 	for _, row := range n.rows {
 		if row.Key == karpithaz.ConfigKey {
-			c.applyConfig(row, n.from)
+			c.applyConfig(row, n.from, n.received)
 			continue
 		}
 		if row.Version <= c.operatorRows[row.Key].Version {
@@ -59,7 +59,7 @@
 // applyConfig applies a row fetched from a host, or from the store if from is empty. After
 // a restore of the store, two hosts may have read different configurations under one
 // version; the one with the higher revision is the later one.
-func (c *Control) applyConfig(row karpithaz.Row, from string) {
+func (c *Control) applyConfig(row karpithaz.Row, from string, r received) {
 	known := c.operatorRows[karpithaz.ConfigKey]
 	if row.Version < known.Version || row.Version == known.Version && bytes.Equal(row.Value, known.Value) {
 		return
@@ -68,7 +68,9 @@
 	if row.Removed {
 		return
 	}
+	begun := time.Now()
 	cfg, err := karpithaz.DecodeConfig(row.Value)
+	decoding := time.Since(begun)
 	if err != nil {
 		c.refuseConfig(row, from, err)
 		return
@@ -85,7 +87,8 @@
 	c.config, c.configValue = cfg, row.Value
 	c.log.Decide("config", "revision", cfg.Revision, "routes", cfg.RouteCount(), "row_version", row.Version,
 		"workspace_list", cfg.WorkspaceList().String(), "workspaces", cfg.WorkspaceCount(), "keys", cfg.KeyCount(),
-		"routes_without_key", len(cfg.KeylessRoutes()), "from", cmp.Or(from, "store"), "proof_age_ms", min(c.ProofAge(), noProof).Milliseconds())
+		"routes_without_key", len(cfg.KeylessRoutes()), "from", cmp.Or(from, "store"), "proof_age_ms", min(c.ProofAge(), noProof).Milliseconds(),
+		"bytes", len(row.Value), "received_bytes", r.bytes, "received_ms", r.took.Milliseconds(), "tries", r.tries, "decode_ms", decoding.Milliseconds())
 	c.reportOpened(former, cfg)
 }
 
@@ -130,6 +133,8 @@
 		return 0
 	})
 	c.metrics.Gauge("routes_opened_revision", func() int64 { return int64(c.openedBy.Load()) })
+	c.metrics.Gauge("changes_in_flight", c.sending.responses.Load)
+	c.metrics.Gauge("changes_in_flight_bytes", c.sending.bytes.Load)
 	c.metrics.Gauge("config_unread_version", func() int64 {
 		if u := c.View().unread; u != nil {
 			return int64(u.rowVersion)
--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -291,21 +291,27 @@
 func (c *Control) fetchOperatorRows(ctx context.Context, from Target, after uint64) bool {
 	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
 	defer cancel()
+	ctx, reception := c.begin(ctx, &c.configTries)
 	changes, err := c.peers.operatorChanges(ctx, from.Gate, after)
+	r := reception.end(err)
 	if err != nil {
-		c.log.Decide("config-not-fetched", "from", from.Host, "err", err)
+		c.metrics.Add("changes_not_fetched", 1)
+		c.log.Decide("config-not-fetched", "from", from.Host, "received_bytes", r.bytes, "after_ms", r.took.Milliseconds(), "tries", r.tries, "err", err)
 		return false
 	}
-	c.submit(ctx, tableUpdate{table: karpithaz.OperatorTable, full: changes.Full, version: changes.Version, rows: changes.Rows, from: from.Host})
+	c.submit(ctx, tableUpdate{table: karpithaz.OperatorTable, full: changes.Full, version: changes.Version, rows: changes.Rows, from: from.Host, received: r})
 	return true
 }
 
 func (c *Control) fetchHosts(ctx context.Context, reader Target) {
 	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
 	defer cancel()
+	ctx, reception := c.begin(ctx, &c.hostsTries)
 	changes, err := c.peers.hostChanges(ctx, reader.Gate, c.hostsAt.Load())
+	r := reception.end(err)
 	if err != nil {
-		c.log.Decide("hosts-not-fetched", "from", reader.Host, "err", err)
+		c.metrics.Add("changes_not_fetched", 1)
+		c.log.Decide("hosts-not-fetched", "from", reader.Host, "received_bytes", r.bytes, "after_ms", r.took.Milliseconds(), "tries", r.tries, "err", err)
 		return
 	}
 	n := tableUpdate{table: hostsTable, full: changes.Full, version: changes.Version, from: reader.Host}
--- a/link/conn.go
+++ b/link/conn.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/gooseberryshed/gooseberryshed/transfer"
 )
 
 // conn is a connection and the state of its current exchange.
@@ -25,8 +27,9 @@
 	mu          sync.Mutex
 	interrupted bool
 
-	// received counts the response bytes of the current exchange.
+	// received counts the response bytes of the current exchange, and so does meter, if any.
 	received int64
+	meter    *transfer.Meter
 	// deadline applies until the response header is complete; zero means none.
 	deadline time.Time
 	// readTimeout limits each single read; 0 means none.
@@ -46,6 +49,7 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.received += int64(n)
+	c.meter.Add(n)
 	if err != nil {
 		return n, c.failRead(err)
 	}
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/gooseberryshed/gooseberryshed/transfer"
 )
 
 // RequestOptions holds the options of one request.
@@ -180,6 +182,7 @@
 func (e *exchange) roundTrip(req *fasthttp.Request) (*Response, *Error) {
 	c := e.conn
 	c.received, c.readErr, c.writeErr = 0, nil, nil
+	c.meter = transfer.MeterOf(e.ctx)
 	c.deadline = e.Deadline
 	c.readTimeout = e.ReadTimeout
 	if c.reused {
