Configuration: only routes that have changed are decoded

Cause: each row of the document was encoded again as an object and decoded by itself, all of them for each change of one.

Now all rows are decoded at once, and routes whose encoded row and columns are those of the document before are taken over.

--- a/hostd/control.go
+++ b/hostd/control.go
@@ -76,6 +76,7 @@
 
 	// The fields below are used only by the goroutine that calls Run.
 	config      *routes.Config
+	decoder     karpithaz.ConfigDecoder
 	configValue []byte
 	// unread is the operators' newest configuration if it could not be read, or nil.
 	unread      *unreadConfig
--- a/hostd/operatorrows.go
+++ b/hostd/operatorrows.go
@@ -69,7 +69,7 @@
 		return
 	}
 	begun := time.Now()
-	cfg, err := karpithaz.DecodeConfig(row.Value)
+	cfg, err := c.decoder.Decode(row.Value)
 	decoding := time.Since(begun)
 	if err != nil {
 		c.refuseConfig(row, from, err)
