Store: a read ends by silence, not by the time that its bytes take

Callers of all hosts of a data centre were handled by an old configuration, some without an end: a call of the store was given 600 ms beyond its wait. A document of 7,000 routes has 813 kB in the store's response, 650 ms of a link of 10 Mbit/s, so the call was cut off, made again and cut off again.

Now the silence is bounded, not the transfer (package transfer): link counts the bytes that arrive; while nothing does for 600 ms, another call is begun beside the silent one, on a connection of its own, and the first that completes wins. A slow store so answers the first call, a silent connection holds up nobody, and an error of the store still ends the read and is followed by the back-off.

--- a/hostd/feed.go
+++ b/hostd/feed.go
@@ -12,13 +12,21 @@
 	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/storepoll"
+	"github.com/gooseberryshed/gooseberryshed/transfer"
 )
 
 // Timing of calls to the store.
 const (
-	// storeTimeout bounds a call beyond the wait that it requests. The store
-	// answers in milliseconds.
+	// storeTimeout bounds a write, and the silence of the store beyond the wait that a read
+	// requests. The store answers in milliseconds.
 	storeTimeout = 600 * time.Millisecond
+	// storeGiveUp is the silence after which a call of a read is ended. Meanwhile others are
+	// begun beside it: a slow store still answers the first one, and a connection that has gone
+	// silent delays no other.
+	storeGiveUp = 3600 * time.Millisecond
+	// maxCallsAtOnce and maxCalls bound the calls of one read.
+	maxCallsAtOnce = 6
+	maxCalls       = 50
 	// configPollWait is the long-poll wait for configuration changes. A reply
 	// also proves that the configuration is current, so it must arrive well
 	// within the time limit for revoked keys, with time for one retry.
@@ -44,6 +52,9 @@
 	maxStoreBackoff = time.Second
 )
 
+// storeLimits bound the calls of one read of the store.
+var storeLimits = transfer.Limits{Silence: storeTimeout, GiveUp: storeGiveUp, Running: maxCallsAtOnce}
+
 // RunConfig polls the operators' table until ctx ends.
 func (c *Control) RunConfig(ctx context.Context) error {
 	f := &tableFeed{c: c, table: karpithaz.OperatorTable, version: &c.configAt}
@@ -134,14 +145,8 @@
 func (f *tableFeed) read(ctx context.Context, wait time.Duration) error {
 	asked := boottime.Now()
 	ctx, reception := f.c.begin(ctx, &f.tries)
-	var r karpithaz.RowsResponse
-	var err error
 	full := !f.loaded
-	if full {
-		r, err = f.c.store.Range(ctx, f.table, "", storeTimeout)
-	} else {
-		r, err = f.c.store.Feed(ctx, f.table, f.version.Load(), wait, storeTimeout)
-	}
+	r, err := f.call(ctx, full, wait)
 	received := reception.end(err)
 	if err != nil {
 		f.c.log.Decide("store-not-read", "table", f.table, "received_bytes", received.bytes, "after_ms", received.took.Milliseconds(), "tries", received.tries, "err", err)
@@ -159,6 +164,48 @@
 	return nil
 }
 
+// errStoreSilent reports that the store has not answered in its usual time.
+var errStoreSilent = errors.New("no answer from the store yet; asking again on another connection")
+
+// storeAnswer is the store's answer to a call, which may be an error.
+type storeAnswer struct {
+	rows karpithaz.RowsResponse
+	err  error
+}
+
+// call reads the table, or its changes if it waits for some. While the store is silent, further
+// calls are made beside the first one, without a wait.
+func (f *tableFeed) call(ctx context.Context, full bool, wait time.Duration) (karpithaz.RowsResponse, error) {
+	calls := 0
+	a, err := transfer.First(ctx, storeLimits, func() (transfer.Source[storeAnswer], bool) {
+		if calls++; calls > maxCalls {
+			return transfer.Source[storeAnswer]{}, false
+		}
+		if calls > 1 {
+			wait = 0
+			f.tries.Add(1)
+			f.recordFailure(errStoreSilent)
+		}
+		wait := wait
+		return transfer.Source[storeAnswer]{Wait: wait, Get: func(ctx context.Context) (storeAnswer, error) {
+			var a storeAnswer
+			if full {
+				a.rows, a.err = f.c.store.Range(ctx, f.table, "", storeGiveUp)
+			} else {
+				a.rows, a.err = f.c.store.Feed(ctx, f.table, f.version.Load(), wait, storeGiveUp)
+			}
+			if errors.Is(context.Cause(ctx), transfer.ErrSilent) {
+				return a, a.err
+			}
+			return a, nil // an error of the store ends the read, which is followed by a back-off
+		}}, true
+	})
+	if err != nil {
+		return a.rows, err
+	}
+	return a.rows, a.err
+}
+
 func (f *tableFeed) recordFailure(err error) {
 	f.failures++
 	f.c.metrics.Add("store_failures", 1)
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -87,6 +87,7 @@
 // is an *Error. The context also applies to the body: if it ends before the body
 // was read, the connection is closed.
 func (p *Pool) Do(ctx context.Context, addr string, req *fasthttp.Request, x RequestOptions) (*Response, error) {
+	x.NewConnection = x.NewConnection || transfer.Beside(ctx)
 	c, err := p.connect(ctx, addr, x)
 	if err != nil {
 		return nil, err
--- a/transfer/meter.go
+++ b/transfer/meter.go
@@ -9,6 +9,8 @@
 // nil Meter counts nothing.
 type Meter struct {
 	bytes atomic.Int64
+	// parent, if any, counts them as well.
+	parent *Meter
 }
 
 type meterKey struct{}
@@ -26,7 +28,7 @@
 
 // Add counts n bytes.
 func (m *Meter) Add(n int) {
-	if m != nil {
+	for ; m != nil; m = m.parent {
 		m.bytes.Add(int64(n))
 	}
 }
