Changes: hosts give each other differences, in a line, and cut nothing off

Cause: for each change of one route all hosts of a data centre fetched the whole document from the first sender of the notice, 138 kB each over a link of 10 Mbit/s, base64 inside JSON; a fetch was cut off after 500 ms, had used the link for nothing and began from zero. Class: a fixed wait that a larger document or a slower link outlasts, and one source for all.

The spread of requests after a notice is 2 ms a host instead of 8, at most 250 ms: it no longer has to bear the bytes.

--- a/hostd/changes.go
+++ b/hostd/changes.go
@@ -71,10 +71,9 @@
 	return out, errors.Wrap(err, "fetch host changes")
 }
 
-// operatorChanges implements peers.
+// operatorChanges implements peers. An error is an *elsewhereError if another host is to be asked.
 func (c *gateClient) operatorChanges(ctx context.Context, gate string, after uint64) (operatorChanges, error) {
-	var out operatorChanges
-	err := c.fetchChanges(ctx, gate, operatorChangesPath, after, &out)
+	out, err := c.changesInLine(ctx, gate, after)
 	return out, errors.Wrap(err, "fetch changes of the operators' rows")
 }
 
@@ -82,6 +81,8 @@
 type changesKey struct {
 	path  string
 	after uint64
+	// base is the digest of the document that the asker has, for the form of package changes.
+	base string
 }
 
 // encodedChanges holds the encoded responses for one view.
@@ -89,13 +90,45 @@
 	mu    sync.Mutex
 	view  *View
 	byKey map[changesKey][]byte
+	// passed are changes that this host has fetched and may not have applied yet, or nil.
+	passed *encodedResponse
+}
+
+// encodedResponse is a response in the form of package changes.
+type encodedResponse struct {
+	key     changesKey
+	version uint64
+	data    []byte
+	// confirm is set if its sender is to be told that this host has it.
+	confirm bool
+}
+
+// pass keeps changes that have just been fetched for other hosts that ask for the same.
+func (e *encodedChanges) pass(r *encodedResponse) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.passed = r
+}
+
+// passOn returns the response to a request from changes that are newer than a version and have
+// been fetched, with their version.
+func (e *encodedChanges) passOn(key changesKey, newerThan uint64) (data []byte, version uint64, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.passed != nil && e.passed.version <= newerThan {
+		e.passed = nil // applied
+	}
+	if e.passed == nil || e.passed.key != key {
+		return nil, 0, false
+	}
+	return e.passed.data, e.passed.version, true
 }
 
 // maxEncodedChanges bounds the responses kept. Hosts ask for the changes after a few
 // different versions.
 const maxEncodedChanges = 16
 
-// get returns the response to a request, gzipped. encode makes it if there is none.
+// get returns the response to a request. encode makes it if there is none.
 func (e *encodedChanges) get(view *View, key changesKey, encode func() ([]byte, error)) ([]byte, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -109,7 +142,6 @@
 	if err != nil {
 		return nil, err
 	}
-	data = fasthttp.AppendGzipBytesLevel(nil, data, fasthttp.CompressBestSpeed)
 	e.byKey[key] = data
 	return data, nil
 }
@@ -133,7 +165,10 @@
 	var data []byte
 	if req.Header.HasAcceptEncoding("gzip") {
 		resp.Header.SetContentEncoding("gzip")
-		data, err = c.encoded.get(c.View(), key, encode)
+		data, err = c.encoded.get(c.View(), key, func() ([]byte, error) {
+			data, err := encode()
+			return fasthttp.AppendGzipBytesLevel(nil, data, fasthttp.CompressBestSpeed), err
+		})
 	} else {
 		data, err = encode()
 	}
@@ -152,7 +187,7 @@
 	for _, path := range []string{hostChangesPath, operatorChangesPath} {
 		if after, found := strings.CutPrefix(uri, path); found {
 			version, err := strconv.ParseUint(after, 10, 64)
-			return changesKey{path, version}, true, err
+			return changesKey{path: path, after: version}, true, err
 		}
 	}
 	return changesKey{}, false, nil
@@ -172,26 +207,42 @@
 
 // fetch decodes the JSON document at a URI of a gate into out.
 func (c *gateClient) fetch(ctx context.Context, gate, uri string, out any) error {
+	_, body, err := c.get(ctx, gate, uri, "")
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(json.Unmarshal(body, out), "decode")
+}
+
+// get returns the response to a request for a URI of a gate, with its body decompressed. line is
+// the header headerChanges of the request, if it is not empty.
+func (c *gateClient) get(ctx context.Context, gate, uri, line string) (*link.Response, []byte, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetRequestURI(uri)
 	req.Header.SetHost(gate)
 	req.Header.Set(fasthttp.HeaderAcceptEncoding, "gzip")
+	if line != "" {
+		req.Header.Set(headerChanges, line)
+	}
 	resp, err := c.links.Do(ctx, gate, req, link.RequestOptions{})
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
 	body, err := readWhole(resp, c.memory)
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
-	if resp.Header.StatusCode() != fasthttp.StatusOK {
-		return errors.Errorf("gate %s answered with status %d", gate, resp.Header.StatusCode())
+	if status := resp.Header.StatusCode(); status != fasthttp.StatusOK {
+		if to := resp.Header.Peek(headerChanges); status == fasthttp.StatusServiceUnavailable && to != nil {
+			return nil, nil, errors.WithStack(readElsewhere(to))
+		}
+		return nil, nil, errors.Errorf("gate %s answered with status %d", gate, status)
 	}
 	if string(resp.Header.ContentEncoding()) == "gzip" {
 		if body, err = fasthttp.AppendGunzipBytes(nil, body); err != nil {
-			return errors.Wrap(err, "decompress")
+			return nil, nil, errors.Wrap(err, "decompress")
 		}
 	}
-	return errors.Wrap(json.Unmarshal(body, out), "decode")
+	return resp, body, nil
 }
--- a/hostd/control.go
+++ b/hostd/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gooseberryshed/gooseberryshed/boottime"
+	"github.com/gooseberryshed/gooseberryshed/changes"
 	"github.com/gooseberryshed/gooseberryshed/decisions"
 	"github.com/gooseberryshed/gooseberryshed/metrics"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
@@ -39,6 +40,10 @@
 	// configAt and hostsAt are the store versions up to which all changes of
 	// the two tables have been applied.
 	configAt, hostsAt atomic.Uint64
+	// fetching admits one fetch of the operators' table at a time, and outOfTurn one read of it
+	// from the store by a host that is no reader.
+	fetching  chan struct{}
+	outOfTurn outOfTurn
 	// configTries and hostsTries count the fetches of the two tables since the last one
 	// that succeeded.
 	configTries, hostsTries atomic.Int64
@@ -73,6 +78,10 @@
 	// are on their way.
 	encoded encodedChanges
 	sending changesInFlight
+	// line is the line of hosts that ask for a large change.
+	line changeLine
+	// published is closed and replaced at each new view.
+	published broadcast
 
 	// The fields below are used only by the goroutine that calls Run.
 	config      *routes.Config
@@ -86,7 +95,9 @@
 	// operatorRows are the operators' rows, including removed ones, and
 	// hostVersions the versions of each host row's latest change.
 	operatorRows map[string]karpithaz.Row
-	hostVersions map[string]uint64
+	// configHistory holds the latest values of the configuration's row.
+	configHistory changes.History
+	hostVersions  map[string]uint64
 	// orders are the operators' roll-out orders by service. The map is replaced on
 	// each change.
 	orders map[string]rollout.Order
@@ -145,6 +156,7 @@
 		operatorRows:    map[string]karpithaz.Row{},
 		hostVersions:    map[string]uint64{},
 
+		fetching:       make(chan struct{}, 1),
 		inbox:          noticeInbox{arrived: make(chan struct{}, 1)},
 		appliedChanges: make(chan operatorChange, 1),
 	}
@@ -273,11 +285,16 @@
 		v.operatorVersion = max(v.operatorVersion, row.Version)
 	}
 	v.orders, v.unread = c.orders, c.unread
+	if row := c.operatorRows[karpithaz.ConfigKey]; !row.Removed {
+		c.configHistory = c.configHistory.With(row.Value)
+	}
+	v.configHistory = c.configHistory
 	v.operatorRows, v.operatorHistoryStart = maps.Clone(c.operatorRows), c.operatorHistoryStart
 	v.hostVersions, v.historyStart = maps.Clone(c.hostVersions), c.historyStart
 	v.keptHosts = maps.Clone(c.keptHosts)
 	v.hostsVersion = maxVersion(c.hostVersions)
 	c.view.Store(v)
+	c.published.signal()
 }
 
 func maxVersion(versions map[string]uint64) uint64 {
--- a/hostd/forward.go
+++ b/hostd/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/gooseberryshed/gooseberryshed/changes"
 	"github.com/gooseberryshed/gooseberryshed/link"
 	"github.com/gooseberryshed/gooseberryshed/memory"
 	"github.com/gooseberryshed/gooseberryshed/placing"
@@ -244,10 +245,14 @@
 type gateClient struct {
 	links  *link.Pool
 	memory *memory.Account
+	// host is this host, and known returns the value of the configuration's row that it has, or
+	// nil.
+	host  string
+	known func() *changes.Value
 }
 
 func newGateClient(localIP string, account *memory.Account) *gateClient {
-	return &gateClient{memory: account, links: link.New(link.Options{
+	return &gateClient{memory: account, known: func() *changes.Value { return nil }, links: link.New(link.Options{
 		LocalAddr:      localIP,
 		DialTimeout:    gateDialTimeout,
 		TCPUserTimeout: gateUserTimeout,
--- a/hostd/handlers.go
+++ b/hostd/handlers.go
@@ -17,6 +17,9 @@
 
 // handleForward handles an attempt or a request for changes from another daemon.
 func (h *Host) handleForward(ctx context.Context, x *h1.Exchange) {
+	if h.control.serveInLine(ctx, x) {
+		return
+	}
 	if h.control.serveChanges(&x.Request, &x.Response) {
 		x.OnEnd(h.control.sending.begin(len(x.Response.Body())))
 		return
--- a/hostd/host.go
+++ b/hostd/host.go
@@ -107,6 +107,7 @@
 	}
 	h.datagrams = conn
 	h.control = NewControl(o.Settings.Host, o.Settings.DataCentre, h.store, hostPeers{conn, h.client}, h.log, h.metrics)
+	h.client.host, h.client.known = o.Settings.Host, h.control.knownConfig
 	h.control.tableWrites = o.Settings.TableWritesPerSecond
 	h.control.firstReadDelay = storepoll.FirstReadDelay(o.Settings.FleetStart, rand.Float64())
 	h.gate = NewGate(h.current.Load, h.control.View, h.control.PublishTarget, h.log, h.metrics)
@@ -345,6 +346,8 @@
 		return datagram{Result: true}
 	case queryChanged:
 		return h.control.recordNotice(q)
+	case queryHeld:
+		return h.control.line.confirm(q.Host)
 	case queryCrash:
 		return h.crashes.answer(q)
 	case queryDeparted, queryDepartedOf:
--- a/hostd/notices.go
+++ b/hostd/notices.go
@@ -147,7 +147,7 @@
 
 // RunNotices fetches the changes of which other hosts give notice until ctx ends.
 func (c *Control) RunNotices(ctx context.Context) error {
-	var tried changeNotice
+	var tried uint64
 	for {
 		select {
 		case <-ctx.Done():
@@ -155,38 +155,19 @@
 		case <-c.inbox.arrived:
 		}
 		n := c.inbox.get()
-		if n.version > tried.version {
+		if n.version > tried {
 			c.awaitFetch(ctx, n.senders[0])
-			n = c.inbox.get()
-			tried = changeNotice{version: n.version}
+			tried = c.inbox.get().version
 		}
-		for _, sender := range n.senders {
-			if n.version <= c.configAt.Load() {
-				break
-			}
-			if !slices.Contains(tried.senders, sender) {
-				tried.senders = append(tried.senders, sender)
-				c.fetchFrom(ctx, sender)
-			}
+		if c.inbox.get().version > c.configAt.Load() {
+			c.fetchNoticed(ctx)
 		}
 	}
 }
 
-// fetchFrom fetches a change from a host that has given notice of it.
-func (c *Control) fetchFrom(ctx context.Context, sender string) {
-	if !c.proven() {
-		// The change may be the first configuration, of no use without a proof.
-		c.pollPeer(ctx, &peerPoll{}, sender, false)
-		return
-	}
-	if t, ok := c.View().TargetOf(sender); ok {
-		c.fetchOperatorRows(ctx, t, c.configAt.Load())
-	}
-}
-
 // awaitFetch spreads the fetches of the hosts of a data centre from the sender of a
-// notice. Only a few hosts receive a notice from another data centre, and these fetch at
-// once.
+// notice, so that their requests do not reach it at the same moment. Only a few hosts receive a
+// notice from another data centre, and these fetch at once.
 func (c *Control) awaitFetch(ctx context.Context, sender string) {
 	rank, hosts := c.rank()
 	if spread := storepoll.FetchSpread(rank, hosts); spread > 0 && !c.isOutside(sender) {
--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/gooseberryshed/gooseberryshed/boottime"
 	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
@@ -29,8 +27,6 @@
 	// startTurnPause is the mean interval between polls of a host without a
 	// configuration.
 	startTurnPause = 200 * time.Millisecond
-	// changesTimeout bounds fetching changes from a reader.
-	changesTimeout = 500 * time.Millisecond
 )
 
 // peers sends requests to other hosts.
@@ -50,6 +46,8 @@
 	// Version is the version up to which Rows is complete.
 	Version uint64          `json:"version"`
 	Rows    []karpithaz.Row `json:"rows"`
+	// Received is how the changes came if they are in the form of package changes, else nil.
+	Received *encodedResponse `json:"-"`
 }
 
 // hostChanges is a list of changes to the hosts table.
@@ -93,9 +91,8 @@
 // RunReaderPolls polls the readers until ctx ends. Readers poll each other as
 // well, so that each of them hears from all live hosts of the data centre.
 func (c *Control) RunReaderPolls(ctx context.Context) error {
-	f := &tableFeed{c: c, table: karpithaz.OperatorTable, version: &c.configAt}
+	defer c.outOfTurn.running.Wait()
 	for turn := 0; c.awaitTurn(ctx); turn++ {
-		f.loaded = c.View().Config != nil
 		p := c.pollPeers(ctx, turn)
 		c.recordReach(p)
 		rank, hosts := c.rank()
@@ -110,15 +107,7 @@
 		c.metrics.Add("store_asked_out_of_turn", 1)
 		c.log.Decide("store-asked", "rank", rank, "hosts", hosts, "peers_asked", p.asked, "peers_answered", p.reached, "change_missed", p.behind,
 			"proof_age_ms", min(h.ProofAge, noProof).Milliseconds(), "lower_proof_age_ms", p.lowerProofAge.Milliseconds())
-		err := f.read(ctx, 0)
-		if errors.Is(err, karpithaz.ErrHistoryExpired) {
-			f.loaded = false
-			err = f.read(ctx, 0)
-		}
-		if err != nil && ctx.Err() == nil {
-			c.metrics.Add("store_failures", 1)
-			c.log.Decide("proof-missing", "rank", rank, "proof_age_ms", c.ProofAge().Milliseconds(), "err", err)
-		}
+		c.readOutOfTurn(ctx, rank)
 	}
 	return nil
 }
@@ -273,10 +262,10 @@
 	}
 	switch {
 	case r.versions.ConfigVersion > c.configAt.Load():
-		p.behind = !c.fetchOperatorRows(ctx, r.peer, c.configAt.Load())
+		p.behind = !c.fetchFromPeers(ctx, r.peer, c.configAt.Load())
 	case karpithaz.EraOf(c.configAt.Load()) > 0 && r.versions.Revision > c.View().revision():
 		// This host has read an older configuration from a restored store.
-		p.behind = !c.fetchOperatorRows(ctx, r.peer, 0)
+		p.behind = !c.fetchFromPeers(ctx, r.peer, 0)
 	}
 	age := time.Duration(r.versions.Millis) * time.Millisecond
 	c.submit(ctx, tableUpdate{proof: true, provenVersion: r.versions.ConfigVersion, provenAt: r.askedAt.Add(-age)})
@@ -286,45 +275,6 @@
 	p.fresh = p.fresh || age < storepoll.StaleAge
 }
 
-// fetchOperatorRows fetches the changes of the operators' table after a version from a
-// host. It returns false if they could not be fetched.
-func (c *Control) fetchOperatorRows(ctx context.Context, from Target, after uint64) bool {
-	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
-	defer cancel()
-	ctx, reception := c.begin(ctx, &c.configTries)
-	changes, err := c.peers.operatorChanges(ctx, from.Gate, after)
-	r := reception.end(err)
-	if err != nil {
-		c.metrics.Add("changes_not_fetched", 1)
-		c.log.Decide("config-not-fetched", "from", from.Host, "received_bytes", r.bytes, "after_ms", r.took.Milliseconds(), "tries", r.tries, "err", err)
-		return false
-	}
-	c.submit(ctx, tableUpdate{table: karpithaz.OperatorTable, full: changes.Full, version: changes.Version, rows: changes.Rows, from: from.Host, received: r})
-	return true
-}
-
-func (c *Control) fetchHosts(ctx context.Context, reader Target) {
-	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
-	defer cancel()
-	ctx, reception := c.begin(ctx, &c.hostsTries)
-	changes, err := c.peers.hostChanges(ctx, reader.Gate, c.hostsAt.Load())
-	r := reception.end(err)
-	if err != nil {
-		c.metrics.Add("changes_not_fetched", 1)
-		c.log.Decide("hosts-not-fetched", "from", reader.Host, "received_bytes", r.bytes, "after_ms", r.took.Milliseconds(), "tries", r.tries, "err", err)
-		return
-	}
-	n := tableUpdate{table: hostsTable, full: changes.Full, version: changes.Version, from: reader.Host}
-	for _, h := range changes.Hosts {
-		row := karpithaz.Row{Table: hostsTable, Key: h.Host, Version: h.Version, Removed: h.Target == nil}
-		if h.Target != nil {
-			row.Value = []byte(encodeHeader(h.Target))
-		}
-		n.rows = append(n.rows, row)
-	}
-	c.submit(ctx, n)
-}
-
 // reportVersions answers a version query from another host. A host without a proof has
 // nothing to report.
 func (c *Control) reportVersions(host string) datagram {
--- a/hostd/view.go
+++ b/hostd/view.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gooseberryshed/gooseberryshed/changes"
 	"github.com/gooseberryshed/gooseberryshed/departure"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/rollout"
@@ -107,6 +108,8 @@
 	// operatorHistoryStart.
 	operatorRows         map[string]karpithaz.Row
 	operatorHistoryStart uint64
+	// configHistory holds the latest values of the configuration's row.
+	configHistory changes.History
 	// orders are the operators' roll-out orders by service.
 	orders map[string]rollout.Order
 	// unread is the operators' newest configuration if it could not be read, or nil.
--- a/storepoll/storepoll.go
+++ b/storepoll/storepoll.go
@@ -45,19 +45,18 @@
 }
 
 const (
-	// fetchSpreadPerHost is the time over which hosts fetch a change after a
-	// notice, per host of the data centre, so that the link of the host that
-	// serves them bears it. maxFetchSpread is well below the time in which a
-	// configuration must be in force.
-	fetchSpreadPerHost = 8 * time.Millisecond
-	maxFetchSpread     = 600 * time.Millisecond
+	// fetchSpreadPerHost is the time over which the requests of hosts for a change reach the
+	// host that has given notice of it, per host of the data centre. It has some tenths of a
+	// millisecond of a core for each; how the bytes are spread is decided by package spread.
+	fetchSpreadPerHost = 2 * time.Millisecond
+	maxFetchSpread     = 250 * time.Millisecond
 )
 
 // Notifies reports whether a host that has applied a change notifies others of it.
 // external is set if it learned the change from the store or from another data centre.
 func Notifies(rank, hosts int, external bool) bool { return external || IsReader(rank, hosts) }
 
-// FetchSpread returns the time over which a host spreads the fetch of a change of
+// FetchSpread returns the time over which a host spreads its request for a change of
 // which it has notice. Readers fetch at once, as other hosts learn from them.
 func FetchSpread(rank, hosts int) time.Duration {
 	if IsReader(rank, hosts) {
--- a/storepoll/storepoll_test.go
+++ b/storepoll/storepoll_test.go
@@ -131,9 +131,9 @@
 		spread      time.Duration
 	}{
 		{"reader", 1, 60, false, true, 0},
-		{"standby that asked the store", 3, 60, true, true, 480 * time.Millisecond},
-		{"standby that learned from a reader", 3, 60, false, false, 480 * time.Millisecond},
-		{"other host that learned from another data centre", 40, 60, true, true, 480 * time.Millisecond},
+		{"standby that asked the store", 3, 60, true, true, 120 * time.Millisecond},
+		{"standby that learned from a reader", 3, 60, false, false, 120 * time.Millisecond},
+		{"other host that learned from another data centre", 40, 60, true, true, 120 * time.Millisecond},
 		{"large data centre", 90, 133, false, false, maxFetchSpread},
 		{"single host", 0, 1, false, true, 0},
 	}
