Readers: hosts with faster links read the store

A change enters a data centre through the hosts that read the store. They were the first by hash, mostly on links of 10 Mbit/s, where a document of 8,000 routes takes 0.8 s before anybody else can be given it, although a data centre also has hosts with 200. Hosts now state their link in their row, and those with faster ones read (storepoll.Rank); equal ones and those that state none by hash, as before.

--- a/hostd/heartbeat.go
+++ b/hostd/heartbeat.go
@@ -210,6 +210,7 @@
 		Departed:   t.leaving,
 		Born:       born,
 		Version:    version,
+		LinkMbps:   g.settings().LinkMbps,
 	}
 }
 
--- a/hostd/readers.go
+++ b/hostd/readers.go
@@ -10,7 +10,6 @@
 	"github.com/gooseberryshed/gooseberryshed/boottime"
 	"github.com/gooseberryshed/gooseberryshed/internal/pause"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
-	"github.com/gooseberryshed/gooseberryshed/quota"
 	"github.com/gooseberryshed/gooseberryshed/storepoll"
 )
 
@@ -72,16 +71,25 @@
 	return v.firstInRank(dataCentre, storepoll.Ranked)
 }
 
+// rankedIn returns the hosts of a data centre in the order of their ranks.
+func (v *View) rankedIn(dataCentre string) []string {
+	var list []storepoll.Candidate
+	for _, host := range v.hostsByDataCentre[dataCentre] {
+		list = append(list, storepoll.Candidate{Host: host, LinkMbps: v.byHost[host].LinkMbps})
+	}
+	return storepoll.Rank(list)
+}
+
 // firstInRank returns at most n hosts of a data centre in the order of their ranks.
 func (v *View) firstInRank(dataCentre string, n int) []string {
-	hosts := quota.RankOwners("reader", v.hostsIn(dataCentre))
+	hosts := v.rankedIn(dataCentre)
 	return hosts[:min(len(hosts), n)]
 }
 
 // rank returns this host's rank in its data centre and the number of hosts there.
 // A host that is not listed has the lowest rank.
 func (c *Control) rank() (rank, hosts int) {
-	all := quota.RankOwners("reader", c.View().hostsIn(c.dataCentre))
+	all := c.View().rankedIn(c.dataCentre)
 	if i := slices.Index(all, c.host); i >= 0 {
 		return i, len(all)
 	}
--- a/hostd/view.go
+++ b/hostd/view.go
@@ -37,6 +37,8 @@
 	// Version is the version of the service that the target runs, or empty if its
 	// daemon does not know it.
 	Version string `json:"version,omitempty"`
+	// LinkMbps is the bandwidth of the host's link in Mbit/s, or 0 if it is not known.
+	LinkMbps int `json:"link_mbps,omitempty"`
 }
 
 // includes reports whether a departed target is the one with an id that started
