Configuration table: a read ends by silence in the other daemon too

The daemon of other installations gave the whole read of a configuration, head, deltas and all sections, 1.5 s, and began from the first row at the next poll: one whose bytes take longer on its link never arrived. TestConfigurationIsReadFromASlowTable failed before (rows that take 6 s were not loaded) and passes; a silent table is still given up after 1.5 s.

Open: configuration that one daemon of other installations pages from another still has 1.5 s a page, of up to 1 MB.

--- a/control/documents.go
+++ b/control/documents.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gooseberryshed/gooseberryshed/configstore"
+	"github.com/gooseberryshed/gooseberryshed/transfer"
 )
 
 // RPC methods that return a daemon's configuration.
@@ -85,11 +86,9 @@
 // pollTable reads the head revision. Once that revision is in force here, the
 // start of the read is recorded as the time of the last read.
 func (c *Control) pollTable(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
-	defer cancel()
 	start := time.Now()
 	c.stats.HeadReads.Add(1)
-	head, err := c.opts.Store.Head(ctx)
+	head, err := c.head(ctx)
 	if err != nil {
 		c.stats.HeadFailures.Add(1)
 		return
@@ -104,6 +103,12 @@
 	})
 }
 
+func (c *Control) head(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	return c.opts.Store.Head(ctx)
+}
+
 func (c *Control) revision() uint64 {
 	snap := c.current.Load()
 	if snap.Config == nil {
@@ -112,13 +117,19 @@
 	return snap.Config.Revision()
 }
 
+// tableLimits bound the silence of the table while a configuration is read from it, not the
+// time that its bytes take.
+var tableLimits = transfer.Limits{Silence: tableTimeout / 2, GiveUp: tableTimeout, Running: 1}
+
 // fetchFromTable updates the configuration to the head revision in the table.
 func (c *Control) fetchFromTable(ctx context.Context) {
 	view, err := c.currentView(ctx)
 	if err != nil {
 		return
 	}
-	next, err := c.viewFromTable(ctx, view)
+	next, err := transfer.First(ctx, tableLimits, transfer.Only(func(ctx context.Context) (configstore.View, error) {
+		return c.viewFromTable(ctx, view)
+	}))
 	if err != nil {
 		c.opts.Logger.Debug("loading the configuration from the table failed", "err", err)
 		return
@@ -179,9 +190,7 @@
 	if err := c.fetchFromPeer(ctx, target.host); err == nil && c.revision() >= target.revision {
 		return
 	}
-	tableCtx, cancel := context.WithTimeout(ctx, tableTimeout)
-	defer cancel()
-	c.fetchFromTable(tableCtx)
+	c.fetchFromTable(ctx)
 }
 
 var errNoAddress = errors.New("peer address not known: gossip has not delivered its record yet")
--- a/transfer/first.go
+++ b/transfer/first.go
@@ -143,3 +143,13 @@
 	}
 	return all
 }
+
+// Only returns the sources of a transfer that can be made in one way alone.
+func Only[T any](get func(ctx context.Context) (T, error)) (next func() (Source[T], bool)) {
+	begun := false
+	return func() (Source[T], bool) {
+		first := !begun
+		begun = true
+		return Source[T]{Get: get}, first
+	}
+}
