--- a/hostd/fetch.go
+++ b/hostd/fetch.go
@@ -23,9 +23,10 @@
 const (
 	// maxSentOn bounds how often a fetch is sent on to another host or asked to come again.
 	maxSentOn = 40
-	// maxPeersAsked is the number of hosts that are asked for a change that a poll has shown,
-	// before the store is.
-	maxPeersAsked = 2
+	// maxPolledAsked is the number of hosts that are asked for a change that a poll has shown,
+	// before the store is, and maxNoticedAsked that for a change of which there is notice.
+	maxPolledAsked  = 2
+	maxNoticedAsked = 4
 )
 
 // elsewhereError tells that another host is to be asked for changes.
@@ -160,8 +161,8 @@
 	}}
 }
 
-// fetchNoticed fetches the changes of which other hosts have given notice: from those, and then
-// from the ranked hosts of the data centre.
+// fetchNoticed fetches the changes of which other hosts have given notice: from those, the
+// ranked hosts of the data centre, and the store.
 func (c *Control) fetchNoticed(ctx context.Context) {
 	if !c.proven() {
 		// The change may be the first configuration, of no use without a proof.
@@ -174,31 +175,19 @@
 	case <-ctx.Done():
 		return
 	}
-	var asked []string
-	for c.inbox.get().version > c.configAt.Load() {
+	for c.inbox.get().version > c.configAt.Load() && ctx.Err() == nil {
 		after := c.configAt.Load()
-		tried := len(asked)
-		c.fetchFrom(ctx, after, func() (transfer.Source[fetched], bool) {
-			for _, host := range append(slices.Clone(c.inbox.get().senders), c.View().ranked(c.dataCentre)...) {
-				if t, ok := c.View().TargetOf(host); ok && host != c.host && !slices.Contains(asked, host) {
-					asked = append(asked, host)
-					return c.takeFrom(t, after), true
-				}
-			}
-			return transfer.Source[fetched]{}, false
-		})
-		switch {
-		case ctx.Err() != nil || len(asked) == tried:
-			return // all have been asked; a poll makes up for it
-		case c.configAt.Load() > after:
-			asked = nil // there may be a newer one
+		// A later notice may bring further senders.
+		hosts := func() []string { return append(slices.Clone(c.inbox.get().senders), c.View().ranked(c.dataCentre)...) }
+		if !c.fetchFrom(ctx, after, c.sources(after, maxNoticedAsked, hosts)) || c.configAt.Load() <= after {
+			return // a poll makes up for it
 		}
 	}
 }
 
 // fetchFromPeers fetches the changes that a poll has shown at a peer: from the peer, another
-// ranked host, and then the store. It returns false if nobody has given them. A fetch that is
-// already in progress is left to itself.
+// ranked host, and the store. It returns false if nobody has given them. A fetch that is already
+// in progress is left to itself.
 func (c *Control) fetchFromPeers(ctx context.Context, peer Target, after uint64) bool {
 	select {
 	case c.fetching <- struct{}{}:
@@ -206,18 +195,19 @@
 	default:
 		return true
 	}
-	hosts := append([]string{peer.Host}, slices.DeleteFunc(c.View().ranked(c.dataCentre), func(h string) bool { return h == peer.Host || h == c.host })...)
-	hosts = hosts[:min(len(hosts), maxPeersAsked)]
+	hosts := func() []string { return append([]string{peer.Host}, c.View().ranked(c.dataCentre)...) }
+	return c.fetchFrom(ctx, after, c.sources(after, maxPolledAsked, hosts))
+}
+
+// sources returns the sources of a fetch: at most some of the hosts, each once and in their
+// order, and then the store.
+func (c *Control) sources(after uint64, most int, hosts func() []string) func() (transfer.Source[fetched], bool) {
+	var asked []string
 	storeAsked := false
-	return c.fetchFrom(ctx, after, func() (transfer.Source[fetched], bool) {
-		for len(hosts) > 0 {
-			host := hosts[0]
-			hosts = hosts[1:]
-			t, ok := c.View().TargetOf(host)
-			if host == peer.Host {
-				t, ok = peer, true
-			}
-			if ok {
+	return func() (transfer.Source[fetched], bool) {
+		for _, host := range hosts() {
+			if t, ok := c.View().TargetOf(host); ok && host != c.host && len(asked) < most && !slices.Contains(asked, host) {
+				asked = append(asked, host)
 				return c.takeFrom(t, after), true
 			}
 		}
@@ -226,7 +216,7 @@
 		}
 		storeAsked = true
 		return transfer.Source[fetched]{Get: func(ctx context.Context) (fetched, error) { return fetched{}, c.readStore(ctx) }}, true
-	})
+	}
 }
 
 // outOfTurn is the feed of a host that reads the operators' table from the store although it is
@@ -279,7 +269,7 @@
 	ctx, reception := c.begin(ctx, &c.hostsTries)
 	after := c.hostsAt.Load()
 	hosts := append([]string{reader.Host}, slices.DeleteFunc(c.View().ranked(c.dataCentre), func(h string) bool { return h == reader.Host || h == c.host })...)
-	hosts = hosts[:min(len(hosts), maxPeersAsked)]
+	hosts = hosts[:min(len(hosts), maxPolledAsked)]
 	got, err := transfer.First(ctx, peerLimits, func() (transfer.Source[fetchedHosts], bool) {
 		if len(hosts) == 0 {
 			return transfer.Source[fetchedHosts]{}, false
