--- a/hostd/slowlinks_test.go
+++ b/hostd/slowlinks_test.go
@@ -1,69 +1,27 @@
 package hostd
 
 import (
-	"context"
 	"fmt"
-	"net"
 	"testing"
 	"time"
 
-	"golang.org/x/time/rate"
 	"gotest.tools/v3/assert"
 
+	"github.com/gooseberryshed/gooseberryshed/internal/slowlink"
 	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 )
 
 const (
-	// slowLink is a link of 10 Mbit/s, in bytes a second.
-	slowLink = 10e6 / 8
-	// slowLinkChunk is what a link carries at once, and slowLinkWindow what a sender may have
-	// under way.
-	slowLinkChunk  = 4 << 10
-	slowLinkWindow = 16 << 10
 	// largeDocumentRoutes and applyDeadline are those of the largest installation.
 	largeDocumentRoutes = 8000
 	applyDeadline       = 2500 * time.Millisecond
 )
 
-// startSlowLink forwards connections. Together they carry what they receive from the far side
-// at the rate of a slow link.
 func startSlowLink(t *testing.T, listen, to string) {
 	t.Helper()
-	l, err := net.Listen("tcp", listen)
+	l, err := slowlink.Start(listen, to, slowlink.TenMegabit)
 	assert.NilError(t, err)
-	t.Cleanup(func() { l.Close() })
-	limiter := rate.NewLimiter(slowLink, slowLinkChunk)
-	go func() {
-		for {
-			near, err := l.Accept()
-			if err != nil {
-				return
-			}
-			far, err := net.Dial("tcp", to)
-			if err != nil {
-				near.Close()
-				continue
-			}
-			go carry(t.Context(), near, far, nil)
-			go carry(t.Context(), far, near, limiter)
-		}
-	}()
-}
-
-func carry(ctx context.Context, from, to net.Conn, limiter *rate.Limiter) {
-	defer to.Close()
-	from.(*net.TCPConn).SetReadBuffer(slowLinkWindow) //nolint:errcheck // it may be closed
-	buf := make([]byte, slowLinkChunk)
-	for {
-		n, err := from.Read(buf)
-		if n > 0 && limiter != nil && limiter.WaitN(ctx, n) != nil {
-			return
-		}
-		if _, failed := to.Write(buf[:n]); failed != nil || err != nil {
-			from.Close()
-			return
-		}
-	}
+	t.Cleanup(l.Close)
 }
 
 // newSlowFleet returns a fleet whose gates and ways to the store are behind slow links.
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/gooseberryshed/gooseberryshed/internal/e2e/fabric"
 	"github.com/gooseberryshed/gooseberryshed/internal/freeport"
+	"github.com/gooseberryshed/gooseberryshed/internal/slowlink"
 	"github.com/gooseberryshed/gooseberryshed/platform/karpithaz"
 	"github.com/gooseberryshed/gooseberryshed/platform/standin"
 )
@@ -39,6 +40,9 @@
 	links *fabric.Fabric
 	// useFabric tells whether connections between daemons go through links as well.
 	useFabric bool
+	// linkRate, if set, limits the link of each host, in bytes a second, without a fabric
+	// between daemons.
+	linkRate float64
 	// rollouts is set if operators order roll-outs of versions.
 	rollouts bool
 	mu       sync.Mutex
@@ -217,6 +221,11 @@
 	}
 	h := &host{fleet: f, set: set, version: version, settings: filepath.Join(f.dir, set.Host+".conf"), gate: set.GateListen, datagrams: set.DatagramListen}
 	f.links.SetUpstream(storeHost, name, f.serveStore(ip))
+	if f.linkRate > 0 {
+		set.StoreAddress, h.gate = addr(), addr()
+		f.startSlowLink(set.StoreAddress, f.serveStore(ip))
+		f.startSlowLink(set.GateListen, h.gate)
+	}
 	if f.useFabric {
 		h.gate, h.datagrams = addr(), addr()
 		set.GateListen = f.advertise(name, gatePort, ip)
@@ -233,6 +242,12 @@
 	return h
 }
 
+func (f *fleet) startSlowLink(listen, to string) {
+	l, err := slowlink.Start(listen, to, f.linkRate)
+	assert.NilError(f.t, err)
+	f.t.Cleanup(l.Close)
+}
+
 // targetWork is how long a target works on a request.
 const targetWork = 30 * time.Millisecond
 
