Tests: the model of a change's way replaces hosts under a lock

Found by go test -race: restartSome wrote the map of hosts while the watcher went over it, in the case 'a third restarted'.

--- a/hostd/changeway_test.go
+++ b/hostd/changeway_test.go
@@ -122,8 +122,10 @@
 type modelFleet struct {
 	t     *testing.T
 	ctx   context.Context
-	hosts map[string]*modelHost
 	names []string
+	// hostsMu guards hosts and what is known of them in inForce.
+	hostsMu sync.Mutex
+	hosts   map[string]*modelHost
 	// roundTrip is that between hosts, and lost the share of notices that are lost.
 	roundTrip time.Duration
 	lost      float64
@@ -228,7 +230,7 @@
 
 func (p modelPeers) query(ctx context.Context, addr string, q datagram) (datagram, error) {
 	for _, pause := range queryTimeouts {
-		to := p.h.f.hosts[addr]
+		to := p.h.f.host(addr)
 		p.h.f.mu.Lock()
 		lost := p.h.f.random.Float64() < p.h.f.lost
 		p.h.f.mu.Unlock()
@@ -249,7 +251,7 @@
 }
 
 func (p modelPeers) operatorChanges(ctx context.Context, gate string, after uint64) (operatorChanges, error) {
-	from := p.h.f.hosts[gate]
+	from := p.h.f.host(gate)
 	if !sleepUntil(ctx, time.Now().Add(p.h.f.roundTrip)) || !p.h.awake(ctx) || !from.awake(ctx) {
 		return operatorChanges{}, ctx.Err()
 	}
@@ -259,8 +261,22 @@
 // add starts a host. It knows the others, whose rows do not change.
 func (f *modelFleet) add(name string) {
 	h := &modelHost{f: f, name: name, up: &modelLink{rate: f.rate}, down: &modelLink{rate: f.rate}, started: time.Now(), inForce: map[uint64]time.Time{}}
-	f.hosts[name] = h
 	f.run(h)
+	f.setHost(h)
+}
+
+// host returns the host with a name, or nil.
+func (f *modelFleet) host(name string) *modelHost {
+	f.hostsMu.Lock()
+	defer f.hostsMu.Unlock()
+	return f.hosts[name]
+}
+
+// setHost adds a host, or replaces the one with its name.
+func (f *modelFleet) setHost(h *modelHost) {
+	f.hostsMu.Lock()
+	defer f.hostsMu.Unlock()
+	f.hosts[h.name] = h
 }
 
 func (f *modelFleet) run(h *modelHost) {
@@ -280,20 +296,28 @@
 // watch records when hosts have new revisions, until ctx ends.
 func (f *modelFleet) watch() {
 	for f.ctx.Err() == nil {
-		for _, h := range f.hosts {
-			if cfg := h.c.View().Config; cfg != nil {
-				if _, known := h.inForce[cfg.Revision]; !known {
-					h.inForce[cfg.Revision] = time.Now()
-				}
+		f.recordInForce()
+		sleepUntil(f.ctx, time.Now().Add(5*time.Millisecond))
+	}
+}
+
+func (f *modelFleet) recordInForce() {
+	f.hostsMu.Lock()
+	defer f.hostsMu.Unlock()
+	for _, h := range f.hosts {
+		if cfg := h.c.View().Config; cfg != nil {
+			if _, known := h.inForce[cfg.Revision]; !known {
+				h.inForce[cfg.Revision] = time.Now()
 			}
 		}
-		sleepUntil(f.ctx, time.Now().Add(5*time.Millisecond))
 	}
 }
 
 // times returns after which time hosts had a revision or a later one, sorted, counted from the
 // latest of when it was written and when a host was started or woken up.
 func (f *modelFleet) times(revision uint64, written time.Time, since map[string]time.Time) []time.Duration {
+	f.hostsMu.Lock()
+	defer f.hostsMu.Unlock()
 	var out []time.Duration
 	for name, h := range f.hosts {
 		if h.isFrozen() {
--- a/hostd/changewayplays_test.go
+++ b/hostd/changewayplays_test.go
@@ -9,8 +9,8 @@
 
 // freezeReaders freezes the readers of the first data centre.
 func freezeReaders(f *modelFleet) map[string]time.Time {
-	for _, host := range f.hosts["dc-a/0"].c.View().ranked("dc-a")[:2] {
-		f.hosts[host].freeze(true)
+	for _, host := range f.host("dc-a/0").c.View().ranked("dc-a")[:2] {
+		f.host(host).freeze(true)
 	}
 	return nil
 }
@@ -20,14 +20,14 @@
 	since := map[string]time.Time{}
 	for i, name := range f.names {
 		if i%3 == 0 {
-			f.hosts[name].freeze(true)
+			f.host(name).freeze(true)
 			since[name] = time.Now().Add(4 * time.Second)
 		}
 	}
 	go func() {
 		time.Sleep(4 * time.Second)
 		for name := range since {
-			f.hosts[name].freeze(false)
+			f.host(name).freeze(false)
 		}
 	}()
 	return since
@@ -44,11 +44,11 @@
 	go func() {
 		time.Sleep(1200 * time.Millisecond)
 		for name := range since {
-			f.hosts[name].freeze(true)
+			f.host(name).freeze(true)
 		}
 		time.Sleep(2800 * time.Millisecond)
 		for name := range since {
-			f.hosts[name].freeze(false)
+			f.host(name).freeze(false)
 		}
 	}()
 	return since
@@ -59,11 +59,11 @@
 	since := map[string]time.Time{}
 	for i, name := range f.names {
 		if i%3 == 0 {
-			old := f.hosts[name]
+			old := f.host(name)
 			old.freeze(true)
 			h := &modelHost{f: f, name: name, up: old.up, down: old.down, started: time.Now(), inForce: map[uint64]time.Time{}}
 			f.run(h)
-			f.hosts[name] = h
+			f.setHost(h)
 			since[name] = time.Now()
 		}
 	}
