--- a/hostd/changeline.go
+++ b/hostd/changeline.go
@@ -18,11 +18,11 @@
 // that they asked, or are sent on to one that has the change already (package spread).
 
 // headerChanges is set in a request for changes of the operators' rows in the form of package
-// changes, and holds an askerOf. A response has it with a lineAnswer.
+// changes, and holds a changesAsker. A response has it with a lineAnswer.
 const headerChanges = "Gooseberryshed-Changes"
 
-// askerOf is who asks for changes.
-type askerOf struct {
+// changesAsker is the host that asks for changes.
+type changesAsker struct {
 	Host string `json:"h"`
 	// Base is the digest of the document that it has, or empty.
 	Base string `json:"b,omitempty"`
@@ -136,7 +136,7 @@
 }
 
 // answerInLine answers a request for changes of the operators' rows when its turn has come.
-func (c *Control) answerInLine(ctx context.Context, asker askerOf, after uint64) (changesResponse, error) {
+func (c *Control) answerInLine(ctx context.Context, asker changesAsker, after uint64) (changesResponse, error) {
 	refused := func(to string) changesResponse {
 		c.metrics.Add("changes_sent_on", 1)
 		return changesResponse{line: &lineAnswer{To: to}, ended: func(bool) {}}
@@ -179,7 +179,7 @@
 	if raw == nil || !ok || key.path != operatorChangesPath {
 		return false
 	}
-	var asker askerOf
+	var asker changesAsker
 	if err != nil || json.Unmarshal(raw, &asker) != nil {
 		x.Response.SetStatusCode(fasthttp.StatusBadRequest)
 		return true
--- a/hostd/changeline_test.go
+++ b/hostd/changeline_test.go
@@ -47,7 +47,7 @@
 	first, second := largeDocument(1), largeDocument(2)
 	asker, sender := controlWith(first), controlWith(first, second)
 	base := asker.knownConfig()
-	r, err := sender.answerInLine(t.Context(), askerOf{Host: "a", Base: base.Digest}, 1)
+	r, err := sender.answerInLine(t.Context(), changesAsker{Host: "a", Base: base.Digest}, 1)
 	assert.NilError(t, err)
 	assert.Assert(t, len(r.data) < 500, "%d bytes of %d", len(r.data), len(second))
 	assert.Assert(t, r.line == nil)
@@ -56,7 +56,7 @@
 	assert.Equal(t, string(got.Rows[0].Value), string(second))
 	// Without a former document, or with one that the sender does not have, all of it comes.
 	for _, digest := range []string{"", "unknown"} {
-		r, err := sender.answerInLine(t.Context(), askerOf{Host: "b", Base: digest}, 0)
+		r, err := sender.answerInLine(t.Context(), changesAsker{Host: "b", Base: digest}, 0)
 		assert.NilError(t, err)
 		assert.Assert(t, len(r.data) > smallChanges && r.line.Confirm)
 		r.ended(false)
@@ -76,7 +76,7 @@
 		answers := make(chan answer, 10)
 		ask := func(host string) {
 			go func() {
-				r, err := c.answerInLine(context.Background(), askerOf{Host: host}, 0)
+				r, err := c.answerInLine(context.Background(), changesAsker{Host: host}, 0)
 				assert.Check(t, err)
 				answers <- answer{host, r}
 			}()
@@ -126,13 +126,13 @@
 		sender, host := controlWith(first, second), controlWith(first)
 		host.recordNotice(datagram{Host: "s", ConfigVersion: 2})
 		base := host.knownConfig()
-		r, err := sender.answerInLine(context.Background(), askerOf{Host: "h", Base: base.Digest}, 1)
+		r, err := sender.answerInLine(context.Background(), changesAsker{Host: "h", Base: base.Digest}, 1)
 		assert.NilError(t, err)
 		got, err := readChanges(r.data, lineAnswer{}, base, 1)
 		assert.NilError(t, err)
 		done := make(chan changesResponse)
 		go func() {
-			r, err := host.answerInLine(context.Background(), askerOf{Host: "a", Base: base.Digest}, 1)
+			r, err := host.answerInLine(context.Background(), changesAsker{Host: "a", Base: base.Digest}, 1)
 			assert.Check(t, err)
 			done <- r
 		}()
@@ -142,7 +142,7 @@
 		passed := <-done
 		assert.DeepEqual(t, passed.data, r.data)
 		// Nothing comes: the asker is to come again.
-		late, err := controlWithNotice(first).answerInLine(context.Background(), askerOf{Host: "a", Base: base.Digest}, 1)
+		late, err := controlWithNotice(first).answerInLine(context.Background(), changesAsker{Host: "a", Base: base.Digest}, 1)
 		assert.NilError(t, err)
 		assert.Assert(t, late.data == nil && late.line.To == "")
 	})
--- a/hostd/changewayform_test.go
+++ b/hostd/changewayform_test.go
@@ -30,7 +30,7 @@
 
 func modelFetch(ctx context.Context, h, from *modelHost, after uint64) (operatorChanges, error) {
 	base := h.c.knownConfig()
-	asker := askerOf{Host: h.name}
+	asker := changesAsker{Host: h.name}
 	if base != nil {
 		asker.Base = base.Digest
 	}
--- a/hostd/fetch.go
+++ b/hostd/fetch.go
@@ -53,7 +53,7 @@
 // changesInLine fetches the changes of the operators' rows from a gate, in its turn.
 func (c *gateClient) changesInLine(ctx context.Context, gate string, after uint64) (operatorChanges, error) {
 	base := c.known()
-	asker := askerOf{Host: c.host}
+	asker := changesAsker{Host: c.host}
 	if base != nil {
 		asker.Base = base.Digest
 	}
--- a/storepoll/doc.go
+++ b/storepoll/doc.go
@@ -9,8 +9,8 @@
 // Load: hundreds of hosts a data centre; outages of the whole store or for some
 // hosts; the start of all hosts at once.
 //
-// Algorithm: the hosts of a data centre are ranked by rendezvous hashing. The
-// first, its readers, keep long polls at the store. All others poll the readers
+// Algorithm: the hosts of a data centre are ranked by the bandwidth of their links
+// and, where that is the same, by rendezvous hashing. The first, its readers, keep long polls at the store. All others poll the readers
 // by datagram. When the proofs of the readers grow old, the hosts of the next few
 // ranks, the standbys, ask the store once a turn: each one when the proofs of all
 // lower ranks are older than a limit that grows with the rank, so that one of
@@ -30,8 +30,9 @@
 // and two hosts of each other one, which fetch it from the sender. These two are the
 // readers or, in place of those that do not answer, the next in rank. So a data centre
 // whose readers are silent, or refused by the store, learns changes from the others.
-// Hosts spread their fetches from hosts of their own data centre, so that the link of
-// the sender is not congested.
+// Hosts spread their requests to hosts of their own data centre over some milliseconds
+// each, which is for the sender's processor; what its link carries is decided by package
+// spread.
 //
 // Start: a host reads the hosts table once, which tells it the readers and the
 // version of its own row, so that writing that row takes one call or, after a
